--- /dev/null
+++ b/src/decide/balance.rs
@@ -0,0 +1,489 @@
+//! Which backend server gets a request: the one with the least expected time to its first byte.
+//!
+//! What runs where is known exactly for requests of this instance, and as last told for those of
+//! its peers. How fast a server works is learned from the answers it gives.
+
+use crate::common::*;
+use crate::world::backend::{Backend, Holdings};
+use crate::world::deployment::Deployment;
+use crate::world::id;
+use crate::world::message::{Generation, Load, Target};
+use crate::world::site::{Service, Site};
+use crate::world::unit::float;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Time to a server and back, within a region and to another one; both sites' sheets.
+const DATA_CENTRE_ROUND_TRIP: f64 = 0.002;
+const REGION_ROUND_TRIP: f64 = 0.025;
+/// Seconds that a request should gain before it takes the paid link between regions.
+const PAID_LINK: f64 = 0.04;
+/// Prompt tokens that an engine reads in a second, until answers tell better.
+const FIRST_RATE: f64 = 20_000.0;
+/// Seconds that a plain request takes, until answers tell better.
+const FIRST_SERVICE: f64 = 0.03;
+/// Weight of the newest answer in averages.
+const SMOOTHING: f64 = 0.1;
+/// Bounds of a server's learned slowness, against the average server.
+const SLOWEST: f64 = 8.0;
+const FASTEST: f64 = 0.5;
+/// What a peer told of its requests counts for this long.
+const PEER_MEMORY: Duration = Duration::from_millis(2_000);
+/// A server that could not be reached rests this long; twice as long each further time.
+const REST: Duration = Duration::from_millis(400);
+const LONGEST_REST: Duration = Duration::from_secs(4);
+/// Seconds added for each request running, for each token's step grows with the batch.
+const STEP_SHARE: f64 = 0.000_5;
+/// Prompt parts that are remembered of each server.
+const MOST_PARTS: usize = 512;
+/// Part of an engine's memory for running requests beyond which new ones would wait.
+const CACHE_FULL: f64 = 0.9;
+/// Seconds that a request waits where memory is full.
+const CACHE_WAIT: f64 = 1.0;
+/// Share of failed answers beyond which a server is avoided, and what it then costs.
+const GREY: f64 = 0.3;
+const GREY_COST: f64 = 1.0;
+
+/// What a request needs of a backend server.
+#[derive(Debug, Clone)]
+pub struct Need {
+    pub service: id::Service,
+    pub generation: Option<Generation>,
+    /// Draw in `0..2^64` that spreads requests over servers that look alike.
+    pub draw: u64,
+}
+
+/// Where a request can go.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Choice {
+    /// To this server, with the seconds expected to its first byte.
+    Send(id::Worker, f64),
+    /// Servers are there, but none holds the model.
+    NoModel,
+    /// Servers hold the model, but none of them the adapter.
+    NoAdapter,
+    /// No server of the service can be used.
+    Nobody,
+}
+
+/// What one peer has running at a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
+pub struct Running {
+    pub requests: u32,
+    /// Prompt tokens that are not read yet.
+    pub unread: u64,
+    /// Tokens that running requests may keep in memory.
+    pub kept: u64,
+}
+
+/// What is known of one server.
+#[derive(Debug, Clone, Serialize)]
+pub struct View {
+    pub backend: Backend,
+    pub own: Running,
+    peers: BTreeMap<id::Instance, (Duration, Running)>,
+    reported: Option<(Duration, Load)>,
+    /// Models that are about to be unloaded.
+    closing: BTreeSet<id::Model>,
+    /// Time that requests take, as a multiple of what was expected.
+    pub slowness: f64,
+    service_time: f64,
+    failures: f64,
+    rests_until: Duration,
+    rests: u32,
+    #[serde(skip)]
+    parts: Map<u64, u64>,
+    uses: u64,
+}
+
+impl View {
+    fn new(backend: Backend) -> Self {
+        Self {
+            backend,
+            own: Running::default(),
+            peers: BTreeMap::new(),
+            reported: None,
+            closing: BTreeSet::new(),
+            slowness: 1.0,
+            service_time: FIRST_SERVICE,
+            failures: 0.0,
+            rests_until: Duration::ZERO,
+            rests: 0,
+            parts: Map::default(),
+            uses: 0,
+        }
+    }
+
+    /// Everything that runs there, of this instance and of its peers.
+    #[must_use]
+    pub fn running(&self, now: Duration) -> Running {
+        let fresh = self.peers.values();
+        let fresh = fresh.filter(|(at, _)| now < *at + PEER_MEMORY);
+        fresh.fold(self.own, |sum, (_, peer)| Running {
+            requests: sum.requests + peer.requests,
+            unread: sum.unread + peer.unread,
+            kept: sum.kept + peer.kept,
+        })
+    }
+
+    fn holds(&self, target: &Target) -> bool {
+        let Some(adapters) = self.backend.holdings.get(&target.model) else {
+            return false;
+        };
+        let adapter = target.adapter.as_ref();
+        adapter.is_none_or(|adapter| adapters.contains(adapter))
+    }
+
+    fn has_model(&self, model: &id::Model) -> bool {
+        self.backend.holdings.contains_key(model) && !self.closing.contains(model)
+    }
+}
+
+/// All servers, as one instance sees them.
+#[derive(Debug, Default)]
+pub struct Balance {
+    here: id::DataCentre,
+    regions: BTreeMap<id::DataCentre, id::Region>,
+    views: BTreeMap<id::Worker, View>,
+    services: BTreeMap<id::Service, Service>,
+    /// Prompt tokens that engines read in a second.
+    rates: BTreeMap<id::Service, f64>,
+}
+
+impl Balance {
+    /// A view from where an instance stands.
+    #[must_use]
+    pub fn new(deployment: &Deployment) -> Self {
+        Self {
+            here: deployment.data_centre.clone(),
+            regions: deployment.regions.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// Takes the operator's services.
+    pub fn on_site(&mut self, site: &Site) {
+        self.services = site.services.clone();
+    }
+
+    /// Takes a server's entry in the platform's list.
+    pub fn on_listed(&mut self, backend: Backend) {
+        let known = self.views.get_mut(&backend.id);
+        match known {
+            Some(view) if view.backend.boot == backend.boot => {
+                let leaving = view.backend.leaving || backend.leaving;
+                view.backend = backend;
+                view.backend.leaving = leaving;
+            }
+            _ => {
+                self.views.insert(backend.id.clone(), View::new(backend));
+            }
+        }
+    }
+
+    /// Forgets a server that ended.
+    pub fn on_unlisted(&mut self, worker: &id::Worker) {
+        self.views.remove(worker);
+    }
+
+    /// Takes what the holder of the lease knows of a worker's memory.
+    pub fn on_holdings(
+        &mut self,
+        worker: &id::Worker,
+        holdings: Holdings,
+        closing: BTreeSet<id::Model>,
+    ) {
+        if let Some(view) = self.views.get_mut(worker) {
+            view.backend.holdings = holdings;
+            view.closing = closing;
+        }
+    }
+
+    /// Takes what a peer has running, at all servers.
+    pub fn on_peer(
+        &mut self,
+        now: Duration,
+        peer: &id::Instance,
+        loads: &BTreeMap<id::Worker, Running>,
+    ) {
+        for (worker, view) in &mut self.views {
+            let running = loads.get(worker).copied().unwrap_or_default();
+            view.peers.insert(peer.clone(), (now, running));
+        }
+    }
+
+    /// What this instance has running, at all servers.
+    #[must_use]
+    pub fn own(&self) -> BTreeMap<id::Worker, Running> {
+        let busy = self.views.iter();
+        let busy = busy.filter(|(_, view)| view.own.requests > 0);
+        busy.map(|(worker, view)| (worker.clone(), view.own)).collect()
+    }
+
+    /// Notes that a request was sent; what it adds is to be given back by [`Self::on_ended`].
+    pub fn on_sent(&mut self, worker: &id::Worker, need: &Need) -> Running {
+        let Some(view) = self.views.get_mut(worker) else {
+            return Running::default();
+        };
+        let added = Running {
+            requests: 1,
+            unread: need.generation.as_ref().map_or(0, |it| unread(view, it)),
+            kept: need.generation.as_ref().map_or(0, kept),
+        };
+        view.own.requests += added.requests;
+        view.own.unread += added.unread;
+        view.own.kept += added.kept;
+        if let Some(generation) = &need.generation {
+            remember(view, generation);
+        }
+        added
+    }
+
+    /// Notes that the first byte of an answer came.
+    pub fn on_first(&mut self, worker: &id::Worker, added: &mut Running) {
+        if let Some(view) = self.views.get_mut(worker) {
+            view.own.unread = view.own.unread.saturating_sub(added.unread);
+        }
+        added.unread = 0;
+    }
+
+    /// Notes that a request ended there.
+    pub fn on_ended(&mut self, worker: &id::Worker, added: Running) {
+        if let Some(view) = self.views.get_mut(worker) {
+            view.own.requests = view.own.requests.saturating_sub(added.requests);
+            view.own.unread = view.own.unread.saturating_sub(added.unread);
+            view.own.kept = view.own.kept.saturating_sub(added.kept);
+        }
+    }
+
+    /// Learns from the time to the first byte, beside the time that was expected.
+    pub fn on_served(&mut self, worker: &id::Worker, expected: f64, took: Duration) {
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        let took = took.as_secs_f64();
+        view.failures *= 1.0 - SMOOTHING;
+        view.rests = 0;
+        view.rests_until = Duration::ZERO;
+        view.service_time += SMOOTHING * (took - view.service_time);
+        let ratio = (took / expected.max(0.001)).clamp(0.2, 5.0);
+        let slowness = view.slowness * (1.0 - SMOOTHING + SMOOTHING * ratio);
+        view.slowness = slowness.clamp(FASTEST, SLOWEST);
+        let mean = self.mean_slowness(worker);
+        if let (Some(mean), Some(view)) = (mean, self.views.get(worker)) {
+            let service = view.backend.service.clone();
+            let rate = self.rates.entry(service).or_insert(FIRST_RATE);
+            *rate = (*rate * (1.0 - 0.02 * (mean - 1.0))).clamp(2_000.0, 200_000.0);
+        }
+    }
+
+    fn mean_slowness(&self, worker: &id::Worker) -> Option<f64> {
+        let service = &self.views.get(worker)?.backend.service;
+        let peers = self.views.values();
+        let peers = peers.filter(|view| view.backend.service == *service);
+        let (sum, count) = peers.fold((0.0, 0.0), |(sum, count), view| {
+            (sum + view.slowness, count + 1.0)
+        });
+        Some(sum / count)
+    }
+
+    /// Takes the load that a server told in an answer.
+    pub fn on_load(&mut self, now: Duration, worker: &id::Worker, load: Load) {
+        if let Some(view) = self.views.get_mut(worker) {
+            view.reported = Some((now, load));
+        }
+    }
+
+    /// Notes that a server failed while it ran a request.
+    pub fn on_failed(&mut self, worker: &id::Worker) {
+        if let Some(view) = self.views.get_mut(worker) {
+            view.failures += SMOOTHING * (1.0 - view.failures);
+        }
+    }
+
+    /// Notes that a server can't be reached or has no room.
+    pub fn on_unreachable(&mut self, now: Duration, worker: &id::Worker) {
+        if let Some(view) = self.views.get_mut(worker) {
+            let rest = (REST * (1 << view.rests.min(4))).min(LONGEST_REST);
+            view.rests_until = now + rest;
+            view.rests += 1;
+        }
+    }
+
+    /// Notes that a server is not what its entry says: it ended, or does not hold the target.
+    pub fn on_misdirected(&mut self, now: Duration, worker: &id::Worker, target: Option<&Target>) {
+        let Some(view) = self.views.get_mut(worker) else {
+            return;
+        };
+        match target {
+            None => view.rests_until = now + LONGEST_REST,
+            Some(Target {
+                model,
+                adapter: Some(adapter),
+            }) => {
+                let held = view.backend.holdings.get_mut(model);
+                held.map(|adapters| adapters.remove(adapter));
+            }
+            Some(Target { model, .. }) => {
+                view.backend.holdings.remove(model);
+            }
+        }
+    }
+
+    /// One server's view.
+    #[must_use]
+    pub fn view(&self, worker: &id::Worker) -> Option<&View> {
+        self.views.get(worker)
+    }
+
+    /// All views.
+    pub fn views(&self) -> impl Iterator<Item = &View> {
+        self.views.values()
+    }
+
+    /// The server for a request, none of those in `tried`.
+    #[must_use]
+    pub fn choose(&self, now: Duration, need: &Need, tried: &[id::Worker]) -> Choice {
+        let usable: Vec<&View> = self.usable(need, tried).collect();
+        if usable.is_empty() {
+            return Choice::Nobody;
+        }
+        let Some(generation) = &need.generation else {
+            return self.best(now, need, &usable);
+        };
+        let target = &generation.target;
+        let with_model: Vec<&View> = usable
+            .into_iter()
+            .filter(|view| view.has_model(&target.model))
+            .collect();
+        if with_model.is_empty() {
+            return Choice::NoModel;
+        }
+        let holders: Vec<&View> = with_model
+            .into_iter()
+            .filter(|view| view.holds(target))
+            .collect();
+        if holders.is_empty() {
+            return Choice::NoAdapter;
+        }
+        self.best(now, need, &holders)
+    }
+
+    fn usable<'a>(
+        &'a self,
+        need: &'a Need,
+        tried: &'a [id::Worker],
+    ) -> impl Iterator<Item = &'a View> {
+        let views = self.views.values();
+        views.filter(|view| {
+            let backend = &view.backend;
+            backend.service == need.service && !backend.leaving && !tried.contains(&backend.id)
+        })
+    }
+
+    fn best(&self, now: Duration, need: &Need, views: &[&View]) -> Choice {
+        let rested = views.iter().filter(|view| view.rests_until <= now);
+        let rested: Vec<&&View> = rested.collect();
+        let candidates = if rested.is_empty() {
+            views.iter().collect()
+        } else {
+            rested
+        };
+        let costs = candidates.into_iter().map(|view| {
+            let expected = self.expected(now, need, view);
+            (expected + self.surcharge(need, view), expected, view)
+        });
+        let best = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b));
+        best.map_or(Choice::Nobody, |(_, expected, view)| {
+            Choice::Send(view.backend.id.clone(), expected)
+        })
+    }
+
+    /// Expected seconds to the first byte.
+    fn expected(&self, now: Duration, need: &Need, view: &View) -> f64 {
+        let running = view.running(now);
+        let link = self.link(view);
+        let Some(generation) = &need.generation else {
+            let places = f64::from(view.backend.places.max(1));
+            let taken = f64::from(running.requests) / places;
+            let queue = (taken + 1.0 / places - 1.0).max(0.0) + taken.powi(3) * 0.5;
+            return link + (1.0 + queue) * view.service_time;
+        };
+        let rate = self.rates.get(&need.service).copied();
+        let tokens = float(running.unread + unread(view, generation));
+        let read = tokens / rate.unwrap_or(FIRST_RATE);
+        let steps = STEP_SHARE * f64::from(running.requests);
+        let memory = self.memory_wait(need, running, generation);
+        link + (read + steps + memory) * view.slowness
+    }
+
+    fn memory_wait(&self, need: &Need, running: Running, generation: &Generation) -> f64 {
+        let service = self.services.get(&need.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            return 0.0;
+        };
+        let full = float(engine.cache.0) * CACHE_FULL;
+        let used = float(running.kept + kept(generation));
+        let batch_full = running.requests >= engine.batch;
+        if used > full || batch_full { CACHE_WAIT * (used / full).max(1.0) } else { 0.0 }
+    }
+
+    /// Seconds that count against a server beside the wait.
+    fn surcharge(&self, need: &Need, view: &View) -> f64 {
+        let region = |data_centre| self.regions.get(data_centre);
+        let paid = if region(&view.backend.data_centre) == region(&self.here) {
+            0.0
+        } else {
+            PAID_LINK
+        };
+        let grey = (view.failures - GREY).max(0.0) * GREY_COST;
+        let spread = xxh3_64_with_seed(view.backend.id.as_str().as_bytes(), need.draw);
+        let jitter = float(spread >> 54) * 2e-6;
+        paid + grey + jitter
+    }
+
+    fn link(&self, view: &View) -> f64 {
+        let there = &view.backend.data_centre;
+        if *there == self.here {
+            0.0
+        } else if self.regions.get(there) == self.regions.get(&self.here) {
+            DATA_CENTRE_ROUND_TRIP
+        } else {
+            REGION_ROUND_TRIP
+        }
+    }
+}
+
+/// Prompt tokens that a server has to read: those after the parts it is expected to keep.
+fn unread(view: &View, generation: &Generation) -> u64 {
+    let keys = part_keys(generation);
+    let kept = keys.take_while(|(key, _)| view.parts.contains_key(key));
+    let kept: u64 = kept.map(|(_, tokens)| tokens).sum();
+    generation.prompt.0.saturating_sub(kept)
+}
+
+fn kept(generation: &Generation) -> u64 {
+    generation.prompt.0 + generation.output.0
+}
+
+/// Keys of a prompt's parts: a part is kept for one target, and only with all parts before it.
+fn part_keys(generation: &Generation) -> impl Iterator<Item = (u64, u64)> {
+    let target = generation.target.to_string();
+    let mut key = xxh3_64_with_seed(target.as_bytes(), 0);
+    generation.parts.iter().map(move |part| {
+        key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
+        (key, part.tokens.0)
+    })
+}
+
+fn remember(view: &mut View, generation: &Generation) {
+    view.uses += 1;
+    for (key, _) in part_keys(generation) {
+        view.parts.insert(key, view.uses);
+    }
+    if view.parts.len() > MOST_PARTS {
+        let mut ages: Vec<u64> = view.parts.values().copied().collect();
+        ages.sort_unstable();
+        let middle = ages[ages.len() / 2];
+        view.parts.retain(|_, use_number| *use_number > middle);
+    }
+}
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -69,6 +69,10 @@
     seen: Option<Seen>,
     proposed: Option<(Holder, Duration)>,
     held_since: Option<Duration>,
+    /// Whom the lease was taken from, when it was last taken.
+    took_from: Option<id::Instance>,
+    /// Version of the row that its holder told, and when.
+    heard: Option<(u64, Duration)>,
     resigned: bool,
 }
 
@@ -95,6 +99,8 @@
             seen: None,
             proposed: None,
             held_since: None,
+            took_from: None,
+            heard: None,
             resigned: false,
         }
     }
@@ -107,6 +113,29 @@
         (now < since + usable).then_some(self.me.fence)
     }
 
+    /// Whether another instance held the lease before this one, and may have acted until lately.
+    #[must_use]
+    pub fn is_from_another(&self) -> bool {
+        let before = self.took_from.as_ref();
+        before.is_some_and(|before| *before != self.me.instance)
+    }
+
+    /// Version of the row after this holder's last renewal.
+    #[must_use]
+    pub fn version(&self) -> Option<u64> {
+        self.check().map(|check| check.version)
+    }
+
+    /// Takes the word of the holder, from elsewhere than the row, that the row had this version.
+    ///
+    /// The row is read before it is taken over; that it stood unchanged counts from here on.
+    pub fn on_heard(&mut self, now: Duration, version: u64) {
+        let newer = self.seen.as_ref().is_none_or(|seen| seen.version < version);
+        if newer && self.held_since.is_none() {
+            self.heard = Some((version, now));
+        }
+    }
+
     /// Condition under which only the holder's writes take effect: nobody has changed the row
     /// since this holder's last renewal.
     #[must_use]
@@ -146,6 +175,9 @@
             renewals: seen.holder.as_ref().map_or(0, |holder| holder.renewals) + 1,
             ..self.me.clone()
         };
+        if !mine {
+            self.took_from = seen.holder.map(|holder| holder.instance);
+        }
         self.proposed = Some((next.clone(), now));
         Action::Commit(Txn::default().put(self.key.clone(), seen.version, json!(next)))
     }
@@ -168,9 +200,10 @@
             .as_ref()
             .is_some_and(|seen| seen.version == version);
         if !unchanged {
+            let heard = self.heard.filter(|(heard, _)| *heard == version);
             self.seen = Some(Seen {
                 version,
-                since: now,
+                since: heard.map_or(now, |(_, at)| at),
                 holder,
             });
         }
--- /dev/null
+++ b/src/decide/orders.rs
@@ -0,0 +1,464 @@
+//! One worker's orders, so that its memory is never overcommitted.
+//!
+//! Every order is valid at one count of accepted orders, and the worker checks that count when it
+//! carries the order out. So of all copies of orders at one count, late ones included, one takes
+//! effect at most. An order without answer is sent again as it was until its outcome is known. A
+//! worker that restarts counts anew: what may still arrive then stays reserved until it can't.
+
+use crate::common::*;
+use crate::world::backend::{Backend, Holdings, Report};
+use crate::world::id;
+use crate::world::message::Target;
+use crate::world::order::{Action, Reply};
+use crate::world::site::Engine;
+use crate::world::unit::Bytes;
+
+/// An order without answer may be carried out this much later; the platform's longest delay.
+const LONGEST_DELAY: Duration = Duration::from_secs(13);
+/// Wait before an order without answer is sent again, or a report is asked for again.
+const AGAIN: Duration = Duration::from_millis(400);
+/// Reports are older than this when they arrive.
+const REPORT_AGE: Duration = Duration::from_millis(350);
+/// A model's order that is not seen done after its time is asked about.
+const OVERDUE: Duration = Duration::from_millis(1_500);
+/// Time that an adapter takes to arrive.
+const ADAPTER_ARRIVES: Duration = Duration::from_millis(15);
+/// Time between the word that a model goes and the order, for requests on their way.
+const CLOSING: Duration = Duration::from_millis(60);
+
+/// What to do next for a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Send this action, valid at this count of accepted orders.
+    Send(Action, u64),
+    /// Ask for a report.
+    Ask,
+    /// Nothing now.
+    Wait,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    /// Nothing is known before the first report.
+    Unknown { ask_at: Duration },
+    Idle,
+    /// An order was sent and not answered yet.
+    Sent { action: Action },
+    /// An order got no answer.
+    Unanswered { action: Action, again_at: Duration },
+    /// A model's order is being carried out.
+    Running { action: Action, due: Duration },
+    /// The count or the outcome is unclear: a report is needed.
+    Unclear { ask_at: Duration },
+    Asked,
+}
+
+/// What is known of one worker's memory and orders.
+#[derive(Debug, Clone, Serialize)]
+pub struct Ledger {
+    pub backend: Backend,
+    state: State,
+    orders: u64,
+    /// Models that are about to be unloaded, since when.
+    closing: BTreeMap<id::Model, Duration>,
+    /// Models to unload, then the one to load.
+    evict: VecDeque<id::Model>,
+    load: Option<id::Model>,
+    adapters: VecDeque<Action>,
+    /// Adapters that arrive soon.
+    arriving: Vec<(Target, Duration)>,
+    /// Orders to an earlier start of this worker that may still arrive.
+    late: Vec<(Target, Duration)>,
+    /// Rises with every change of what others should know.
+    pub revision: u64,
+}
+
+impl Ledger {
+    /// A worker of which only its entry is known.
+    #[must_use]
+    pub fn new(now: Duration, backend: Backend) -> Self {
+        let orders = backend.orders;
+        Self {
+            backend,
+            state: State::Unknown { ask_at: now },
+            orders,
+            closing: BTreeMap::new(),
+            evict: VecDeque::new(),
+            load: None,
+            adapters: VecDeque::new(),
+            arriving: Vec::new(),
+            late: Vec::new(),
+            revision: 1,
+        }
+    }
+
+    /// Takes the worker's entry in the platform's list.
+    pub fn on_listed(&mut self, now: Duration, backend: Backend) {
+        if backend.boot != self.backend.boot {
+            self.restart(now, backend);
+            return;
+        }
+        if matches!(self.state, State::Unknown { .. }) {
+            self.orders = backend.orders;
+            self.backend = backend;
+            return;
+        }
+        let known = std::mem::take(&mut self.backend.holdings);
+        self.backend = backend;
+        let mut listed = self.backend.holdings.clone();
+        for (model, adapters) in &mut listed {
+            if let Some(known) = known.get(model) {
+                *adapters = known.clone();
+            }
+        }
+        self.orders = self.orders.max(self.backend.orders);
+        let done = match &self.state {
+            State::Running {
+                action: Action::Load(target),
+                ..
+            } => listed.contains_key(&target.model),
+            State::Running {
+                action: Action::Unload(target),
+                ..
+            } => !listed.contains_key(&target.model),
+            _ => false,
+        };
+        if done {
+            self.state = State::Idle;
+        }
+        let keep = !matches!(self.state, State::Idle | State::Running { .. });
+        self.backend.holdings = if keep { known } else { listed };
+        self.revision += 1;
+    }
+
+    fn restart(&mut self, now: Duration, backend: Backend) {
+        let mut late = std::mem::take(&mut self.late);
+        if let State::Sent { action } | State::Unanswered { action, .. } = &self.state
+            && let Action::Load(target) = action
+        {
+            late.push((target.clone(), now + LONGEST_DELAY));
+        }
+        let revision = self.revision + 1;
+        *self = Self::new(now, backend);
+        self.late = late;
+        self.revision = revision;
+        self.state = State::Idle;
+    }
+
+    /// Whether a job may be given.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        let idle = matches!(self.state, State::Idle);
+        idle && self.load.is_none() && self.evict.is_empty() && !self.backend.leaving
+    }
+
+    /// Whether the worker's memory is known, and not only its entry.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        !matches!(self.state, State::Unknown { .. } | State::Asked)
+    }
+
+    /// Whether adapters may be asked for.
+    #[must_use]
+    pub fn takes_adapters(&self) -> bool {
+        let known = matches!(self.state, State::Idle | State::Sent { .. });
+        known && !self.backend.leaving
+    }
+
+    /// Gives a job: models to unload, then one to load.
+    pub fn give(&mut self, now: Duration, evict: Vec<id::Model>, load: id::Model) {
+        self.closing = evict.iter().map(|model| (model.clone(), now)).collect();
+        self.evict = evict.into();
+        self.load = Some(load);
+        self.revision += 1;
+    }
+
+    /// Asks for an adapter to be loaded, or unloaded to make room.
+    pub fn give_adapter(&mut self, action: Action) {
+        if !self.adapters.contains(&action) {
+            self.adapters.push_back(action);
+        }
+    }
+
+    /// Whether an adapter is here or on its way.
+    #[must_use]
+    pub fn expects(&self, target: &Target) -> bool {
+        let queued = self.adapters.iter();
+        let mut queued = queued.filter(|action| matches!(action, Action::Load(_)));
+        let arriving = self.arriving.iter().any(|(arriving, _)| arriving == target);
+        let sent = matches!(&self.state, State::Sent { action: Action::Load(sent) } | State::Unanswered { action: Action::Load(sent), .. } if sent == target);
+        let queued = queued.any(|action| action.target() == target);
+        arriving || sent || queued || self.holds(target)
+    }
+
+    fn holds(&self, target: &Target) -> bool {
+        let adapters = self.backend.holdings.get(&target.model);
+        let adapter = target.adapter.as_ref();
+        adapters.is_some_and(|held| adapter.is_none_or(|adapter| held.contains(adapter)))
+    }
+
+    /// Models that it holds or is about to hold, those about to go left out.
+    #[must_use]
+    pub fn models(&self) -> BTreeSet<id::Model> {
+        let held = self.backend.holdings.keys();
+        let held = held.filter(|model| !self.closing.contains_key(*model));
+        let coming = match &self.state {
+            State::Running {
+                action: Action::Load(target),
+                ..
+            } => Some(&target.model),
+            _ => self.load.as_ref(),
+        };
+        held.chain(coming).cloned().collect()
+    }
+
+    /// Models of which requests should not be sent here any more.
+    #[must_use]
+    pub fn closing(&self) -> BTreeSet<id::Model> {
+        self.closing.keys().cloned().collect()
+    }
+
+    /// What requests can use now.
+    #[must_use]
+    pub fn holdings(&self) -> &Holdings {
+        &self.backend.holdings
+    }
+
+    /// Adapters here and on their way.
+    #[must_use]
+    pub fn adapter_count(&self) -> usize {
+        let here: usize = self.backend.holdings.values().map(BTreeSet::len).sum();
+        let loads = self.adapters.iter().filter(|it| matches!(it, Action::Load(_)));
+        let unloads = self.adapters.iter().filter(|it| matches!(it, Action::Unload(_)));
+        let sent = match &self.state {
+            State::Sent { action } | State::Unanswered { action, .. } => match action {
+                Action::Load(target) => usize::from(target.adapter.is_some()),
+                Action::Unload(_) => 0,
+            },
+            _ => 0,
+        };
+        let late = self.late.iter().filter(|(it, _)| it.adapter.is_some());
+        (here + self.arriving.len() + loads.count() + sent + late.count())
+            .saturating_sub(unloads.count())
+    }
+
+    /// Memory beside the models: adapters and what may still arrive late.
+    #[must_use]
+    pub fn reserved(&self, engine: &Engine) -> Bytes {
+        let largest = engine.models.values().map(|model| model.adapter_size);
+        let largest = largest.max().unwrap_or_default();
+        let adapters = Bytes(largest.0 * engine.adapter_places as u64);
+        let late = self.late.iter().filter(|(it, _)| it.adapter.is_none());
+        let late = late.filter_map(|(it, _)| engine.models.get(&it.model));
+        late.fold(adapters, |sum, model| sum.plus(model.size))
+    }
+
+    /// The next step for this worker.
+    pub fn next(&mut self, now: Duration, engine: &Engine) -> Step {
+        self.settle(now);
+        match &self.state {
+            State::Unknown { ask_at } | State::Unclear { ask_at } if now >= *ask_at => {
+                self.state = State::Asked;
+                Step::Ask
+            }
+            State::Running { due, .. } if now >= *due + OVERDUE => {
+                self.state = State::Asked;
+                Step::Ask
+            }
+            State::Unanswered { action, again_at } if now >= *again_at => {
+                let action = action.clone();
+                self.send(action)
+            }
+            State::Idle => match self.choose(now, engine) {
+                Some(action) => self.send(action),
+                None => Step::Wait,
+            },
+            _ => Step::Wait,
+        }
+    }
+
+    fn send(&mut self, action: Action) -> Step {
+        self.state = State::Sent {
+            action: action.clone(),
+        };
+        Step::Send(action, self.orders)
+    }
+
+    fn settle(&mut self, now: Duration) {
+        self.late.retain(|(_, until)| now < *until);
+        let (arrived, arriving) = std::mem::take(&mut self.arriving)
+            .into_iter()
+            .partition(|(_, at)| now >= *at);
+        self.arriving = arriving;
+        let arrived: Vec<(Target, Duration)> = arrived;
+        for (target, _) in arrived {
+            self.hold(target);
+            self.revision += 1;
+        }
+    }
+
+    fn hold(&mut self, target: Target) {
+        match target.adapter {
+            Some(adapter) => {
+                if let Some(adapters) = self.backend.holdings.get_mut(&target.model) {
+                    adapters.insert(adapter);
+                }
+            }
+            None => {
+                self.backend.holdings.entry(target.model).or_default();
+            }
+        }
+    }
+
+    fn drop_held(&mut self, target: &Target) {
+        match &target.adapter {
+            Some(adapter) => {
+                let held = self.backend.holdings.get_mut(&target.model);
+                held.map(|adapters| adapters.remove(adapter));
+            }
+            None => {
+                self.backend.holdings.remove(&target.model);
+                self.closing.remove(&target.model);
+            }
+        }
+    }
+
+    fn choose(&mut self, now: Duration, engine: &Engine) -> Option<Action> {
+        while let Some(action) = self.adapters.pop_front() {
+            if self.is_sound(&action, engine) {
+                return Some(action);
+            }
+        }
+        if let Some(model) = self.evict.front() {
+            let since = self.closing.get(model).copied().unwrap_or(now);
+            if now < since + CLOSING {
+                return None;
+            }
+            let model = self.evict.pop_front()?;
+            return Some(Action::Unload(whole(model)));
+        }
+        let model = self.load.take()?;
+        let action = Action::Load(whole(model));
+        self.is_sound(&action, engine).then_some(action)
+    }
+
+    /// Whether an order is right for what the worker holds: it fits and is not done already.
+    fn is_sound(&self, action: &Action, engine: &Engine) -> bool {
+        let target = action.target();
+        let Some(model) = engine.models.get(&target.model) else {
+            return matches!(action, Action::Unload(_));
+        };
+        match (action, &target.adapter) {
+            (Action::Unload(_), _) => self.holds(target),
+            (Action::Load(_), None) => {
+                let held = self.backend.holdings.keys();
+                let held = held.filter_map(|model| engine.models.get(model));
+                let held: u64 = held.map(|model| model.size.0).sum();
+                let total = held + self.reserved(engine).0 + model.size.0;
+                total <= engine.memory.0 && !self.holds(target)
+            }
+            (Action::Load(_), Some(_)) => {
+                let base = self.backend.holdings.contains_key(&target.model);
+                let open = !self.closing.contains_key(&target.model);
+                let here = self.backend.holdings.values().map(BTreeSet::len);
+                let here = here.sum::<usize>() + self.arriving.len() + self.late.len();
+                base && open && here < engine.adapter_places && !self.holds(target)
+            }
+        }
+    }
+
+    /// Takes the answer to the order that was sent.
+    pub fn on_reply(&mut self, now: Duration, reply: Reply, engine: &Engine) {
+        let State::Sent { action } = &self.state else {
+            return;
+        };
+        let action = action.clone();
+        self.revision += 1;
+        self.state = match reply {
+            Reply::Accepted => self.accepted(now, action, engine),
+            Reply::Holds => self.held(now, &action),
+            Reply::Unknown => State::Unanswered {
+                action,
+                again_at: now + AGAIN,
+            },
+            Reply::Conflict | Reply::Misdirected | Reply::Refused => State::Unclear {
+                ask_at: now + REPORT_AGE,
+            },
+        };
+    }
+
+    fn accepted(&mut self, now: Duration, action: Action, engine: &Engine) -> State {
+        self.orders += 1;
+        let target = action.target();
+        if target.adapter.is_some() {
+            match &action {
+                Action::Load(target) => {
+                    self.arriving.push((target.clone(), now + ADAPTER_ARRIVES));
+                }
+                Action::Unload(target) => self.drop_held(&target.clone()),
+            }
+            return State::Idle;
+        }
+        let model = engine.models.get(&target.model);
+        let takes = model.map_or(Duration::ZERO, |model| model.load);
+        let due = now + takes;
+        State::Running { action, due }
+    }
+
+    fn held(&mut self, now: Duration, action: &Action) -> State {
+        match action {
+            Action::Unload(target) if target.adapter.is_some() => {
+                self.orders += 1;
+                self.drop_held(&target.clone());
+                State::Idle
+            }
+            Action::Load(target) => {
+                self.hold(target.clone());
+                State::Unclear {
+                    ask_at: now + REPORT_AGE,
+                }
+            }
+            Action::Unload(target) => {
+                self.drop_held(&target.clone());
+                State::Unclear {
+                    ask_at: now + REPORT_AGE,
+                }
+            }
+        }
+    }
+
+    /// Takes a report, or the lack of one.
+    pub fn on_report(&mut self, now: Duration, report: Option<Report>) {
+        if !matches!(self.state, State::Asked) {
+            return;
+        }
+        let Some(report) = report.filter(|report| report.orders >= self.orders) else {
+            self.state = State::Unclear {
+                ask_at: now + AGAIN,
+            };
+            return;
+        };
+        self.orders = report.orders;
+        self.backend.holdings = report.holdings;
+        self.backend.copies = report.copies;
+        self.closing
+            .retain(|model, _| self.backend.holdings.contains_key(model));
+        self.arriving.clear();
+        self.revision += 1;
+        self.state = if report.busy {
+            State::Unclear {
+                ask_at: now + AGAIN,
+            }
+        } else {
+            State::Idle
+        };
+    }
+}
+
+fn whole(model: id::Model) -> Target {
+    Target {
+        model,
+        adapter: None,
+    }
+}
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -10,19 +10,31 @@
 /// Retries that are left.
 #[derive(Debug, Clone)]
 pub struct Budget {
+    ratio: f64,
+    most: f64,
     left: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Self { left: MOST }
+        Self::new(RATIO, MOST)
     }
 }
 
 impl Budget {
+    /// A full budget that grows by `ratio` with each first attempt, up to `most`.
+    #[must_use]
+    pub fn new(ratio: f64, most: f64) -> Self {
+        Self {
+            ratio,
+            most,
+            left: most,
+        }
+    }
+
     /// Notes a first attempt.
     pub fn on_first(&mut self) {
-        self.left = (self.left + RATIO).min(MOST);
+        self.left = (self.left + self.ratio).min(self.most);
     }
 
     /// Takes one retry, if one is left.
--- a/src/error.rs
+++ b/src/error.rs
@@ -31,6 +31,10 @@
         "cannot catch signals: {source}; start the process outside of a restricted environment"
     ))]
     Signal { source: std::io::Error },
+    #[snafu(display(
+        "cannot start a thread: {source}; raise the limit on threads or free some memory"
+    ))]
+    Thread { source: std::io::Error },
     #[snafu(display("path `{path}`: {reason}"))]
     Entry { path: String, reason: String },
     #[snafu(display(
--- /dev/null
+++ b/src/gateway/admin.rs
@@ -0,0 +1,68 @@
+//! The platform's question whether this instance is ready; metrics and dumps for operators.
+
+use super::traffic::Traffic;
+use crate::common::*;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+
+/// Longest time for the head of a question.
+const HEAD: Duration = Duration::from_secs(10);
+
+/// Answers questions on a listener.
+pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let traffic = Rc::clone(&traffic);
+        tokio::task::spawn_local(async move {
+            let answer = service_fn(move |request| {
+                let response = answer(&traffic, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD)
+                .serve_connection(TokioIo::new(stream), answer)
+                .await;
+            if let Err(error) = served {
+                log::debug!("a question ended: {error}");
+            }
+        });
+    }
+}
+
+fn answer(traffic: &Traffic, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, text) = match request.uri().path() {
+        "/v1/readyz" if traffic.is_ready() => (StatusCode::OK, "ready\n".into()),
+        "/v1/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        "/metrics" => (StatusCode::OK, traffic.metrics.text()),
+        "/state" => (StatusCode::OK, dump(traffic).to_string()),
+        _ => (StatusCode::NOT_FOUND, "use /metrics or /state\n".into()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+fn dump(traffic: &Traffic) -> Value {
+    let site = traffic.site.borrow();
+    let balance = traffic.balance.borrow();
+    json!({
+        "instance": traffic.deployment.instance,
+        "at_ms": traffic.clock.now().as_millis(),
+        "version": site.as_ref().map(|site| site.version),
+        "in_hand": traffic.in_hand.get(),
+        "stopping": traffic.is_stopping.get(),
+        "instances": traffic.instances(),
+        "servers": balance.views().collect::<Vec<_>>(),
+    })
+}
--- /dev/null
+++ b/src/gateway/body.rs
@@ -0,0 +1,46 @@
+//! Bodies of answers to callers.
+
+use super::relay::Relay;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Frame, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// A body that is known whole, or one that is passed on as it comes.
+pub enum Body {
+    Whole(Full<Bytes>),
+    Relay(Box<Relay>),
+}
+
+impl From<Bytes> for Body {
+    fn from(bytes: Bytes) -> Self {
+        Self::Whole(Full::new(bytes))
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match self.get_mut() {
+            Self::Whole(whole) => Pin::new(whole)
+                .poll_frame(context)
+                .map_err(std::io::Error::other),
+            Self::Relay(relay) => relay
+                .poll(context)
+                .map(|next| next.map(|bytes| bytes.map(Frame::data))),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(whole) => whole.size_hint(),
+            Self::Relay(_) => SizeHint::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/channel.rs
@@ -0,0 +1,149 @@
+//! Connections to backend servers and to the platform's store.
+//!
+//! A connection may fall silent without a reset, so each has keep-alive probes and a bound on
+//! unacknowledged bytes; and every wait on one has a bound of its own.
+
+use crate::common::*;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// Time between probes of a connection, and how many may stay unanswered.
+const PROBE: Duration = Duration::from_secs(1);
+const PROBES: u32 = 2;
+/// Longest time that sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// Time to open a connection: a few round trips between regions.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Largest body that a call of the system's own reads.
+const LARGEST: usize = 16 << 20;
+
+/// An open connection; it closes when this is dropped.
+#[derive(Debug)]
+pub struct Channel {
+    pub sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Bounds silence on a connection.
+pub(crate) fn guard(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE)
+        .with_interval(PROBE)
+        .with_retries(PROBES);
+    let set = stream
+        .set_nodelay(true)
+        .and_then(|()| socket.set_tcp_keepalive(&probes))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)));
+    if let Err(error) = set {
+        log::warn!("a connection has no bound on silence: {error}");
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+/// Where nobody answers in time.
+pub async fn connect(address: SocketAddr) -> std::io::Result<Channel> {
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await??;
+    guard(&stream);
+    let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(std::io::Error::other)?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to {address} ended: {error}");
+        }
+    });
+    Ok(Channel {
+        sender,
+        task: task.abort_handle(),
+    })
+}
+
+/// An answer to a call of the system's own.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Bytes,
+}
+
+impl Channel {
+    /// Makes a call and reads its whole answer.
+    ///
+    /// # Errors
+    /// Where the connection breaks; the call may have been carried out.
+    pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Reply> {
+        let url = request.uri().to_string();
+        let failed = |error: &dyn Display| Error::Call {
+            url: url.clone(),
+            reason: error.to_string(),
+        };
+        self.sender.ready().await.map_err(|error| failed(&error))?;
+        let response: Response<Incoming> = self
+            .sender
+            .send_request(request)
+            .await
+            .map_err(|error| failed(&error))?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), LARGEST);
+        let body = body.collect().await.map_err(|error| failed(&error))?;
+        Ok(Reply {
+            status,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+/// A request of the system's own.
+#[must_use]
+pub fn request(method: Method, host: SocketAddr, path: &str, body: Vec<u8>) -> Request<Full<Bytes>> {
+    let has_body = !body.is_empty();
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    if let Ok(host) = host.to_string().parse() {
+        headers.insert("host", host);
+    }
+    if has_body && let Ok(kind) = "application/json".parse() {
+        headers.insert("content-type", kind);
+    }
+    request
+}
+
+/// Opens a connection, makes one call and closes it, all within `longest`.
+///
+/// # Errors
+/// Where no whole answer came in time; the call may have been carried out.
+pub async fn once(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    longest: Duration,
+) -> Result<Reply> {
+    let url = request.uri().to_string();
+    let lost = |reason: String| Error::Call {
+        url: url.clone(),
+        reason,
+    };
+    let call = async {
+        let mut channel = connect(address).await.map_err(|error| lost(error.to_string()))?;
+        channel.call(request).await
+    };
+    timeout(longest, call)
+        .await
+        .unwrap_or_else(|_| Err(lost(format!("no answer within {longest:?}"))))
+}
--- /dev/null
+++ b/src/gateway/journal.rs
@@ -0,0 +1,68 @@
+//! Logs of a gateway: JSON lines on standard output, written by a thread of their own.
+//!
+//! A full ring drops lines and counts them; nobody waits for a slow reader of the logs.
+
+use super::event::RING;
+use crate::common::*;
+use crate::node::clock::Clock;
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Where log lines go.
+#[derive(Debug, Clone)]
+pub struct Journal {
+    lines: flume::Sender<String>,
+    dropped: Arc<AtomicU64>,
+    clock: Clock,
+    instance: CompactString,
+}
+
+impl Journal {
+    /// Starts the thread that writes.
+    ///
+    /// # Errors
+    /// [`Error::Thread`] where no thread can be started.
+    pub fn start(clock: Clock, instance: &str) -> Result<Self> {
+        let (lines, ring) = flume::bounded(RING);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let lost = Arc::clone(&dropped);
+        std::thread::Builder::new()
+            .name("logs".into())
+            .spawn(move || write(&ring, &lost))
+            .map_err(|source| Error::Thread { source })?;
+        Ok(Self {
+            lines,
+            dropped,
+            clock,
+            instance: instance.into(),
+        })
+    }
+
+    /// Writes one line: what happened, and the values that led to it.
+    pub fn note(&self, what: &str, values: &Value) {
+        let line = json!({
+            "at_ms": self.clock.now().as_millis(),
+            "instance": self.instance,
+            "event": what,
+            "with": values,
+        });
+        if self.lines.try_send(line.to_string()).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write(ring: &flume::Receiver<String>, dropped: &AtomicU64) {
+    let mut out = std::io::stdout();
+    for line in ring {
+        let lost = dropped.swap(0, Ordering::Relaxed);
+        let noted = if lost > 0 {
+            writeln!(out, "{}", json!({"event": "log_lines_dropped", "count": lost}))
+        } else {
+            Ok(())
+        };
+        if noted.and_then(|()| writeln!(out, "{line}")).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,64 @@
+//! Counters and histograms of a gateway.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+type Labels = Vec<(&'static str, String)>;
+
+/// All that a gateway counts.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    answers: Family<Labels, Counter>,
+    sends: Family<Labels, Counter>,
+    pub first_byte: Histogram,
+    pub connections: Counter,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("poplarseam");
+        let answers = Family::<Labels, Counter>::default();
+        let sends = Family::<Labels, Counter>::default();
+        let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 14));
+        let connections = Counter::default();
+        registry.register("answers", "Answers to callers, by status and cause", answers.clone());
+        registry.register("sends", "Requests sent to servers, by outcome", sends.clone());
+        registry.register("first_byte_seconds", "Time to the first byte", first_byte.clone());
+        registry.register("connections", "Connections opened to servers", connections.clone());
+        Self {
+            registry,
+            answers,
+            sends,
+            first_byte,
+            connections,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts an answer to a caller.
+    pub fn on_answer(&self, status: u16, cause: &'static str) {
+        let labels = vec![("status", status.to_string()), ("cause", cause.into())];
+        self.answers.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request that was sent to a server.
+    pub fn on_send(&self, outcome: &'static str) {
+        let labels = vec![("outcome", outcome.into())];
+        self.sends.get_or_create(&labels).inc();
+    }
+
+    /// Everything, as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            log::error!("metrics could not be written");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,189 @@
+//! A stream of events on its way to a caller.
+//!
+//! Bytes are passed on as they come. A stream that may be resumed is passed on by whole events,
+//! so that another worker can go on after the last one when its worker breaks off.
+
+use super::forward::{Case, End, Live, Ticket};
+use super::channel::Channel;
+use crate::common::*;
+use crate::platform::request;
+use crate::world::site::Repeat;
+use bytes::{Bytes, BytesMut};
+use hyper::body::{Body as _, Incoming};
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::time::Sleep;
+
+/// Resumptions of one stream.
+const MOST_RESUMED: u32 = 3;
+/// Longest event; a longer one is passed on in pieces, and its stream is not resumed.
+const LONGEST_EVENT: usize = 64 << 10;
+
+type Resumption = Pin<Box<dyn Future<Output = End>>>;
+
+enum State {
+    Reading { incoming: Incoming, end: Ending },
+    Resuming(Resumption),
+    Over,
+}
+
+/// What is needed once a stream is over.
+struct Ending {
+    channel: Channel,
+    ticket: Ticket,
+    reusable: bool,
+}
+
+/// A stream that is passed on.
+pub struct Relay {
+    case: Rc<Case>,
+    state: State,
+    resumable: bool,
+    resumed: u32,
+    /// Bytes of an event that is not whole yet.
+    partial: BytesMut,
+    last_event: Option<String>,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl Relay {
+    /// Passes a stream on.
+    #[must_use]
+    pub fn new(case: Rc<Case>, live: Live) -> Self {
+        let deadline = Box::pin(tokio::time::sleep(case.left()));
+        Self {
+            resumable: case.route.repeat == Repeat::Resume,
+            case,
+            state: reading(live),
+            resumed: 0,
+            partial: BytesMut::new(),
+            last_event: None,
+            deadline,
+        }
+    }
+
+    /// The next bytes for the caller.
+    pub fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        if self.deadline.as_mut().poll(context).is_ready() {
+            return self.fail("late");
+        }
+        loop {
+            match &mut self.state {
+                State::Over => return Poll::Ready(None),
+                State::Reading { incoming, end } => {
+                    let frame = std::task::ready!(Pin::new(incoming).poll_frame(context));
+                    match frame {
+                        Some(Ok(frame)) => {
+                            end.ticket.on_first();
+                            let Ok(data) = frame.into_data() else { continue };
+                            if let Some(bytes) = self.pass(data) {
+                                return Poll::Ready(Some(Ok(bytes)));
+                            }
+                        }
+                        Some(Err(error)) => {
+                            if !self.resume() {
+                                return self.fail(&error.to_string());
+                            }
+                        }
+                        None => return self.finish(),
+                    }
+                }
+                State::Resuming(resumption) => {
+                    match std::task::ready!(resumption.as_mut().poll(context)) {
+                        End::Live(live) => self.state = reading(*live),
+                        _ => return self.fail("not resumed"),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Bytes to pass on now: all of them, or up to the end of the last whole event.
+    fn pass(&mut self, data: Bytes) -> Option<Bytes> {
+        if !self.resumable {
+            return Some(data);
+        }
+        self.partial.extend_from_slice(&data);
+        let whole = end_of_events(&self.partial);
+        if whole == 0 {
+            if self.partial.len() > LONGEST_EVENT {
+                self.resumable = false;
+                return Some(self.partial.split().freeze());
+            }
+            return None;
+        }
+        let events = self.partial.split_to(whole).freeze();
+        let ids = events.split(|byte| *byte == b'\n');
+        if let Some(last) = ids.filter_map(request::event_id).last() {
+            self.last_event = Some(last.to_owned());
+        }
+        Some(events)
+    }
+
+    /// Has another worker go on after the last event passed on.
+    fn resume(&mut self) -> bool {
+        let traffic = &self.case.traffic;
+        let allowed = self.resumable
+            && self.resumed < MOST_RESUMED
+            && traffic.may_repeat(&self.case.need.service);
+        if !allowed {
+            return false;
+        }
+        if let State::Reading { end, .. } = &self.state {
+            traffic.balance.borrow_mut().on_failed(&end.ticket.worker);
+        }
+        self.resumed += 1;
+        self.partial.clear();
+        let case = Rc::clone(&self.case);
+        let last = self.last_event.clone();
+        let values = json!({"request": case.request.id, "after": last});
+        traffic.journal.note("resumed", &values);
+        self.state = State::Resuming(Box::pin(async move { case.dispatch(last.as_deref()).await }));
+        true
+    }
+
+    fn fail(&mut self, reason: &str) -> Poll<Option<io::Result<Bytes>>> {
+        self.state = State::Over;
+        let values = json!({"request": self.case.request.id, "reason": reason});
+        self.case.traffic.journal.note("stream_cut", &values);
+        Poll::Ready(Some(Err(io::Error::other(reason.to_owned()))))
+    }
+
+    fn finish(&mut self) -> Poll<Option<io::Result<Bytes>>> {
+        let state = std::mem::replace(&mut self.state, State::Over);
+        if let State::Reading { end, .. } = state {
+            let worker = end.ticket.worker.clone();
+            if end.reusable {
+                let traffic = &self.case.traffic;
+                let now = traffic.clock.now();
+                traffic.pool.put(now, &worker, end.channel);
+            }
+        }
+        let rest = self.partial.split().freeze();
+        if rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        Poll::Ready(Some(Ok(rest)))
+    }
+}
+
+fn reading(live: Live) -> State {
+    let reusable = live.answer.framed && !live.answer.closes;
+    State::Reading {
+        incoming: live.incoming,
+        end: Ending {
+            channel: live.channel,
+            ticket: live.ticket,
+            reusable,
+        },
+    }
+}
+
+/// Length of the whole events at the start of some bytes.
+fn end_of_events(bytes: &[u8]) -> usize {
+    let ends = bytes.windows(2).rposition(|pair| pair == b"\n\n");
+    ends.map_or(0, |at| at + 2)
+}
--- /dev/null
+++ b/src/gateway/store.rs
@@ -0,0 +1,372 @@
+//! The duty "store": follows the operator's configuration and the list of backend servers, and
+//! makes calls for the other duties.
+//!
+//! Feeds are followed, not polled. Where the store lost its history, the table is read anew; an
+//! answer older than what was seen already is not taken, for the store may answer from the past.
+
+use super::channel::{self, Channel, Reply};
+use super::event::{Call, News};
+use crate::common::*;
+use crate::platform::{config, rows, worker};
+use crate::world::deployment::Deployment;
+use crate::world::site::Version;
+use crate::world::table::{Commit, Failure, Row, Txn};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request};
+use rows::Page;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::time::{sleep, timeout};
+
+/// Longest time that the store keeps a call for changes waiting.
+const WAIT: Duration = Duration::from_secs(20);
+/// Longest time for any other answer of the store; it may be slow.
+const ANSWER: Duration = Duration::from_millis(1_200);
+/// Changes that come close together are fetched together.
+const GATHER: Duration = Duration::from_millis(150);
+/// Pause after a failed call.
+const AGAIN: Duration = Duration::from_millis(300);
+/// Entries that vanish this soon after a failed call may be those that lapsed meanwhile.
+const DISTURBED: Duration = Duration::from_secs(6);
+/// Prefix of the rows in which instances register.
+const MEMBERS: &str = "instance.";
+/// How often the list of instances is read again.
+const MEMBERS_AGAIN: Duration = Duration::from_secs(30);
+
+/// What the tasks of this duty share.
+struct Store {
+    address: SocketAddr,
+    clock: crate::node::clock::Clock,
+    news: Vec<flume::Sender<News>>,
+    failed_at: Cell<Option<Duration>>,
+    is_up: Cell<bool>,
+}
+
+/// Runs the duty until the ring of calls closes.
+pub async fn run(
+    deployment: Arc<Deployment>,
+    clock: crate::node::clock::Clock,
+    calls: flume::Receiver<Call>,
+    news: Vec<flume::Sender<News>>,
+) {
+    let store = Rc::new(Store {
+        address: deployment.store,
+        clock,
+        news,
+        failed_at: Cell::new(None),
+        is_up: Cell::new(true),
+    });
+    tokio::task::spawn_local(follow_site(Rc::clone(&store)));
+    tokio::task::spawn_local(follow_servers(Rc::clone(&store)));
+    tokio::task::spawn_local(register(Rc::clone(&store), deployment));
+    while let Ok(call) = calls.recv_async().await {
+        tokio::task::spawn_local(answer(Rc::clone(&store), call));
+    }
+}
+
+impl Store {
+    async fn tell(&self, news: News) {
+        for ring in &self.news {
+            if ring.send_async(news.clone()).await.is_err() {
+                log::debug!("a duty has ended: its news is dropped");
+            }
+        }
+    }
+
+    /// Notes whether a call was answered.
+    async fn note(&self, up: bool) {
+        if !up {
+            self.failed_at.set(Some(self.clock.now()));
+        }
+        if self.is_up.replace(up) != up {
+            self.tell(News::Store { up }).await;
+        }
+    }
+
+    fn is_disturbed(&self) -> bool {
+        let failed = self.failed_at.get();
+        failed.is_some_and(|at| self.clock.now() < at + DISTURBED)
+    }
+
+    fn get(&self, path: &str) -> Request<Full<Bytes>> {
+        channel::request(Method::GET, self.address, path, Vec::new())
+    }
+
+    async fn once(&self, request: Request<Full<Bytes>>) -> Result<Reply> {
+        let reply = channel::once(self.address, request, ANSWER).await;
+        let up = reply.as_ref().is_ok_and(|reply| reply.status < 429);
+        self.note(up).await;
+        reply
+    }
+
+    /// Reads rows of a table from a key on, all pages.
+    async fn read(&self, table: &str, from: &str) -> Result<Page> {
+        let mut whole = Page {
+            rows: Vec::new(),
+            more: true,
+            version: u64::MAX,
+        };
+        let mut from = from.to_owned();
+        while whole.more {
+            let reply = self.once(self.get(&rows::read_path(table, &from))).await?;
+            let page = decode(&reply)?;
+            whole.version = whole.version.min(page.version);
+            whole.more = page.more && !page.rows.is_empty();
+            if let Some(last) = page.rows.last() {
+                from = format!("{}~", last.key);
+            }
+            whole.rows.extend(page.rows);
+        }
+        Ok(whole)
+    }
+}
+
+fn decode(reply: &Reply) -> Result<Page> {
+    if reply.status != 200 {
+        return Err(Error::Answer {
+            url: "the platform's store".into(),
+            status: reply.status,
+            text: "see the status".into(),
+        });
+    }
+    rows::decode_page(&reply.body)
+}
+
+/// One table that is followed.
+struct Feed {
+    store: Rc<Store>,
+    table: &'static str,
+    /// Newest version seen; 0 before the first read.
+    after: u64,
+    channel: Option<Channel>,
+}
+
+/// What a feed brought.
+enum Change {
+    /// The whole table.
+    All(Vec<rows::Row>),
+    Some(Vec<rows::Row>),
+}
+
+impl Feed {
+    fn new(store: Rc<Store>, table: &'static str) -> Self {
+        Self {
+            store,
+            table,
+            after: 0,
+            channel: None,
+        }
+    }
+
+    /// Waits for the next change, through all failures.
+    async fn next(&mut self) -> Change {
+        loop {
+            let change = if self.after == 0 {
+                self.read_all().await
+            } else {
+                self.wait().await
+            };
+            match change {
+                Ok(Some(change)) => return change,
+                Ok(None) => {}
+                Err(error) => {
+                    log::info!("feed of {} failed: {error}", self.table);
+                    self.channel = None;
+                    self.store.note(false).await;
+                    sleep(AGAIN).await;
+                }
+            }
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<Option<Change>> {
+        let page = self.store.read(self.table, "").await?;
+        self.after = page.version;
+        Ok(Some(Change::All(page.rows)))
+    }
+
+    async fn wait(&mut self) -> Result<Option<Change>> {
+        let path = rows::feed_path(self.table, self.after, WAIT);
+        let request = self.store.get(&path);
+        let lost = |reason: &dyn Display| Error::Call {
+            url: path.clone(),
+            reason: reason.to_string(),
+        };
+        if self.channel.is_none() {
+            let opened = channel::connect(self.store.address).await;
+            self.channel = Some(opened.map_err(|error| lost(&error))?);
+        }
+        let Some(channel) = &mut self.channel else {
+            return Ok(None);
+        };
+        let call = timeout(WAIT + ANSWER, channel.call(request)).await;
+        let reply = call.map_err(|error| lost(&error))??;
+        if reply.status == 410 {
+            log::info!("the store dropped its history of {}: reading anew", self.table);
+            return self.read_anew().await;
+        }
+        let page = decode(&reply)?;
+        self.store.note(true).await;
+        self.after = self.after.max(page.version);
+        if page.rows.is_empty() {
+            return Ok(None);
+        }
+        sleep(GATHER).await;
+        Ok(Some(Change::Some(page.rows)))
+    }
+
+    /// Reads the whole table, and takes no answer from before what was seen.
+    async fn read_anew(&mut self) -> Result<Option<Change>> {
+        let page = self.store.read(self.table, "").await?;
+        if page.version < self.after {
+            sleep(AGAIN).await;
+            return Ok(None);
+        }
+        self.after = page.version;
+        Ok(Some(Change::All(page.rows)))
+    }
+}
+
+async fn follow_site(store: Rc<Store>) {
+    let mut feed = Feed::new(Rc::clone(&store), config::TABLE);
+    let mut newest = Version::default();
+    loop {
+        let (Change::All(rows) | Change::Some(rows)) = feed.next().await;
+        let rows = rows.into_iter().filter(|row| row.key == config::KEY);
+        for value in rows.filter_map(|row| row.value) {
+            match config::decode(&value) {
+                Ok(site) if site.version > newest => {
+                    newest = site.version;
+                    store.tell(News::Site(Arc::new(site))).await;
+                }
+                Ok(site) => log::info!("configuration {} is not newer", site.version),
+                Err(error) => log::error!("{error}"),
+            }
+        }
+    }
+}
+
+async fn follow_servers(store: Rc<Store>) {
+    let mut feed = Feed::new(Rc::clone(&store), worker::TABLE);
+    let mut listed: BTreeSet<String> = BTreeSet::new();
+    loop {
+        let (rows, gone) = match feed.next().await {
+            Change::Some(rows) => (rows, Vec::new()),
+            Change::All(rows) => {
+                let present: BTreeSet<_> = rows.iter().map(|row| row.key.clone()).collect();
+                let gone: Vec<_> = listed.difference(&present).cloned().collect();
+                (rows, gone)
+            }
+        };
+        for key in gone {
+            unlist(&store, &mut listed, &key).await;
+        }
+        for row in rows {
+            let backend = row.value.map(|value| worker::decode(&row.key, &value));
+            match backend {
+                Some(Ok(backend)) => {
+                    listed.insert(row.key);
+                    store.tell(News::Listed(backend)).await;
+                }
+                Some(Err(error)) => {
+                    log::warn!("an entry names no server: {error}");
+                    unlist(&store, &mut listed, &row.key).await;
+                }
+                None => unlist(&store, &mut listed, &row.key).await,
+            }
+        }
+    }
+}
+
+async fn unlist(store: &Store, listed: &mut BTreeSet<String>, key: &str) {
+    if !listed.remove(key) {
+        return;
+    }
+    if let Ok(worker) = key.parse() {
+        let trusted = !store.is_disturbed();
+        store.tell(News::Unlisted { worker, trusted }).await;
+    }
+}
+
+/// Writes this instance's row and reads those of the others.
+async fn register(store: Rc<Store>, deployment: Arc<Deployment>) {
+    let key = format!("{MEMBERS}{}", deployment.instance);
+    let row = json!({"address": deployment.peers});
+    let mut is_written = false;
+    loop {
+        let page = store.read(rows::OWN, MEMBERS).await;
+        let Ok(page) = page else {
+            sleep(AGAIN).await;
+            continue;
+        };
+        let mine = page.rows.iter().find(|row| row.key == key);
+        let version = mine.map_or(0, |row| row.version);
+        let is_right = mine.is_some_and(|mine| mine.value == Some(row.to_string().into_bytes()));
+        if !is_written && !is_right {
+            let txn = Txn::default().put(key.clone(), version, row.clone());
+            is_written = commit(&store, &txn).await.is_ok();
+        }
+        store.tell(News::Members(members(&page))).await;
+        let pause = if is_written || is_right { MEMBERS_AGAIN } else { AGAIN };
+        sleep(pause).await;
+    }
+}
+
+fn members(page: &Page) -> BTreeMap<crate::world::id::Instance, SocketAddr> {
+    let rows = page.rows.iter();
+    let members = rows.filter_map(|row| {
+        let name = row.key.strip_prefix(MEMBERS)?.parse().ok()?;
+        let value: Value = serde_json::from_slice(row.value.as_ref()?).ok()?;
+        let address = value.get("address")?.as_str()?.parse().ok()?;
+        Some((name, address))
+    });
+    members.collect()
+}
+
+async fn answer(store: Rc<Store>, call: Call) {
+    let sent = match call {
+        Call::Read(key, reply) => reply.send(read_row(&store, &key).await).is_ok(),
+        Call::Commit(txn, reply) => reply.send(commit(&store, &txn).await).is_ok(),
+    };
+    if !sent {
+        log::debug!("nobody waits for a call to the store any more");
+    }
+}
+
+async fn read_row(store: &Store, key: &str) -> Result<Option<Row>, Failure> {
+    let path = format!("{}&Limit=1", rows::read_path(rows::OWN, key));
+    let reply = store.once(store.get(&path)).await;
+    let page = reply.and_then(|reply| decode(&reply));
+    let page = page.map_err(|error| {
+        log::info!("row {key} was not read: {error}");
+        Failure::Refused
+    })?;
+    let row = page.rows.into_iter().find(|row| row.key == key);
+    Ok(row.and_then(|row| {
+        let value = serde_json::from_slice(row.value.as_ref()?).ok()?;
+        Some(Row {
+            key: row.key,
+            version: row.version,
+            value,
+        })
+    }))
+}
+
+async fn commit(store: &Store, txn: &Txn) -> Result<Commit, Failure> {
+    let body = rows::encode_commit(txn);
+    let request = channel::request(Method::POST, store.address, rows::COMMIT_PATH, body);
+    let reply = store.once(request).await.map_err(|error| {
+        log::info!("a commit got no answer: {error}");
+        Failure::Lost
+    })?;
+    match reply.status {
+        200 => {
+            let version = rows::decode_commit(&reply.body).map_err(|_| Failure::Lost)?;
+            Ok(Commit::Done(vec![version; txn.puts.len()]))
+        }
+        412 => Ok(Commit::Conflict(Vec::new())),
+        429 | 503 => Err(Failure::Refused),
+        _ => Err(Failure::Lost),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,9 +14,14 @@
 /// Machines, back ends, customers and contracts.
 pub mod world {
     pub mod artifact;
+    pub mod backend;
     pub mod catalog;
     pub mod contract;
+    pub mod deployment;
     pub mod id;
+    pub mod message;
+    pub mod order;
+    pub mod site;
     pub mod table;
     pub mod time;
     pub mod unit;
@@ -25,12 +30,17 @@
 /// Decisions, free of clocks, sockets, threads and chance.
 pub mod decide {
     pub mod admit;
+    pub mod appetite;
+    pub mod arrange;
+    pub mod balance;
     pub mod claim;
     pub mod demand;
     pub mod dispatch;
+    pub mod fleet;
     pub mod lease;
     pub mod ledger;
     pub mod member;
+    pub mod orders;
     pub mod pace;
     pub mod place;
     pub mod pool;
@@ -48,11 +58,43 @@
   #[rustfmt::skip]
   #[allow(clippy::pedantic, missing_docs)]
   pub mod generated;
+  #[rustfmt::skip]
+  #[allow(clippy::pedantic, missing_docs)]
+  pub mod generated_gossip;
     pub mod key;
     pub mod link;
     pub mod token;
 }
 
+/// The users' platform: its names, formats and calls; nothing here decides.
+pub mod platform {
+    pub mod config;
+    pub mod request;
+    pub mod rows;
+    pub mod settings;
+    pub mod worker;
+}
+
+/// The process that serves on every instance of the users' platform.
+pub mod gateway {
+    mod admin;
+    mod body;
+    mod channel;
+    mod event;
+    mod forward;
+    #[allow(clippy::module_inception)]
+    pub mod gateway;
+    mod gossip;
+    mod ingress;
+    mod journal;
+    mod metrics;
+    mod placer;
+    mod pool;
+    mod relay;
+    mod store;
+    mod traffic;
+}
+
 /// Threads that feed the decisions and carry them out.
 pub mod node {
     mod callers;
@@ -60,7 +102,7 @@
     mod chat;
     mod claims;
     pub mod client;
-    mod clock;
+    pub(crate) mod clock;
     mod convictions;
     mod dispatcher;
     mod duty;
--- a/src/node/clock.rs
+++ b/src/node/clock.rs
@@ -2,19 +2,18 @@
 
 use crate::common::*;
 use crate::world::unit::Incarnation;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use rustix::time::{ClockId, clock_gettime};
+use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Monotonic time since the process started.
+/// Time since the process started; it counts the time while the machine was suspended.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Default for Clock {
     fn default() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: boot_time() }
     }
 }
 
@@ -22,10 +21,17 @@
     /// Time since the start.
     #[must_use]
     pub fn now(&self) -> Duration {
-        self.start.elapsed()
+        boot_time().saturating_sub(self.start)
     }
 }
 
+fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanoseconds)
+}
+
 /// Incarnation of a process that starts now.
 #[must_use]
 pub fn incarnation() -> Incarnation {
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,192 @@
+//! The operator's configuration, as it lies in the store.
+
+use crate::common::*;
+use crate::world::site::{Engine, Limits, Model, Repeat, Route, Service, Site, Version};
+use crate::world::unit::{Bytes, Rate, Tokens};
+
+/// Table and key of the configuration.
+pub const TABLE: &str = "op";
+pub const KEY: &str = "config";
+
+const MEGABYTE: f64 = 1_000_000.0;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireSite {
+    version: u64,
+    routes: Vec<WireRoute>,
+    services: Vec<WireService>,
+    limits: WireLimits,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRoute {
+    name: CompactString,
+    hostname: CompactString,
+    path_prefix: CompactString,
+    r#type: String,
+    timeout_ms: f64,
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    service: Option<String>,
+    #[serde(default)]
+    traffic_split: Vec<WireShare>,
+    #[serde(default = "one")]
+    max_attempts: u32,
+    #[serde(default)]
+    resumable: bool,
+}
+
+fn one() -> u32 {
+    1
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireShare {
+    service: String,
+    weight: u32,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireService {
+    name: String,
+    max_connections: u32,
+    engine: Option<WireEngine>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireEngine {
+    slots: u32,
+    kv_capacity: u64,
+    weights_mb: f64,
+    adapter_capacity: usize,
+    loads_per_s: f64,
+    models: Vec<WireModel>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireModel {
+    name: String,
+    weights_mb: f64,
+    load_time_s: f64,
+    #[serde(default)]
+    adapters: u32,
+    #[serde(default)]
+    adapter_size_mb: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireLimits {
+    max_header_bytes: u64,
+    max_body_bytes: u64,
+    idle_timeout_ms: u64,
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+/// [`Error::Settings`] where the row holds no configuration that this version can read.
+pub fn decode(bytes: &[u8]) -> Result<Site> {
+    let wire: WireSite = serde_json::from_slice(bytes).map_err(|error| Error::Settings {
+        problems: vec![format!("the configuration: {error}; write it anew")],
+    })?;
+    let routes: Result<_> = wire.routes.into_iter().map(WireRoute::decode).collect();
+    let services: Result<_> = wire.services.into_iter().map(WireService::decode).collect();
+    Ok(Site {
+        version: Version(wire.version),
+        routes: routes?,
+        services: services?,
+        limits: wire.limits.decode(),
+    })
+}
+
+impl WireRoute {
+    fn decode(self) -> Result<Route> {
+        let repeat = match (self.r#type.as_str(), self.resumable) {
+            ("safe", _) => Repeat::Safe,
+            ("streaming", true) => Repeat::Resume,
+            ("streaming", false) => Repeat::Stream,
+            _ => Repeat::Never,
+        };
+        let shares = self.traffic_split.into_iter();
+        let mut split: Vec<_> = shares
+            .map(|share| Ok((share.service.parse()?, share.weight)))
+            .collect::<Result<_>>()?;
+        if let (true, Some(service)) = (split.is_empty(), self.service) {
+            split.push((service.parse()?, 1));
+        }
+        Ok(Route {
+            name: self.name,
+            host: self.hostname,
+            prefix: self.path_prefix,
+            repeat,
+            timeout: milliseconds(self.timeout_ms),
+            target: milliseconds(self.target_latency_ms),
+            priority: self.priority,
+            split,
+            most_workers: self.max_attempts.max(1),
+        })
+    }
+}
+
+impl WireService {
+    fn decode(self) -> Result<(crate::world::id::Service, Service)> {
+        let service = Service {
+            most_connections: self.max_connections,
+            engine: self.engine.map(WireEngine::decode).transpose()?,
+        };
+        Ok((self.name.parse()?, service))
+    }
+}
+
+impl WireEngine {
+    fn decode(self) -> Result<Engine> {
+        let models: Result<_> = self.models.into_iter().map(WireModel::decode).collect();
+        Ok(Engine {
+            batch: self.slots,
+            cache: Tokens(self.kv_capacity),
+            memory: megabytes(self.weights_mb),
+            adapter_places: self.adapter_capacity,
+            loads: Rate(self.loads_per_s),
+            models: models?,
+        })
+    }
+}
+
+impl WireModel {
+    fn decode(self) -> Result<(crate::world::id::Model, Model)> {
+        let model = Model {
+            size: megabytes(self.weights_mb),
+            load: Duration::from_secs_f64(self.load_time_s.max(0.0)),
+            adapters: self.adapters,
+            adapter_size: megabytes(self.adapter_size_mb),
+        };
+        Ok((self.name.parse()?, model))
+    }
+}
+
+impl WireLimits {
+    fn decode(&self) -> Limits {
+        Limits {
+            header: Bytes(self.max_header_bytes),
+            body: Bytes(self.max_body_bytes),
+            idle: Duration::from_millis(self.idle_timeout_ms),
+        }
+    }
+}
+
+fn milliseconds(value: f64) -> Duration {
+    Duration::from_secs_f64((value / 1e3).max(0.0))
+}
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn megabytes(value: f64) -> Bytes {
+    Bytes((value.max(0.0) * MEGABYTE).round() as u64)
+}
--- /dev/null
+++ b/src/platform/request.rs
@@ -0,0 +1,207 @@
+//! Requests of callers and answers of backend servers: the names of their headers.
+
+use crate::common::*;
+use crate::world::id;
+use crate::world::message::{Answer, Generation, Load, Outcome, Part, Request};
+use crate::world::unit::Tokens;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::http::{StatusCode, request, response};
+
+const REQUEST_ID: &str = "x-request-id";
+const DEADLINE: &str = "x-deadline-ms";
+const MODEL: &str = "x-model-name";
+/// Tokens of the prompt and the most tokens of the output, not what was used.
+const TOKENS: &str = "x-token-usage";
+const PARTS: &str = "x-prompt-prefix";
+const EXPECTED_INSTANCE: &str = "x-expected-instance";
+const PRIORITY: &str = "x-request-priority";
+const SIGNATURE: &str = "x-response-signature";
+const NOT_EXECUTED: &str = "x-not-executed";
+const LOAD: &str = "x-instance-load";
+const LAST_EVENT: &str = "last-event-id";
+
+/// Headers that are the system's to set: a caller's own are dropped.
+const SYSTEM: [&str; 9] = [
+    EXPECTED_INSTANCE,
+    PRIORITY,
+    "x-expected-version",
+    "x-hold-request",
+    "x-pin-ms",
+    "x-kv-backup",
+    "kv-from",
+    "kv-fetch",
+    "wait-ms",
+];
+
+/// Headers that concern one connection only.
+const HOP: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Reads what a request says about itself; none where it has no usable id.
+#[must_use]
+pub fn decode(head: &request::Parts) -> Option<Request> {
+    let headers = &head.headers;
+    let id = text(headers, REQUEST_ID)?;
+    let host = text(headers, "host").or_else(|| head.uri.host())?;
+    let host = host.split(':').next().unwrap_or(host);
+    let patience = text(headers, DEADLINE).and_then(|text| text.trim().parse().ok());
+    Some(Request {
+        id: id.into(),
+        host: host.into(),
+        patience: patience.map(Duration::from_millis),
+        generation: generation(headers),
+    })
+}
+
+fn generation(headers: &HeaderMap) -> Option<Generation> {
+    let target = text(headers, MODEL)?.parse().ok()?;
+    let (prompt, output) = text(headers, TOKENS)
+        .and_then(|text| text.split_once(','))
+        .unwrap_or_default();
+    let parts = text(headers, PARTS).unwrap_or_default();
+    Some(Generation {
+        target,
+        prompt: tokens(prompt),
+        output: tokens(output),
+        parts: parts.split(',').filter_map(part).collect(),
+    })
+}
+
+fn part(text: &str) -> Option<Part> {
+    let (id, count) = text.trim().split_once(':')?;
+    let id = u64::from_str_radix(id, 16).ok()?;
+    Some(Part {
+        id,
+        tokens: tokens(count),
+    })
+}
+
+fn tokens(text: &str) -> Tokens {
+    Tokens(text.trim().parse().unwrap_or(0))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// What the system adds to a request on its way to a backend server.
+#[derive(Debug, Clone)]
+pub struct Stamp<'a> {
+    pub worker: &'a id::Worker,
+    pub left: Duration,
+    pub priority: Option<u8>,
+    /// Last event that the caller has, where a stream is resumed.
+    pub last_event: Option<&'a str>,
+}
+
+/// Headers of a request for a backend server.
+#[must_use]
+pub fn encode(caller: &HeaderMap, stamp: &Stamp<'_>) -> HeaderMap {
+    let mut headers = end_to_end(caller);
+    SYSTEM.iter().for_each(|name| {
+        headers.remove(*name);
+    });
+    headers.remove("content-length");
+    headers.remove("expect");
+    set(&mut headers, EXPECTED_INSTANCE, stamp.worker.as_str());
+    let left = stamp.left.as_millis().max(1).to_string();
+    set(&mut headers, DEADLINE, &left);
+    if let Some(priority) = stamp.priority {
+        set(&mut headers, PRIORITY, &priority.min(9).to_string());
+    }
+    if let Some(event) = stamp.last_event {
+        set(&mut headers, LAST_EVENT, event);
+    }
+    headers
+}
+
+/// Headers of an order or a question to one worker.
+pub fn address(headers: &mut HeaderMap, worker: &id::Worker) {
+    set(headers, EXPECTED_INSTANCE, worker.as_str());
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
+
+/// Headers without those that concern one connection.
+#[must_use]
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    let named = headers.get_all("connection").iter();
+    let named = named.filter_map(|value| value.to_str().ok());
+    for name in named.flat_map(|value| value.split(',')) {
+        if let Ok(name) = HeaderName::from_str(name.trim()) {
+            kept.remove(name);
+        }
+    }
+    HOP.iter().for_each(|name| {
+        kept.remove(*name);
+    });
+    kept
+}
+
+/// Reads the head of an answer to the request with this id.
+#[must_use]
+pub fn decode_answer(id: &str, head: &response::Parts) -> Answer {
+    let headers = &head.headers;
+    let has = |name: &str| headers.contains_key(name);
+    let framed = has("content-length") || has("transfer-encoding");
+    let closes = text(headers, "connection").is_some_and(|value| value.contains("close"));
+    Answer {
+        outcome: outcome(id, head),
+        load: text(headers, LOAD).and_then(load),
+        framed,
+        closes,
+    }
+}
+
+fn outcome(id: &str, head: &response::Parts) -> Outcome {
+    let headers = &head.headers;
+    let not_run = headers.contains_key(NOT_EXECUTED);
+    match (head.status, text(headers, REQUEST_ID)) {
+        (StatusCode::MISDIRECTED_REQUEST, _) => Outcome::Misdirected,
+        (_, Some(echoed)) if echoed != id => Outcome::Foreign,
+        (_, _) if not_run => Outcome::Full,
+        (_, None) => Outcome::Foreign,
+        (_, _) if headers.contains_key("content-encoding") => Outcome::Foreign,
+        (status, _) if status.is_success() && headers.contains_key(SIGNATURE) => Outcome::Success,
+        (status, _) if status.is_success() => Outcome::Foreign,
+        (status, _) if status.is_client_error() => Outcome::Rejected,
+        _ => Outcome::Failed,
+    }
+}
+
+fn load(text: &str) -> Option<Load> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    Some(Load {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+    })
+}
+
+/// Number of an event of a stream, from one of its lines.
+#[must_use]
+pub fn event_id(line: &[u8]) -> Option<&str> {
+    let line = std::str::from_utf8(line).ok()?;
+    line.strip_prefix("id:").map(str::trim)
+}
+
+/// Headers of an answer of the system's own.
+#[must_use]
+pub fn own_answer(id: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    set(&mut headers, REQUEST_ID, id);
+    headers
+}
--- /dev/null
+++ b/src/platform/rows.rs
@@ -0,0 +1,122 @@
+//! Calls to the platform's store, as paths and bodies.
+
+use crate::common::*;
+use crate::world::table::Txn;
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+
+/// Table of the system's own rows.
+pub const OWN: &str = "poplarseam";
+/// Path of transactions.
+pub const COMMIT_PATH: &str = "/v1/rows-tx";
+
+/// A row, or the note that it was removed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Row {
+    pub key: String,
+    /// None where the row was removed or its value can't be read.
+    pub value: Option<Vec<u8>>,
+    pub version: u64,
+}
+
+/// A page of rows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    pub rows: Vec<Row>,
+    pub more: bool,
+    /// Newest version in the store when it answered.
+    pub version: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WirePage {
+    #[serde(default)]
+    rows: Vec<WireRow>,
+    #[serde(default)]
+    has_more: bool,
+    ver: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireRow {
+    key: String,
+    #[serde(default)]
+    value: Option<String>,
+    ver: u64,
+    #[serde(default)]
+    tombstone: bool,
+}
+
+/// Path that reads rows of a table, from a key on.
+#[must_use]
+pub fn read_path(table: &str, from: &str) -> String {
+    format!("/v1/rows-get?Table={table}&part=&From={from}")
+}
+
+/// Path that waits for changes of a table after a version.
+#[must_use]
+pub fn feed_path(table: &str, after: u64, wait: Duration) -> String {
+    let wait = wait.as_millis();
+    format!("/v1/rows-feed?Table={table}&after={after}&WaitMs={wait}")
+}
+
+/// Reads a page of rows.
+///
+/// # Errors
+/// [`Error::Call`] where the body is no page.
+pub fn decode_page(bytes: &[u8]) -> Result<Page> {
+    let wire: WirePage = serde_json::from_slice(bytes).map_err(|error| Error::Call {
+        url: "the platform's store".into(),
+        reason: error.to_string(),
+    })?;
+    Ok(Page {
+        rows: wire.rows.into_iter().map(WireRow::decode).collect(),
+        more: wire.has_more,
+        version: wire.ver,
+    })
+}
+
+impl WireRow {
+    fn decode(self) -> Row {
+        let value = self.value.filter(|_| !self.tombstone);
+        Row {
+            key: self.key,
+            value: value.map(|value| BASE64.decode(value).unwrap_or_default()),
+            version: self.ver,
+        }
+    }
+}
+
+/// Body of a transaction on the system's own rows.
+#[must_use]
+pub fn encode_commit(txn: &Txn) -> Vec<u8> {
+    let row = |key: &str| json!({"Table": OWN, "part": "", "Key": key});
+    let expected = txn.checks.iter().map(|check| {
+        let mut row = row(&check.key);
+        row["Ver"] = json!(check.version);
+        row
+    });
+    let put = txn.puts.iter().filter(|put| !put.value.is_null());
+    let put = put.map(|put| {
+        let mut row = row(&put.key);
+        row["Value"] = json!(BASE64.encode(put.value.to_string()));
+        row
+    });
+    let removed = txn.puts.iter().filter(|put| put.value.is_null());
+    let body = json!({
+        "Expected": expected.collect::<Vec<_>>(),
+        "Put": put.collect::<Vec<_>>(),
+        "Remove": removed.map(|put| row(&put.key)).collect::<Vec<_>>(),
+    });
+    body.to_string().into_bytes()
+}
+
+/// Version that a transaction gave to what it wrote.
+///
+/// # Errors
+/// [`Error::Call`] where the body is no answer to a transaction.
+pub fn decode_commit(bytes: &[u8]) -> Result<u64> {
+    decode_page(bytes).map(|page| page.version)
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,90 @@
+//! The settings file that the platform writes for each process.
+
+use crate::common::*;
+use crate::world::deployment::{Bounds, Deployment};
+
+/// Variable that holds the path of the settings file.
+pub const VARIABLE: &str = "POPLARSEAM_SETTINGS";
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct File {
+    node_name: String,
+    zone: String,
+    zones: BTreeMap<String, String>,
+    listen: Listen,
+    internal_ports: [u16; 2],
+    ip: std::net::IpAddr,
+    bounds: Figures,
+    platform: Store,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Listen {
+    frontend: SocketAddr,
+    ready: SocketAddr,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Figures {
+    grace_s: f64,
+    lease_ms: u64,
+    retry_budget_ratio: f64,
+    budget_extra: f64,
+    budget_window_s: f64,
+    ceiling_window_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Store {
+    address: SocketAddr,
+}
+
+/// Reads the settings of this process.
+///
+/// # Errors
+/// [`Error::Settings`] with what is wrong, for operators of the platform.
+pub fn decode(text: &str) -> Result<Deployment> {
+    let file: File = serde_json::from_str(text).map_err(|error| wrong(&error.to_string()))?;
+    if file.internal_ports[1] <= file.internal_ports[0] {
+        return Err(wrong("`InternalPorts` must name two ports or more"));
+    }
+    let mut regions = BTreeMap::new();
+    for (zone, region) in &file.zones {
+        regions.insert(zone.parse()?, region.parse()?);
+    }
+    Ok(Deployment {
+        instance: file.node_name.parse()?,
+        data_centre: file.zone.parse()?,
+        regions,
+        callers: file.listen.frontend,
+        ready: file.listen.ready,
+        peers: (file.ip, file.internal_ports[0]).into(),
+        metrics: (file.ip, file.internal_ports[0] + 1).into(),
+        store: file.platform.address,
+        bounds: file.bounds.decode(),
+    })
+}
+
+impl Figures {
+    fn decode(&self) -> Bounds {
+        Bounds {
+            grace: Duration::from_secs_f64(self.grace_s.max(0.0)),
+            lease: Duration::from_millis(self.lease_ms),
+            retry_ratio: self.retry_budget_ratio,
+            retry_extra: self.budget_extra,
+            retry_window: Duration::from_secs_f64(self.budget_window_s.max(0.0)),
+            load_window: Duration::from_secs_f64(self.ceiling_window_s.max(0.0)),
+        }
+    }
+}
+
+fn wrong(reason: &str) -> Error {
+    let problem = format!("the file that {VARIABLE} names: {reason}; let the platform write it anew");
+    Error::Settings {
+        problems: vec![problem],
+    }
+}
--- /dev/null
+++ b/src/platform/worker.rs
@@ -0,0 +1,161 @@
+//! Backend servers: their entries in the store, their reports, and orders to them.
+
+use crate::common::*;
+use crate::world::backend::{Backend, Holdings, Report};
+use crate::world::id;
+use crate::world::order::{Action, Order, Reply};
+use crate::world::unit::Incarnation;
+
+/// Table of the entries, by id.
+pub const TABLE: &str = "servers";
+/// Path of a worker's report.
+pub const REPORT_PATH: &str = "/v1/report";
+/// Path that takes orders.
+pub const ORDER_PATH: &str = "/v1/order";
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Entry {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    state: String,
+    #[serde(default)]
+    sequence: u64,
+    #[serde(default)]
+    models: Vec<Held>,
+    #[serde(default)]
+    available: Available,
+    #[serde(rename = "born")]
+    born: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Held {
+    name: String,
+    #[serde(default)]
+    adapters: Vec<Value>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Available {
+    in_memory: Vec<Value>,
+    on_disk: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct State {
+    #[serde(default)]
+    models: Vec<Held>,
+    #[serde(default)]
+    available: Available,
+    busy: bool,
+    sequence: u64,
+}
+
+/// Reads a backend server's entry.
+///
+/// # Errors
+/// [`Error::Entry`] where it names no server to use.
+pub fn decode(key: &str, bytes: &[u8]) -> Result<Backend> {
+    let wrong = |reason: String| Error::Entry {
+        path: format!("{TABLE}/{key}"),
+        reason,
+    };
+    let entry: Entry = serde_json::from_slice(bytes).map_err(|error| wrong(error.to_string()))?;
+    let leaving = match entry.state.as_str() {
+        "ready" => false,
+        "draining" => true,
+        state => return Err(wrong(format!("unknown state `{state}`"))),
+    };
+    Ok(Backend {
+        id: key.parse()?,
+        service: entry.service.parse()?,
+        address: entry.address,
+        data_centre: entry.zone.parse()?,
+        boot: Incarnation(entry.born),
+        leaving,
+        places: entry.slots,
+        holdings: holdings(&entry.models)?,
+        copies: entry.available.decode(),
+        orders: entry.sequence,
+    })
+}
+
+/// Reads a worker's report.
+///
+/// # Errors
+/// [`Error::Entry`] where the body is no report.
+pub fn decode_report(bytes: &[u8]) -> Result<Report> {
+    let wrong = |error: serde_json::Error| Error::Entry {
+        path: REPORT_PATH.into(),
+        reason: error.to_string(),
+    };
+    let state: State = serde_json::from_slice(bytes).map_err(wrong)?;
+    Ok(Report {
+        holdings: holdings(&state.models)?,
+        copies: state.available.decode(),
+        busy: state.busy,
+        orders: state.sequence,
+    })
+}
+
+fn holdings(models: &[Held]) -> Result<Holdings> {
+    let held = models.iter().map(|held| {
+        let adapters = held.adapters.iter().filter_map(name_of);
+        let adapters = adapters.filter_map(|name| name.parse().ok()).collect();
+        Ok((held.name.parse()?, adapters))
+    });
+    held.collect()
+}
+
+impl Available {
+    fn decode(&self) -> BTreeSet<id::Model> {
+        let names = self.in_memory.iter().chain(&self.on_disk);
+        let names = names.filter_map(name_of);
+        names.filter_map(|name| name.parse().ok()).collect()
+    }
+}
+
+/// Lists name things as a text, as `NAME@VERSION`, or as a table with a `Name`.
+fn name_of(value: &Value) -> Option<&str> {
+    let text = value.as_str().or_else(|| value.get("Name")?.as_str())?;
+    let text = text.split('@').next()?;
+    text.rsplit('/').next()
+}
+
+/// Body of an order.
+#[must_use]
+pub fn encode_order(order: &Order) -> Vec<u8> {
+    let (operation, target) = match &order.action {
+        Action::Load(target) => ("load", target),
+        Action::Unload(target) => ("unload", target),
+    };
+    let mut body = json!({
+        "Operation": operation,
+        "Model": target.model,
+        "Expected": order.expected,
+        "Holder": order.holder,
+        "FencingToken": order.fence,
+    });
+    if let Some(adapter) = &target.adapter {
+        body["Adapter"] = json!(adapter);
+    }
+    body.to_string().into_bytes()
+}
+
+/// Meaning of the status that answers an order.
+#[must_use]
+pub fn decode_reply(status: u16) -> Reply {
+    match status {
+        202 => Reply::Accepted,
+        200 => Reply::Holds,
+        409 => Reply::Conflict,
+        421 => Reply::Misdirected,
+        _ => Reply::Refused,
+    }
+}
