Count a worker's orders from its reports, not from its entry's heartbeats

Cause: the field of an entry counts heartbeats; reports were taken as older and asked for again and again: 1,458 probes, no order. Ruled out: the lease (held from 0.8 s on).

--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -78,11 +78,10 @@
     /// A worker of which only its entry is known.
     #[must_use]
     pub fn new(now: Duration, backend: Backend) -> Self {
-        let orders = backend.orders;
         Self {
             backend,
             state: State::Unknown { ask_at: now },
-            orders,
+            orders: 0,
             closing: BTreeMap::new(),
             evict: VecDeque::new(),
             load: None,
@@ -100,7 +99,6 @@
             return;
         }
         if matches!(self.state, State::Unknown { .. }) {
-            self.orders = backend.orders;
             self.backend = backend;
             return;
         }
@@ -112,7 +110,6 @@
                 *adapters = known.clone();
             }
         }
-        self.orders = self.orders.max(self.backend.orders);
         let done = match &self.state {
             State::Running {
                 action: Action::Load(target),
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -51,7 +51,8 @@
     };
     let placer_duty = {
         let deployment = Arc::clone(&deployment);
-        move || placer::run(deployment, clock, incarnation, heard_in, calls, words)
+        let journal = journal.clone();
+        move || placer::run(deployment, clock, incarnation, journal, heard_in, calls, words)
     };
     spawn("store", store_duty)?;
     spawn("placer", placer_duty)?;
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -10,6 +10,7 @@
 use crate::decide::lease::{Action, Lease, Timing};
 use crate::node::clock::Clock;
 use crate::platform::{request, worker};
+use super::journal::Journal;
 use crate::wire::generated_gossip::{Gossip, Held, Holding, Lead};
 use crate::world::backend::Report;
 use crate::world::deployment::Deployment;
@@ -43,6 +44,7 @@
 struct Placer {
     deployment: Arc<Deployment>,
     clock: Clock,
+    journal: Journal,
     lease: Lease,
     fleet: Fleet,
     /// No order before this time: those of the holder before may still come.
@@ -65,6 +67,7 @@
     deployment: Arc<Deployment>,
     clock: Clock,
     incarnation: Incarnation,
+    journal: Journal,
     heard: flume::Receiver<Heard>,
     calls: flume::Sender<Call>,
     words: flume::Sender<Word>,
@@ -79,6 +82,7 @@
         fleet: Fleet::new(&deployment),
         deployment,
         clock,
+        journal,
         orders_from: Duration::ZERO,
         was_holder: false,
         heard_holder: None,
@@ -210,7 +214,8 @@
             self.fleet.on_taken_over(self.orders_from);
             self.told.clear();
         }
-        log::info!(holder = is_holder; "lease");
+        let values = json!({"holder": is_holder, "version": self.lease.version()});
+        self.journal.note("lease", &values);
     }
 }
 
@@ -270,10 +275,10 @@
         return;
     }
     let (tasks, jobs) = this.fleet.tick(now);
-    drop(this);
     for job in jobs {
-        log::info!(job:serde; "place");
+        this.journal.note("place", &json!(job));
     }
+    drop(this);
     for task in tasks {
         match task {
             Task::Ask { worker } => {
@@ -331,8 +336,9 @@
     let mut call = channel::request(Method::POST, address, worker::ORDER_PATH, body);
     request::address(call.headers_mut(), &order.worker);
     let reply = give(&placer, address, call).await;
-    log::info!(order:serde, reply:serde; "order");
     let mut this = placer.borrow_mut();
+    let values = json!({"order": order, "reply": reply});
+    this.journal.note("order", &values);
     let now = this.clock.now();
     let same_boot = this
         .ledger(&order.worker)
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -22,8 +22,6 @@
     slots: u32,
     state: String,
     #[serde(default)]
-    sequence: u64,
-    #[serde(default)]
     models: Vec<Held>,
     #[serde(default)]
     available: Available,
@@ -54,6 +52,7 @@
     #[serde(default)]
     available: Available,
     busy: bool,
+    /// Orders accepted; an entry's field of this name counts heartbeats.
     sequence: u64,
 }
 
@@ -82,7 +81,6 @@
         places: entry.slots,
         holdings: holdings(&entry.models)?,
         copies: entry.available.decode(),
-        orders: entry.sequence,
     })
 }
 
--- a/src/world/backend.rs
+++ b/src/world/backend.rs
@@ -22,8 +22,6 @@
     pub holdings: Holdings,
     /// Models that load from its own copies.
     pub copies: BTreeSet<id::Model>,
-    /// Orders accepted since its start.
-    pub orders: u64,
 }
 
 /// What a worker's engine says of itself when asked.
@@ -32,5 +30,6 @@
     pub holdings: Holdings,
     pub copies: BTreeSet<id::Model>,
     pub busy: bool,
+    /// Orders accepted since its start.
     pub orders: u64,
 }
