--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -60,7 +60,7 @@
         Self {
             least_gain: 0.04,
             missing: 10.0,
-            last_copy: 0.02,
+            last_copy: 1.0,
         }
     }
 }
