--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -60,7 +60,7 @@
         "instance": traffic.deployment.instance,
         "at_ms": traffic.clock.now().as_millis(),
         "version": site.as_ref().map(|site| site.version),
-        "in_hand": traffic.in_hand.get(),
+        "open": traffic.open.get(),
         "stopping": traffic.is_stopping.get(),
         "instances": traffic.instances(),
         "servers": balance.views().collect::<Vec<_>>(),
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -28,7 +28,7 @@
 const UNREADY: Duration = Duration::from_millis(2_300);
 /// Left of the grace time for the end itself.
 const LAST: Duration = Duration::from_millis(400);
-/// How often a stopping process looks whether requests are in hand.
+/// How often a stopping process looks whether connections are open.
 const LOOK: Duration = Duration::from_millis(25);
 
 /// Runs the gateway until it is told to stop.
@@ -193,7 +193,7 @@
 /// Ends without cutting a request: unready first, then idle connections close, then the end.
 async fn stop(traffic: &Traffic, placer: &flume::Sender<Heard>, close: &watch::Sender<bool>) {
     let began = traffic.clock.now();
-    traffic.journal.note("stop", &json!({"in_hand": traffic.in_hand.get()}));
+    traffic.journal.note("stop", &json!({"open": traffic.open.get()}));
     traffic.is_stopping.set(true);
     if placer.try_send(Heard::Stop).is_err() {
         traffic.journal.note("ring_full", &json!({"ring": "placer"}));
@@ -201,13 +201,12 @@
     sleep(UNREADY).await;
     close.send_replace(true);
     let last = began + traffic.deployment.bounds.grace.saturating_sub(LAST);
-    while traffic.in_hand.get() > 0 && traffic.clock.now() < last {
+    while traffic.open.get() > 0 && traffic.clock.now() < last {
         sleep(LOOK).await;
     }
-    sleep(LOOK * 2).await;
     let took = traffic.clock.now().saturating_sub(began);
     traffic
         .journal
-        .note("stopped", &json!({"in_hand": traffic.in_hand.get(), "took_ms": took.as_millis()}));
+        .note("stopped", &json!({"open": traffic.open.get(), "took_ms": took.as_millis()}));
     sleep(LOOK).await;
 }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -45,6 +45,7 @@
 }
 
 async fn connection(traffic: Rc<Traffic>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+    let _open = Open::new(&traffic);
     channel::guard(&stream);
     let limits = limits(&traffic);
     let head = usize::try_from(limits.header.0).unwrap_or(usize::MAX / 2);
@@ -75,24 +76,23 @@
     site.as_ref().map_or_else(Limits::default, |site| site.limits)
 }
 
-/// Counts a request while it is in hand.
-struct InHand(Rc<Traffic>);
+/// Counts a caller's connection while it is open: until the last byte of its last answer.
+struct Open(Rc<Traffic>);
 
-impl InHand {
+impl Open {
     fn new(traffic: &Rc<Traffic>) -> Self {
-        traffic.in_hand.set(traffic.in_hand.get() + 1);
+        traffic.open.set(traffic.open.get() + 1);
         Self(Rc::clone(traffic))
     }
 }
 
-impl Drop for InHand {
+impl Drop for Open {
     fn drop(&mut self) {
-        self.0.in_hand.set(self.0.in_hand.get().saturating_sub(1));
+        self.0.open.set(self.0.open.get().saturating_sub(1));
     }
 }
 
 async fn take(traffic: Rc<Traffic>, incoming: hyper::Request<Incoming>) -> Response<Body> {
-    let _in_hand = InHand::new(&traffic);
     let arrived = traffic.clock.now();
     let (head, body) = incoming.into_parts();
     let mut response = match read(&traffic, arrived, head, body).await {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -40,7 +40,8 @@
     pub pool: Pool,
     pub metrics: Metrics,
     pub journal: Journal,
-    pub in_hand: Cell<usize>,
+    /// Callers' connections that are open.
+    pub open: Cell<usize>,
     pub is_stopping: Cell<bool>,
     /// Wakes requests that wait for a model, an adapter or a place.
     pub changed: Notify,
@@ -101,7 +102,7 @@
             pool: Pool::default(),
             metrics: Metrics::default(),
             journal,
-            in_hand: Cell::new(0),
+            open: Cell::new(0),
             is_stopping: Cell::new(false),
             changed: Notify::new(),
             to_tell: Notify::new(),
