--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -10,6 +10,9 @@
 /// Messages that a ring between duties holds.
 pub const RING: usize = 4096;
 
+/// Entries that vanished while the store was disturbed are back within this time, or gone.
+pub const RETURNS: Duration = Duration::from_millis(1_800);
+
 /// News from the store's feeds.
 #[derive(Debug, Clone)]
 pub enum News {
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -4,7 +4,7 @@
 //! instance waits until no order of that one can come any more.
 
 use super::channel;
-use super::event::{Call, Heard, News, Word};
+use super::event::{Call, Heard, News, RETURNS, Word};
 use crate::common::*;
 use crate::decide::fleet::{Fleet, Task};
 use crate::decide::lease::{Action, Lease, Timing};
@@ -132,8 +132,6 @@
     }
 }
 
-/// An entry that vanished while the store was disturbed may come back within this time.
-const RETURN: Duration = Duration::from_millis(2_500);
 
 impl Placer {
     fn on_news(&mut self, news: News) {
@@ -148,7 +146,7 @@
                 if trusted {
                     self.fleet.on_unlisted(&worker);
                 } else {
-                    self.doubtful.insert(worker, now + RETURN);
+                    self.doubtful.insert(worker, now + RETURNS);
                 }
             }
             News::Members(_) | News::Store { .. } => {}
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -28,7 +28,7 @@
 /// Pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Entries that vanish this soon after a failed call may be those that lapsed meanwhile.
-const DISTURBED: Duration = Duration::from_secs(6);
+const DISTURBED: Duration = Duration::from_millis(2_500);
 /// Prefix of the rows in which instances register.
 const MEMBERS: &str = "instance.";
 /// How often the list of instances is read again.
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,6 +1,6 @@
 //! What the duty "traffic" knows: routes, servers, channels, budgets, and what it tells peers.
 
-use super::event::{Heard, News, RING, Word};
+use super::event::{Heard, News, RETURNS, RING, Word};
 use super::journal::Journal;
 use super::metrics::Metrics;
 use super::pool::Pool;
@@ -19,8 +19,6 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// An entry that vanished while the store was disturbed may come back within this time.
-const RETURN: Duration = Duration::from_millis(2_500);
 /// A want is told to the holder again after this time.
 const WANT_AGAIN: Duration = Duration::from_millis(60);
 /// Demand is told anew in whole after this time, for a holder that has just begun.
@@ -149,7 +147,7 @@
                 if trusted {
                     self.forget(&worker);
                 } else {
-                    let until = now + RETURN;
+                    let until = now + RETURNS;
                     self.unlisted.borrow_mut().insert(worker, until);
                 }
             }
