Take no new connections once a stopping process closes the old ones

Cause: the listener stayed open to the end, and a fresh connection still got its first request read. Ruled out: streams that outlast the grace time (they began after the stop).

--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -28,10 +28,15 @@
 /// Space for the head of a request, beside the limit on headers.
 const HEAD_SLACK: usize = 16 << 10;
 
-/// Takes callers' connections.
+/// Takes callers' connections until the process is about to end.
 pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener, closing: watch::Receiver<bool>) {
+    let mut ending = closing.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = ending.wait_for(|ending| *ending) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let connection = connection(Rc::clone(&traffic), stream, closing.clone());
                 tokio::task::spawn_local(connection);
