--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -8,6 +8,9 @@
 use crate::world::id;
 use crate::world::unit::Bytes;
 
+/// Gain that a load from a worker's own copies has over one from the weight store.
+const NEAR: f64 = 0.01;
+
 /// A worker that may hold models.
 #[derive(Debug, Clone)]
 pub struct Worker {
@@ -58,7 +61,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            least_gain: 0.04,
+            least_gain: 0.06,
             missing: 10.0,
             last_copy: 1.0,
         }
@@ -136,7 +139,7 @@
         } else {
             self.relief(index, model, wanted.work, copies, freed)
         };
-        let near = if has_copy { self.policy.least_gain } else { 0.0 };
+        let near = if has_copy { NEAR } else { 0.0 };
         let job = Job {
             worker: worker.id.clone(),
             load: model.clone(),
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -164,7 +164,7 @@
                     self.loads.push_back(now);
                 }
                 if let Some(ledger) = self.ledgers.get_mut(&job.worker) {
-                    ledger.give(now, job.evict.clone(), job.load.clone());
+                    ledger.give(now, &job);
                 }
                 jobs.push(job);
             }
@@ -179,12 +179,24 @@
         }
         let engine = self.engines.get(service)?;
         let allowed = engine.loads.0 * window.as_secs_f64() * STORE_SHARE;
-        let store_open = float(self.loads.len() as u64) + 1.0 <= allowed;
+        let store_open =
+            float(self.loads.len() as u64) + 1.0 <= allowed && self.has_slot(service, engine);
         let wanted = self.wanted(now, engine);
         let workers = self.workers(service, engine);
         Planner::new(Policy::default(), &wanted, &workers).next(store_open)
     }
 
+    /// Whether another load from the weight store would run at full speed.
+    fn has_slot(&self, service: &id::Service, engine: &Engine) -> bool {
+        let times = engine.models.values().map(|model| model.load.as_secs_f64());
+        let longest = times.fold(0.0, f64::max);
+        let slots = (engine.loads.0 * longest).ceil().max(1.0);
+        let loading = self.ledgers.values();
+        let loading = loading.filter(|ledger| ledger.backend.service == *service);
+        let loading = loading.filter(|ledger| ledger.loads_from_store()).count();
+        float(loading as u64) < slots
+    }
+
     fn wanted(&self, now: Duration, engine: &Engine) -> BTreeMap<id::Model, Wanted> {
         let models = engine.models.iter();
         let wanted = models.map(|(id, model)| {
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -5,6 +5,7 @@
 //! effect at most. An order without answer is sent again as it was until its outcome is known. A
 //! worker that restarts counts anew: what may still arrive then stays reserved until it can't.
 
+use super::arrange::Job;
 use crate::common::*;
 use crate::world::backend::{Backend, Holdings, Report};
 use crate::world::id;
@@ -65,6 +66,8 @@
     /// Models to unload, then the one to load.
     evict: VecDeque<id::Model>,
     load: Option<id::Model>,
+    /// Whether the newest load comes from the weight store.
+    from_store: bool,
     adapters: VecDeque<Action>,
     /// Adapters that arrive soon.
     arriving: Vec<(Target, Duration)>,
@@ -85,6 +88,7 @@
             closing: BTreeMap::new(),
             evict: VecDeque::new(),
             load: None,
+            from_store: false,
             adapters: VecDeque::new(),
             arriving: Vec::new(),
             late: Vec::new(),
@@ -164,13 +168,22 @@
     }
 
     /// Gives a job: models to unload, then one to load.
-    pub fn give(&mut self, now: Duration, evict: Vec<id::Model>, load: id::Model) {
-        self.closing = evict.iter().map(|model| (model.clone(), now)).collect();
-        self.evict = evict.into();
-        self.load = Some(load);
+    pub fn give(&mut self, now: Duration, job: &Job) {
+        let closing = job.evict.iter().map(|model| (model.clone(), now));
+        self.closing = closing.collect();
+        self.evict = job.evict.clone().into();
+        self.load = Some(job.load.clone());
+        self.from_store = job.from_store;
         self.revision += 1;
     }
 
+    /// Whether a load from the weight store is under way, or about to be.
+    #[must_use]
+    pub fn loads_from_store(&self) -> bool {
+        let running = matches!(&self.state, State::Running { action: Action::Load(_), .. });
+        self.from_store && (running || self.load.is_some())
+    }
+
     /// Asks for an adapter to be loaded, or unloaded to make room.
     pub fn give_adapter(&mut self, action: Action) {
         if !self.adapters.contains(&action) {
