--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -39,6 +39,8 @@
 const CACHE_FULL: f64 = 0.9;
 /// Seconds that a request waits where memory is full.
 const CACHE_WAIT: f64 = 1.0;
+/// Seconds that count against a worker which would have to give up another adapter.
+const ADAPTER_SWAP: f64 = 0.1;
 /// Share of failed answers beyond which a server is avoided, and what it then costs.
 const GREY: f64 = 0.3;
 const GREY_COST: f64 = 1.0;
@@ -368,6 +370,31 @@
         self.best(now, need, &holders)
     }
 
+    /// The worker at which a missing adapter would be served first, out of those that hold its
+    /// model and whose holder can give orders; one with a free place for it if there is any.
+    #[must_use]
+    pub fn place_for(
+        &self,
+        now: Duration,
+        need: &Need,
+        has_holder: impl Fn(&id::Worker) -> bool,
+    ) -> Option<id::Worker> {
+        let target = &need.generation.as_ref()?.target;
+        let service = self.services.get(&need.service)?;
+        let places = service.engine.as_ref()?.adapter_places;
+        let views = self.usable(need, &[]);
+        let views = views.filter(|view| view.has_model(&target.model));
+        let views = views.filter(|view| has_holder(&view.backend.id));
+        let costs = views.map(|view| {
+            let adapters: usize = view.backend.holdings.values().map(BTreeSet::len).sum();
+            let full = if adapters < places { 0.0 } else { ADAPTER_SWAP };
+            let cost = self.expected(now, need, view) + self.surcharge(need, view);
+            (cost + full, &view.backend.id)
+        });
+        let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        best.map(|(_, worker)| worker.clone())
+    }
+
     fn usable<'a>(
         &'a self,
         need: &'a Need,
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -1,26 +1,28 @@
-//! All workers of the site in the hands of the lease's holder: which models and adapters they
-//! load and unload, and when.
+//! The workers in the hands of this instance, and the plan for all workers.
+//!
+//! Each shard of the workers has a holder that gives orders to them. One of the holders plans for
+//! all: it sees what every worker holds, and asks the holders for loads and unloads. Two planners
+//! at one time are wasteful and do no harm, since a holder checks each job with its own ledger.
 
 use super::appetite::Appetite;
 use super::arrange::{Job, Planner, Policy, Wanted, Worker};
 use super::orders::{Ledger, Step};
 use crate::common::*;
-use crate::world::backend::{Backend, Report};
+use crate::world::backend::{Backend, Holdings, Report};
 use crate::world::deployment::Deployment;
 use crate::world::id;
 use crate::world::message::Target;
 use crate::world::order::{Action, Reply};
+use crate::world::shard::Shard;
 use crate::world::site::{Engine, Site};
-use crate::world::unit::{Bytes, float};
+use crate::world::unit::{Fence, Incarnation, float};
 
 /// Prompt tokens that a worker reads in a second and still answers in time.
 const COMFORT: f64 = 16_000.0;
-/// Part of the weight store's rate that is used; orders without answer may come late.
-const STORE_SHARE: f64 = 1.0;
 /// How often placement is looked at.
 const LOOK: Duration = Duration::from_millis(200);
-/// A want that is not repeated is forgotten.
-const WANT_MEMORY: Duration = Duration::from_millis(400);
+/// A job that its holder does not begin is planned anew after this time.
+const JOB_MEMORY: Duration = Duration::from_millis(600);
 
 /// What to do for a worker.
 #[derive(Debug, Clone, PartialEq)]
@@ -35,17 +37,34 @@
     },
 }
 
+/// What another instance told of a worker that it holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    pub boot: Incarnation,
+    pub fence: Fence,
+    pub revision: u64,
+    pub holdings: Holdings,
+    pub closing: BTreeSet<id::Model>,
+    pub coming: BTreeSet<id::Model>,
+    pub open: bool,
+    pub from_store: bool,
+}
+
 /// All workers with engines, and what callers want of them.
 #[derive(Debug, Default)]
 pub struct Fleet {
     regions: BTreeMap<id::DataCentre, id::Region>,
     load_window: Duration,
     engines: BTreeMap<id::Service, Engine>,
+    backends: BTreeMap<id::Worker, Backend>,
+    /// Workers of the shards that this instance holds.
     ledgers: BTreeMap<id::Worker, Ledger>,
+    told: BTreeMap<id::Worker, Told>,
     pub appetite: Appetite,
-    wants: BTreeMap<Target, Duration>,
-    /// When loads from the weight store began.
+    /// When loads from the weight store began, on all workers.
     loads: VecDeque<Duration>,
+    /// Jobs that were asked of other holders.
+    asked: BTreeMap<id::Worker, Duration>,
     looked_at: Duration,
 }
 
@@ -63,40 +82,101 @@
     /// Takes the operator's services.
     pub fn on_site(&mut self, site: &Site) {
         let engines = site.services.iter();
-        let engines = engines.filter_map(|(id, service)| Some((id.clone(), service.engine.clone()?)));
+        let engines =
+            engines.filter_map(|(id, service)| Some((id.clone(), service.engine.clone()?)));
         self.engines = engines.collect();
     }
 
-    /// Takes a worker's entry.
-    pub fn on_listed(&mut self, now: Duration, backend: Backend) {
-        match self.ledgers.get_mut(&backend.id) {
-            Some(ledger) => ledger.on_listed(now, backend),
-            None => {
-                let id = backend.id.clone();
-                self.ledgers.insert(id, Ledger::new(now, backend));
+    /// Takes a worker's entry; `held` says whether this instance holds its shard.
+    pub fn on_listed(&mut self, now: Duration, backend: Backend, held: bool) {
+        let id = backend.id.clone();
+        match self.ledgers.get_mut(&id) {
+            Some(ledger) => ledger.on_listed(now, backend.clone()),
+            None if held => {
+                let ledger = Ledger::new(now, backend.clone());
+                self.ledgers.insert(id.clone(), ledger);
             }
+            None => {}
         }
+        self.backends.insert(id, backend);
     }
 
     /// Forgets a worker that ended.
     pub fn on_unlisted(&mut self, worker: &id::Worker) {
         self.ledgers.remove(worker);
+        self.backends.remove(worker);
+        self.told.remove(worker);
+    }
+
+    /// Takes a shard in hand. Its workers are asked what they hold, from `orders_from` on.
+    pub fn on_gained(&mut self, orders_from: Duration, shard: Shard) {
+        let workers = self.backends.values();
+        let workers = workers.filter(|backend| Shard::of(&backend.id) == shard);
+        for backend in workers {
+            let mut ledger = Ledger::new(orders_from, backend.clone());
+            let before = self.told.get(&backend.id);
+            ledger.revision += before.map_or(0, |told| told.revision);
+            self.ledgers.insert(backend.id.clone(), ledger);
+        }
+    }
+
+    /// Lets go of a shard.
+    pub fn on_lost(&mut self, shard: Shard) {
+        self.ledgers.retain(|worker, _| Shard::of(worker) != shard);
+    }
+
+    /// Takes what another holder told of a worker.
+    pub fn on_told(&mut self, now: Duration, worker: id::Worker, told: Told) {
+        let known = self.told.get(&worker);
+        let order = (told.fence, told.revision);
+        if known.is_some_and(|known| order <= (known.fence, known.revision)) {
+            return;
+        }
+        let coming = known.map(|known| &known.coming);
+        if told.from_store && !told.coming.is_empty() && coming != Some(&told.coming) {
+            self.loads.push_back(now);
+        }
+        if !told.open {
+            self.asked.remove(&worker);
+        }
+        self.told.insert(worker, told);
     }
 
-    /// Forgets what is known of workers' memory: another holder may have changed it.
-    pub fn on_taken_over(&mut self, now: Duration) {
-        self.loads.clear();
-        for ledger in self.ledgers.values_mut() {
-            let backend = ledger.backend.clone();
-            let revision = ledger.revision;
-            *ledger = Ledger::new(now, backend);
-            ledger.revision = revision + 1;
+    /// Has an adapter loaded at a worker, in the place of the least asked one if need be.
+    pub fn on_want(&mut self, worker: &id::Worker, target: &Target) {
+        let Some(ledger) = self.ledgers.get_mut(worker) else {
+            return;
+        };
+        let Some(engine) = self.engines.get(&ledger.backend.service) else {
+            return;
+        };
+        let has_model = ledger.holdings().contains_key(&target.model);
+        if !has_model || ledger.expects(target) || !ledger.takes_adapters() {
+            return;
+        }
+        if ledger.adapter_count() >= engine.adapter_places
+            && let Some(victim) = least_asked(&self.appetite, ledger, target)
+        {
+            ledger.give_adapter(Action::Unload(victim));
         }
+        ledger.give_adapter(Action::Load(target.clone()));
     }
 
-    /// Notes that requests wait for a target.
-    pub fn on_want(&mut self, now: Duration, target: Target) {
-        self.wants.insert(target, now);
+    /// Takes a job from the planner, if it fits what the worker does.
+    pub fn on_job(&mut self, now: Duration, job: &Job) -> bool {
+        let Some(ledger) = self.ledgers.get_mut(&job.worker) else {
+            return false;
+        };
+        let models = ledger.models();
+        let known = job.evict.iter().all(|model| models.contains(model));
+        let fits = ledger.is_open() && known && !models.contains(&job.load);
+        if fits {
+            if job.from_store {
+                self.loads.push_back(now);
+            }
+            ledger.give(now, job);
+        }
+        fits
     }
 
     /// Takes the answer to an order.
@@ -116,31 +196,27 @@
         }
     }
 
-    /// All workers' ledgers.
-    pub fn ledgers(&self) -> impl Iterator<Item = (&id::Worker, &Ledger)> {
-        self.ledgers.iter()
+    /// One worker's ledger, where this instance holds it.
+    #[must_use]
+    pub fn ledger(&self, worker: &id::Worker) -> Option<&Ledger> {
+        self.ledgers.get(worker)
     }
 
-    /// Everything to do now; jobs that were decided are returned for the log.
-    pub fn tick(&mut self, now: Duration) -> (Vec<Task>, Vec<Job>) {
-        self.appetite.tick(now);
-        self.wants.retain(|_, at| now < *at + WANT_MEMORY);
-        self.place_adapters();
-        let jobs = if now >= self.looked_at + LOOK {
-            self.looked_at = now;
-            self.place_models(now)
-        } else {
-            Vec::new()
-        };
-        (self.steps(now), jobs)
+    /// Ledgers of the workers that this instance holds.
+    pub fn ledgers(&self) -> impl Iterator<Item = (&id::Worker, &Ledger)> {
+        self.ledgers.iter()
     }
 
-    fn steps(&mut self, now: Duration) -> Vec<Task> {
+    /// Everything to do now for workers of the shards for which `may_order` holds.
+    pub fn steps(&mut self, now: Duration, may_order: impl Fn(Shard) -> bool) -> Vec<Task> {
         let mut tasks = Vec::new();
         for (worker, ledger) in &mut self.ledgers {
             let Some(engine) = self.engines.get(&ledger.backend.service) else {
                 continue;
             };
+            if !may_order(Shard::of(worker)) {
+                continue;
+            }
             let worker = worker.clone();
             match ledger.next(now, engine) {
                 Step::Wait => {}
@@ -155,16 +231,19 @@
         tasks
     }
 
-    fn place_models(&mut self, now: Duration) -> Vec<Job> {
+    /// Jobs for all workers; those of this instance's workers are begun at once.
+    pub fn plan(&mut self, now: Duration) -> Vec<Job> {
+        if now < self.looked_at + LOOK {
+            return Vec::new();
+        }
+        self.looked_at = now;
+        self.asked.retain(|_, at| now < *at + JOB_MEMORY);
         let mut jobs = Vec::new();
         let services: Vec<id::Service> = self.engines.keys().cloned().collect();
         for service in services {
             while let Some(job) = self.next_job(now, &service) {
-                if job.from_store {
-                    self.loads.push_back(now);
-                }
-                if let Some(ledger) = self.ledgers.get_mut(&job.worker) {
-                    ledger.give(now, &job);
+                if !self.on_job(now, &job) {
+                    self.asked.insert(job.worker.clone(), now);
                 }
                 jobs.push(job);
             }
@@ -178,7 +257,7 @@
             self.loads.pop_front();
         }
         let engine = self.engines.get(service)?;
-        let allowed = engine.loads.0 * window.as_secs_f64() * STORE_SHARE;
+        let allowed = engine.loads.0 * window.as_secs_f64();
         let store_open =
             float(self.loads.len() as u64) + 1.0 <= allowed && self.has_slot(service, engine);
         let wanted = self.wanted(now, engine);
@@ -191,10 +270,15 @@
         let times = engine.models.values().map(|model| model.load.as_secs_f64());
         let longest = times.fold(0.0, f64::max);
         let slots = (engine.loads.0 * longest).ceil().max(1.0);
-        let loading = self.ledgers.values();
-        let loading = loading.filter(|ledger| ledger.backend.service == *service);
-        let loading = loading.filter(|ledger| ledger.loads_from_store()).count();
-        float(loading as u64) < slots
+        let backends = self.backends.values();
+        let loading = backends.filter(|backend| {
+            let told = self.told.get(&backend.id);
+            let elsewhere = told.is_some_and(|told| told.from_store && !told.coming.is_empty());
+            let here = self.ledgers.get(&backend.id).map(Ledger::loads_from_store);
+            let asked = self.asked.contains_key(&backend.id);
+            backend.service == *service && (here.unwrap_or(elsewhere) || asked)
+        });
+        float(loading.count() as u64) < slots
     }
 
     fn wanted(&self, now: Duration, engine: &Engine) -> BTreeMap<id::Model, Wanted> {
@@ -211,60 +295,44 @@
     }
 
     fn workers(&self, service: &id::Service, engine: &Engine) -> Vec<Worker> {
-        let ledgers = self.ledgers.iter();
-        let ledgers = ledgers.filter(|(_, ledger)| {
-            ledger.backend.service == *service && !ledger.backend.leaving
-        });
-        let workers = ledgers.map(|(id, ledger)| Worker {
-            id: id.clone(),
-            region: self.regions.get(&ledger.backend.data_centre).cloned(),
-            memory: engine.memory,
-            reserved: ledger.reserved(engine),
-            models: ledger.models(),
-            copies: ledger.backend.copies.clone(),
-            open: ledger.is_open(),
-        });
-        workers.collect()
-    }
-
-    fn place_adapters(&mut self) {
-        let wants: Vec<Target> = self.wants.keys().cloned().collect();
-        for target in wants.iter().filter(|target| target.adapter.is_some()) {
-            self.place_adapter(target);
-        }
+        let backends = self.backends.values();
+        let backends =
+            backends.filter(|backend| backend.service == *service && !backend.leaving);
+        backends
+            .map(|backend| self.worker(backend, engine))
+            .collect()
     }
 
-    /// Has an adapter loaded at the worker with most room that holds its model.
-    fn place_adapter(&mut self, target: &Target) {
-        let expected = self.ledgers.values().any(|ledger| ledger.expects(target));
-        if expected {
-            return;
-        }
-        let fit = self.ledgers.values_mut().filter(|ledger| {
-            let holds = ledger.holdings().contains_key(&target.model);
-            let stays = !ledger.closing().contains(&target.model);
-            holds && stays && ledger.takes_adapters()
-        });
-        let Some(ledger) = fit.min_by_key(|ledger| ledger.adapter_count()) else {
-            return;
-        };
-        let Some(engine) = self.engines.get(&ledger.backend.service) else {
-            return;
+    fn worker(&self, backend: &Backend, engine: &Engine) -> Worker {
+        let ledger = self.ledgers.get(&backend.id);
+        let told = self.told.get(&backend.id);
+        let told = told.filter(|told| told.boot == backend.boot);
+        let (reserved, models, open) = match (ledger, told) {
+            (Some(ledger), _) => (ledger.reserved(engine), ledger.models(), ledger.is_open()),
+            (None, Some(told)) => (Ledger::adapter_space(engine), told.models(), told.open),
+            (None, None) => {
+                let models = backend.holdings.keys().cloned().collect();
+                (Ledger::adapter_space(engine), models, false)
+            }
         };
-        if ledger.adapter_count() >= engine.adapter_places
-            && let Some(victim) = least_asked(&self.appetite, ledger, target)
-        {
-            ledger.give_adapter(Action::Unload(victim));
+        Worker {
+            id: backend.id.clone(),
+            region: self.regions.get(&backend.data_centre).cloned(),
+            memory: engine.memory,
+            reserved,
+            models,
+            copies: backend.copies.clone(),
+            open: open && !self.asked.contains_key(&backend.id),
         }
-        ledger.give_adapter(Action::Load(target.clone()));
     }
+}
 
-    /// Memory of the workers of a service that models could use, for the dump.
-    #[must_use]
-    pub fn memory(&self, service: &id::Service) -> Option<Bytes> {
-        let engine = self.engines.get(service)?;
-        let workers = self.workers(service, engine);
-        Some(Bytes(engine.memory.0 * workers.len() as u64))
+impl Told {
+    /// Models that the worker holds or is about to hold, those about to go left out.
+    fn models(&self) -> BTreeSet<id::Model> {
+        let held = self.holdings.keys();
+        let held = held.filter(|model| !self.closing.contains(*model));
+        held.chain(&self.coming).cloned().collect()
     }
 }
 
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -70,7 +70,7 @@
     proposed: Option<(Holder, Duration)>,
     held_since: Option<Duration>,
     /// Whom the lease was taken from, when it was last taken.
-    took_from: Option<id::Instance>,
+    took_from: Option<(id::Instance, Duration)>,
     /// Version of the row that its holder told, and when.
     heard: Option<(u64, Duration)>,
     resigned: bool,
@@ -113,11 +113,12 @@
         (now < since + usable).then_some(self.me.fence)
     }
 
-    /// Whether another instance held the lease before this one, and may have acted until lately.
+    /// Whom the lease was last taken from, if from another instance, and the latest time at which
+    /// that one may have acted.
     #[must_use]
-    pub fn is_from_another(&self) -> bool {
-        let before = self.took_from.as_ref();
-        before.is_some_and(|before| *before != self.me.instance)
+    pub fn taken_from(&self) -> Option<(&id::Instance, Duration)> {
+        let (before, until) = self.took_from.as_ref()?;
+        (*before != self.me.instance).then_some((before, *until))
     }
 
     /// Version of the row after this holder's last renewal.
@@ -176,7 +177,11 @@
             ..self.me.clone()
         };
         if !mine {
-            self.took_from = seen.holder.map(|holder| holder.instance);
+            let usable = self.timing.term.saturating_sub(self.timing.margin);
+            self.took_from = seen.holder.map(|holder| {
+                let acted_until = if holder.released { seen.since } else { seen.since + usable };
+                (holder.instance, acted_until)
+            });
         }
         self.proposed = Some((next.clone(), now));
         Action::Commit(Txn::default().put(self.key.clone(), seen.version, json!(next)))
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -253,12 +253,17 @@
             .saturating_sub(unloads.count())
     }
 
+    /// Memory kept free for adapters.
+    #[must_use]
+    pub fn adapter_space(engine: &Engine) -> Bytes {
+        let largest = engine.models.values().map(|model| model.adapter_size);
+        Bytes(largest.max().unwrap_or_default().0 * engine.adapter_places as u64)
+    }
+
     /// Memory beside the models: adapters and what may still arrive late.
     #[must_use]
     pub fn reserved(&self, engine: &Engine) -> Bytes {
-        let largest = engine.models.values().map(|model| model.adapter_size);
-        let largest = largest.max().unwrap_or_default();
-        let adapters = Bytes(largest.0 * engine.adapter_places as u64);
+        let adapters = Self::adapter_space(engine);
         let late = self.late.iter().filter(|(it, _)| it.adapter.is_none());
         let late = late.filter_map(|(it, _)| engine.models.get(&it.model));
         late.fold(adapters, |sum, model| sum.plus(model.size))
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -5,7 +5,7 @@
 use crate::world::id;
 use crate::world::site::Site;
 use crate::world::table::{Commit, Failure, Row, Txn};
-use crate::wire::generated_gossip::{Gossip, Holding, Lead};
+use crate::wire::generated_gossip::{Gossip, Holding, Job, Lead};
 
 /// Messages that a ring between duties holds.
 pub const RING: usize = 4096;
@@ -39,8 +39,10 @@
 /// What the placer has to say to all instances.
 #[derive(Debug, Clone, Default)]
 pub struct Word {
-    pub lead: Option<Lead>,
+    pub leads: Vec<Lead>,
     pub holdings: Vec<Holding>,
+    /// For the holders of the workers that they name.
+    pub jobs: Vec<Job>,
 }
 
 /// Calls to the store for others.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -225,7 +225,12 @@
             let (longest, cause, back) = match choice {
                 Choice::Send(worker, expected) => return Ok((worker, expected)),
                 Choice::Nobody => (UNDECIDED, "no server", COME_BACK),
-                Choice::NoAdapter => (left.mul_f64(ADAPTER_SHARE), "no adapter", COME_BACK),
+                Choice::NoAdapter => {
+                    if let Some(generation) = &self.need.generation {
+                        self.traffic.want(&self.need, &generation.target);
+                    }
+                    (left.mul_f64(ADAPTER_SHARE), "no adapter", COME_BACK)
+                }
                 Choice::NoModel if self.is_coming() => {
                     (left.mul_f64(MODEL_SHARE), "model loads", COME_BACK_LOADED)
                 }
@@ -234,9 +239,6 @@
             if now >= began + longest {
                 return Err(self.refused(cause, back));
             }
-            if let Some(generation) = &self.need.generation {
-                self.traffic.want(&generation.target);
-            }
             let _ = timeout(LOOK, self.traffic.changed.notified()).await;
         }
     }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -11,6 +11,7 @@
 use crate::node::clock::{Clock, incarnation};
 use crate::platform::settings;
 use crate::world::deployment::Deployment;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::thread;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
@@ -79,7 +80,10 @@
     settings::decode(&text)
 }
 
-/// Starts a duty on a thread and a runtime of its own.
+/// Exit code of a process of which a duty ended before it was told to.
+const DUTY_ENDED: i32 = 70;
+
+/// Starts a duty on a thread and a runtime of its own; the process ends with it.
 fn spawn<F: Future<Output = ()>>(
     name: &str,
     duty: impl FnOnce() -> F + Send + 'static,
@@ -88,9 +92,9 @@
     thread::Builder::new()
         .name(name.into())
         .spawn(move || {
-            if let Err(error) = block(duty) {
-                log::error!("the duty {label} ended: {error}");
-            }
+            let ended = catch_unwind(AssertUnwindSafe(|| block(duty)));
+            eprintln!("the duty {label} ended: {ended:?}; the process ends and starts anew");
+            std::process::exit(DUTY_ENDED);
         })
         .map_err(|source| Error::Thread { source })?;
     Ok(())
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -69,10 +69,13 @@
         if parts.is_empty() {
             parts.push(&[]);
         }
-        for part in parts {
+        for (index, part) in parts.into_iter().enumerate() {
             let mut gossip = traffic.gossip();
-            gossip.lead = word.lead;
+            gossip.leads.clone_from(&word.leads);
             gossip.holdings = part.to_vec();
+            if index == 0 {
+                gossip.jobs.clone_from(&word.jobs);
+            }
             send(&traffic, &socket, &gossip).await;
         }
     }
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -1,30 +1,33 @@
-//! The duty "placer": holds the lease, or stands by; has models and adapters loaded.
+//! The duty "placer": holds shards of the workers, or stands by; has models and adapters loaded.
 //!
-//! The lease is looked at right before each order. A holder that took the lease from another
-//! instance waits until no order of that one can come any more.
+//! A lease is looked at right before each order of its shard. A holder that took a lease from
+//! another instance waits until no order of that one can come any more.
 
 use super::channel;
 use super::event::{Call, Heard, News, RETURNS, Word};
+use super::journal::Journal;
 use crate::common::*;
-use crate::decide::fleet::{Fleet, Task};
+use crate::decide::arrange;
+use crate::decide::fleet::{Fleet, Task, Told};
 use crate::decide::lease::{Action, Lease, Timing};
+use crate::decide::orders::Ledger;
 use crate::node::clock::Clock;
 use crate::platform::{request, worker};
-use super::journal::Journal;
-use crate::wire::generated_gossip::{Gossip, Held, Holding, Lead};
+use crate::wire::generated_gossip::{Gossip, Held, Holding, Job, Lead};
 use crate::world::backend::Report;
 use crate::world::deployment::Deployment;
 use crate::world::id;
 use crate::world::order::{Order, Reply};
-use crate::world::table::{Commit, Failure, Row};
+use crate::world::shard::Shard;
+use crate::world::table::{Commit, Failure, Row, Txn};
 use crate::world::unit::{Fence, Incarnation};
 use hyper::Method;
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::time::{MissedTickBehavior, interval};
 
-/// Row of the lease.
-const LEASE: &str = "lease.placement";
+/// Rows of the leases, one a shard.
+const LEASE: &str = "lease.shard.";
 /// Others may take a lease over that stood unchanged this long.
 const TERM: Duration = Duration::from_millis(2_000);
 /// The holder stops this much before the end of its term.
@@ -32,29 +35,42 @@
 /// Time between looks at what is to be done.
 const TICK: Duration = Duration::from_millis(10);
 /// A holder that was heard of within this time needs no look at its row.
-const HEARD: Duration = Duration::from_millis(1_200);
+const HEARD: Duration = Duration::from_millis(1_100);
 /// Time between looks at the row while nobody is heard to hold it.
 const LOOK: Duration = Duration::from_millis(400);
+/// An instance that holds a shard leaves an open one to others for this long; one that prefers
+/// other shards does so for each step of its preference.
+const LEAVE: Duration = Duration::from_millis(600);
+const PREFERENCE: Duration = Duration::from_millis(150);
 /// Longest time for a worker's answer to an order or a question.
 const ANSWER: Duration = Duration::from_millis(700);
-/// How often everything that workers hold is told again.
-const TELL_AGAIN: Duration = Duration::from_millis(1_000);
+/// How often leases are told, and everything that workers hold is told again.
+const TELL_LEADS: Duration = Duration::from_millis(400);
+const TELL_AGAIN: Duration = Duration::from_secs(2);
 
-/// What the tasks of this duty share.
-struct Placer {
-    deployment: Arc<Deployment>,
-    clock: Clock,
-    journal: Journal,
+/// One shard, as this instance sees it.
+struct Part {
+    shard: Shard,
     lease: Lease,
-    fleet: Fleet,
     /// No order before this time: those of the holder before may still come.
     orders_from: Duration,
     was_holder: bool,
-    heard_holder: Option<Duration>,
+    /// When another holder was last heard of, or the time from which one was missed.
+    heard: Duration,
     looked_at: Duration,
     in_call: bool,
+}
+
+/// What the tasks of this duty share.
+struct Placer {
+    deployment: Arc<Deployment>,
+    clock: Clock,
+    journal: Journal,
+    parts: Vec<Part>,
+    fleet: Fleet,
     told: BTreeMap<id::Worker, u64>,
     told_all_at: Duration,
+    told_leads_at: Duration,
     /// Entries that vanished while the store was disturbed: forgotten then, unless they return.
     doubtful: BTreeMap<id::Worker, Duration>,
     is_stopping: bool,
@@ -72,27 +88,7 @@
     calls: flume::Sender<Call>,
     words: flume::Sender<Word>,
 ) {
-    let timing = Timing {
-        term: TERM,
-        margin: MARGIN,
-    };
-    let instance = deployment.instance.clone();
-    let placer = Placer {
-        lease: Lease::new(LEASE.into(), instance, incarnation, timing),
-        fleet: Fleet::new(&deployment),
-        deployment,
-        clock,
-        journal,
-        orders_from: Duration::ZERO,
-        was_holder: false,
-        heard_holder: None,
-        looked_at: Duration::ZERO,
-        in_call: false,
-        told: BTreeMap::new(),
-        told_all_at: Duration::ZERO,
-        doubtful: BTreeMap::new(),
-        is_stopping: false,
-    };
+    let placer = Placer::new(deployment, clock, incarnation, journal);
     let placer = Rc::new(RefCell::new(placer));
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -107,10 +103,13 @@
         while let Ok(event) = heard.try_recv() {
             on_heard(&placer, event, &calls);
         }
-        step_lease(&placer, &calls);
-        step_fleet(&placer);
-        if let Some(word) = word(&placer) {
-            let _ = words.try_send(word).inspect_err(|_| log::warn!("a full ring drops what workers hold"));
+        let parts = placer.borrow().parts.len();
+        (0..parts).for_each(|index| step_lease(&placer, index, &calls));
+        let jobs = step_fleet(&placer);
+        if let Some(word) = placer.borrow_mut().word(jobs)
+            && words.try_send(word).is_err()
+        {
+            log::warn!("a full ring drops what workers hold; it is told again");
         }
     }
 }
@@ -122,25 +121,63 @@
         Heard::Gossip(gossip) => this.on_gossip(&gossip),
         Heard::Stop => {
             this.is_stopping = true;
-            let resigned = this.lease.resign();
-            drop(this);
-            if let Some(txn) = resigned {
+            let resigned = this.parts.iter_mut().filter_map(|part| part.lease.resign());
+            for txn in resigned.collect::<Vec<Txn>>() {
                 let (reply, _) = flume::bounded(1);
-                let _ = calls.try_send(Call::Commit(txn, reply)).inspect_err(|_| log::warn!("the lease lapses: the ring to the store is full"));
+                if calls.try_send(Call::Commit(txn, reply)).is_err() {
+                    log::warn!("a lease lapses: the ring to the store is full");
+                }
             }
         }
     }
 }
 
-
 impl Placer {
+    fn new(
+        deployment: Arc<Deployment>,
+        clock: Clock,
+        incarnation: Incarnation,
+        journal: Journal,
+    ) -> Self {
+        let timing = Timing {
+            term: TERM,
+            margin: MARGIN,
+        };
+        let parts = Shard::all().map(|shard| {
+            let key = format!("{LEASE}{shard}");
+            let instance = deployment.instance.clone();
+            Part {
+                shard,
+                lease: Lease::new(key, instance, incarnation, timing),
+                orders_from: Duration::ZERO,
+                was_holder: false,
+                heard: Duration::ZERO,
+                looked_at: Duration::ZERO,
+                in_call: false,
+            }
+        });
+        Self {
+            parts: parts.collect(),
+            fleet: Fleet::new(&deployment),
+            deployment,
+            clock,
+            journal,
+            told: BTreeMap::new(),
+            told_all_at: Duration::ZERO,
+            told_leads_at: Duration::ZERO,
+            doubtful: BTreeMap::new(),
+            is_stopping: false,
+        }
+    }
+
     fn on_news(&mut self, news: News) {
         let now = self.clock.now();
         match news {
             News::Site(site) => self.fleet.on_site(&site),
             News::Listed(backend) => {
                 self.doubtful.remove(&backend.id);
-                self.fleet.on_listed(now, backend);
+                let held = self.part(&backend.id).is_some_and(|part| part.was_holder);
+                self.fleet.on_listed(now, backend, held);
             }
             News::Unlisted { worker, trusted } => {
                 if trusted {
@@ -153,6 +190,11 @@
         }
     }
 
+    fn part(&self, worker: &id::Worker) -> Option<&Part> {
+        let shard = Shard::of(worker);
+        self.parts.iter().find(|part| part.shard == shard)
+    }
+
     fn on_gossip(&mut self, gossip: &Gossip) {
         let now = self.clock.now();
         let Ok(instance) = gossip.instance.parse::<id::Instance>() else {
@@ -166,15 +208,29 @@
             }
         }
         for want in &gossip.wants {
-            if let Ok(target) = want.target.parse() {
-                self.fleet.on_want(now, target);
+            if let (Ok(worker), Ok(target)) = (want.worker.parse(), want.target.parse()) {
+                self.fleet.on_want(&worker, &target);
             }
         }
-        if let Some(lead) = gossip.lead
-            && instance != self.deployment.instance
-        {
-            self.heard_holder = Some(now);
-            self.lease.on_heard(now, lead.version);
+        if instance == self.deployment.instance {
+            return;
+        }
+        for lead in &gossip.leads {
+            let parts = self.parts.iter_mut();
+            for part in parts.filter(|part| part.shard.0 == lead.shard) {
+                part.heard = now;
+                part.lease.on_heard(now, lead.version);
+            }
+        }
+        for holding in &gossip.holdings {
+            if let Some((worker, told)) = decode_holding(holding) {
+                self.fleet.on_told(now, worker, told);
+            }
+        }
+        for job in gossip.jobs.iter().filter_map(decode_job) {
+            let begun = self.fleet.on_job(now, &job);
+            let values = json!({"job": job, "planner": instance, "begun": begun});
+            self.journal.note("job", &values);
         }
     }
 
@@ -187,142 +243,241 @@
         }
     }
 
-    /// The fence under which orders may be given now.
-    fn fence(&self) -> Option<Fence> {
-        let now = self.clock.now();
-        let fence = self.lease.fence(now)?;
-        (now >= self.orders_from && !self.is_stopping).then_some(fence)
+    /// The fence under which a worker may be given orders now.
+    fn fence(&self, worker: &id::Worker) -> Option<Fence> {
+        self.part(worker)?.fence(self.clock.now(), self.is_stopping)
     }
 
-    /// Notes a lease that was gained or lost.
-    fn check_holder(&mut self) {
+    /// Notes leases that were gained or lost.
+    fn check_holder(&mut self, index: usize) {
         let now = self.clock.now();
-        let is_holder = self.lease.fence(now).is_some();
-        if is_holder == self.was_holder {
+        let lease = self.deployment.bounds.lease;
+        let part = &mut self.parts[index];
+        let is_holder = part.lease.fence(now).is_some();
+        if is_holder == part.was_holder {
             return;
         }
-        self.was_holder = is_holder;
+        part.was_holder = is_holder;
+        part.heard = now;
         if is_holder {
-            let pause = if self.lease.is_from_another() {
-                self.deployment.bounds.lease
-            } else {
-                Duration::ZERO
-            };
-            self.orders_from = now + pause;
-            self.fleet.on_taken_over(self.orders_from);
-            self.told.clear();
+            let before = part.lease.taken_from();
+            part.orders_from = before.map_or(now, |(_, until)| now.max(until + lease));
+            self.fleet.on_gained(part.orders_from, part.shard);
+        } else {
+            self.fleet.on_lost(part.shard);
         }
-        let values = json!({"holder": is_holder, "version": self.lease.version()});
+        let values = json!({
+            "shard": part.shard,
+            "holder": is_holder,
+            "version": part.lease.version(),
+            "orders_from_ms": part.orders_from.as_millis(),
+        });
         self.journal.note("lease", &values);
     }
+
+    fn holds_any(&self) -> bool {
+        self.parts.iter().any(|part| part.was_holder)
+    }
+
+    /// Whether this instance plans: it holds the first shard of those that are held.
+    fn is_planner(&self, now: Duration) -> bool {
+        let mut held = self.parts.iter();
+        let held = held.find(|part| part.was_holder || now < part.heard + HEARD);
+        held.is_some_and(|part| part.was_holder)
+    }
+
+    fn order(
+        &self,
+        worker: id::Worker,
+        action: crate::world::order::Action,
+        expected: u64,
+    ) -> Option<Order> {
+        Some(Order {
+            boot: self.fleet.ledger(&worker)?.backend.boot,
+            fence: self.fence(&worker)?,
+            worker,
+            action,
+            expected,
+            holder: self.deployment.instance.clone(),
+        })
+    }
+
+    fn address(&self, worker: &id::Worker) -> Option<SocketAddr> {
+        let ledger = self.fleet.ledger(worker)?;
+        Some(ledger.backend.address)
+    }
+
+    /// What has changed since the last word, or everything once in a while.
+    fn word(&mut self, jobs: Vec<arrange::Job>) -> Option<Word> {
+        let now = self.clock.now();
+        if now >= self.told_all_at + TELL_AGAIN {
+            self.told_all_at = now;
+            self.told.clear();
+        }
+        let again = now >= self.told_leads_at + TELL_LEADS;
+        if again {
+            self.told_leads_at = now;
+        }
+        let holdings = self.holdings(now);
+        if !again && holdings.is_empty() && jobs.is_empty() {
+            return None;
+        }
+        let leads = self.parts.iter().filter_map(|part| {
+            Some(Lead {
+                shard: part.shard.0,
+                version: part.lease.version()?,
+                fence: part.lease.fence(now)?.0,
+            })
+        });
+        let word = Word {
+            leads: leads.collect(),
+            holdings,
+            jobs: jobs.iter().map(encode_job).collect(),
+        };
+        let is_empty = word.leads.is_empty() && word.holdings.is_empty() && word.jobs.is_empty();
+        (!is_empty).then_some(word)
+    }
+
+    fn holdings(&mut self, now: Duration) -> Vec<Holding> {
+        let mut told = std::mem::take(&mut self.told);
+        let mut holdings = Vec::new();
+        for (worker, ledger) in self.fleet.ledgers() {
+            let part = self.part(worker);
+            let fence = part.and_then(|part| part.fence(now, self.is_stopping));
+            let Some(fence) = fence.filter(|_| ledger.is_known()) else {
+                continue;
+            };
+            if told.get(worker) != Some(&ledger.revision) {
+                told.insert(worker.clone(), ledger.revision);
+                holdings.push(encode_holding(worker, ledger, fence));
+            }
+        }
+        self.told = told;
+        holdings
+    }
 }
 
-fn step_lease(placer: &Shared, calls: &flume::Sender<Call>) {
+impl Part {
+    fn fence(&self, now: Duration, is_stopping: bool) -> Option<Fence> {
+        let fence = self.lease.fence(now)?;
+        (now >= self.orders_from && !is_stopping).then_some(fence)
+    }
+
+    /// How long this instance leaves the shard to others once it is open.
+    fn patience(&self, instance: &id::Instance, holds_any: bool) -> Duration {
+        let leave = if holds_any { LEAVE } else { Duration::ZERO };
+        leave + PREFERENCE * self.shard.distance(instance)
+    }
+}
+
+fn step_lease(placer: &Shared, index: usize, calls: &flume::Sender<Call>) {
     let mut this = placer.borrow_mut();
     let now = this.clock.now();
-    this.check_holder();
-    let heard = this.heard_holder.is_some_and(|at| now < at + HEARD);
-    let is_holder = this.was_holder;
-    let rests = !is_holder && (heard || now < this.looked_at + LOOK);
-    if this.in_call || this.is_stopping || rests {
+    this.check_holder(index);
+    let (is_stopping, holds_any) = (this.is_stopping, this.holds_any());
+    let instance = this.deployment.instance.clone();
+    let part = &mut this.parts[index];
+    let is_open = now >= part.heard + HEARD + part.patience(&instance, holds_any);
+    let is_first = part.heard == Duration::ZERO && now >= part.patience(&instance, holds_any);
+    let looks = (is_open || is_first) && now >= part.looked_at + LOOK;
+    if part.in_call || is_stopping || !(part.was_holder || looks) {
         return;
     }
-    this.looked_at = now;
-    match this.lease.tick(now) {
+    part.looked_at = now;
+    match part.lease.tick(now) {
         Action::Wait => {}
         Action::Read => {
+            let key = format!("{LEASE}{}", part.shard);
             let (reply, answer) = flume::bounded(1);
-            this.in_call = calls.try_send(Call::Read(LEASE.into(), reply)).is_ok();
+            part.in_call = calls.try_send(Call::Read(key, reply)).is_ok();
             drop(this);
-            tokio::task::spawn_local(take_read(Rc::clone(placer), answer));
+            tokio::task::spawn_local(take_read(Rc::clone(placer), index, answer));
         }
         Action::Commit(txn) => {
             let (reply, answer) = flume::bounded(1);
-            this.in_call = calls.try_send(Call::Commit(txn, reply)).is_ok();
+            part.in_call = calls.try_send(Call::Commit(txn, reply)).is_ok();
             drop(this);
-            tokio::task::spawn_local(take_commit(Rc::clone(placer), answer));
+            tokio::task::spawn_local(take_commit(Rc::clone(placer), index, answer));
         }
     }
 }
 
-async fn take_read(placer: Shared, answer: flume::Receiver<Result<Option<Row>, Failure>>) {
+async fn take_read(
+    placer: Shared,
+    index: usize,
+    answer: flume::Receiver<Result<Option<Row>, Failure>>,
+) {
     let answer = answer.recv_async().await;
     let mut this = placer.borrow_mut();
-    this.in_call = false;
     let now = this.clock.now();
+    let part = &mut this.parts[index];
+    part.in_call = false;
     if let Ok(Ok(row)) = answer {
-        this.lease.on_read(now, row.as_ref());
+        part.lease.on_read(now, row.as_ref());
+        if row.is_none() {
+            part.looked_at = Duration::ZERO;
+        }
     }
 }
 
-async fn take_commit(placer: Shared, answer: flume::Receiver<Result<Commit, Failure>>) {
+async fn take_commit(
+    placer: Shared,
+    index: usize,
+    answer: flume::Receiver<Result<Commit, Failure>>,
+) {
     let answer = answer.recv_async().await;
     let mut this = placer.borrow_mut();
-    this.in_call = false;
     let now = this.clock.now();
-    this.lease.on_commit(now, answer.unwrap_or(Err(Failure::Lost)));
-    this.check_holder();
+    let part = &mut this.parts[index];
+    part.in_call = false;
+    part.lease
+        .on_commit(now, answer.unwrap_or(Err(Failure::Lost)));
+    this.check_holder(index);
 }
 
-fn step_fleet(placer: &Shared) {
+/// Has everything done that is due; the jobs are for other holders.
+fn step_fleet(placer: &Shared) -> Vec<arrange::Job> {
     let mut this = placer.borrow_mut();
+    let this = &mut *this;
     let now = this.clock.now();
     this.forget_doubtful(now);
     this.fleet.appetite.tick(now);
-    if this.fence().is_none() {
-        return;
-    }
-    let (tasks, jobs) = this.fleet.tick(now);
-    for job in jobs {
+    let jobs = if this.is_planner(now) && !this.is_stopping {
+        this.fleet.plan(now)
+    } else {
+        Vec::new()
+    };
+    for job in &jobs {
         this.journal.note("place", &json!(job));
     }
-    drop(this);
-    for task in tasks {
-        match task {
-            Task::Ask { worker } => {
-                tokio::task::spawn_local(ask(Rc::clone(placer), worker));
-            }
-            Task::Order {
-                worker,
-                action,
-                expected,
-            } => {
-                let order = placer.borrow().order(worker, action, expected);
-                if let Some(order) = order {
-                    tokio::task::spawn_local(send(Rc::clone(placer), order));
-                }
-            }
-        }
+    let (parts, is_stopping) = (&this.parts, this.is_stopping);
+    let may_order = |shard| {
+        let mut part = parts.iter().filter(|part| part.shard == shard);
+        part.any(|part| part.fence(now, is_stopping).is_some())
+    };
+    for task in this.fleet.steps(now, may_order) {
+        begin(placer, this, task);
     }
+    let fleet = &this.fleet;
+    jobs.into_iter()
+        .filter(|job| fleet.ledger(&job.worker).is_none())
+        .collect()
 }
 
-impl Placer {
-    fn order(
-        &self,
-        worker: id::Worker,
-        action: crate::world::order::Action,
-        expected: u64,
-    ) -> Option<Order> {
-        let boot = self.ledger(&worker)?.backend.boot;
-        Some(Order {
+fn begin(placer: &Shared, this: &Placer, task: Task) {
+    match task {
+        Task::Ask { worker } => {
+            tokio::task::spawn_local(ask(Rc::clone(placer), worker));
+        }
+        Task::Order {
             worker,
-            boot,
             action,
             expected,
-            holder: self.deployment.instance.clone(),
-            fence: self.fence()?,
-        })
-    }
-
-    fn ledger(&self, worker: &id::Worker) -> Option<&crate::decide::orders::Ledger> {
-        let mut ledgers = self.fleet.ledgers();
-        ledgers
-            .find(|(id, _)| *id == worker)
-            .map(|(_, ledger)| ledger)
-    }
-
-    fn address(&self, worker: &id::Worker) -> Option<SocketAddr> {
-        self.ledger(worker).map(|ledger| ledger.backend.address)
+        } => {
+            if let Some(order) = this.order(worker, action, expected) {
+                tokio::task::spawn_local(send(Rc::clone(placer), order));
+            }
+        }
     }
 }
 
@@ -333,15 +488,13 @@
     let body = worker::encode_order(&order);
     let mut call = channel::request(Method::POST, address, worker::ORDER_PATH, body);
     request::address(call.headers_mut(), &order.worker);
-    let reply = give(&placer, address, call).await;
+    let reply = give(&placer, &order.worker, address, call).await;
     let mut this = placer.borrow_mut();
     let values = json!({"order": order, "reply": reply});
     this.journal.note("order", &values);
     let now = this.clock.now();
-    let same_boot = this
-        .ledger(&order.worker)
-        .is_some_and(|ledger| ledger.backend.boot == order.boot);
-    if same_boot {
+    let ledger = this.fleet.ledger(&order.worker);
+    if ledger.is_some_and(|ledger| ledger.backend.boot == order.boot) {
         this.fleet.on_reply(now, &order.worker, reply);
     }
 }
@@ -349,13 +502,14 @@
 /// Sends an order if the lease still holds once the connection is open.
 async fn give(
     placer: &Shared,
+    worker: &id::Worker,
     address: SocketAddr,
     call: hyper::Request<http_body_util::Full<bytes::Bytes>>,
 ) -> Reply {
     let Ok(mut opened) = channel::connect(address).await else {
         return Reply::Refused;
     };
-    if placer.borrow().fence().is_none() {
+    if placer.borrow().fence(worker).is_none() {
         return Reply::Refused;
     }
     let answer = tokio::time::timeout(ANSWER, opened.call(call)).await;
@@ -385,54 +539,16 @@
     this.fleet.on_report(now, &id, report);
 }
 
-/// What has changed since the last word, or everything once in a while.
-fn word(placer: &Shared) -> Option<Word> {
-    let mut this = placer.borrow_mut();
-    let now = this.clock.now();
-    let fence = this.lease.fence(now)?;
-    let version = this.lease.version()?;
-    let again = now >= this.told_all_at + TELL_AGAIN;
-    if again {
-        this.told_all_at = now;
-        this.told.clear();
-    }
-    if now < this.orders_from {
-        let lead = Lead {
-            version,
-            fence: fence.0,
-        };
-        return again.then(|| Word {
-            lead: Some(lead),
-            holdings: Vec::new(),
-        });
-    }
-    let mut holdings = Vec::new();
-    let mut told = std::mem::take(&mut this.told);
-    for (worker, ledger) in this.fleet.ledgers() {
-        if told.get(worker) != Some(&ledger.revision) && ledger.is_known() {
-            told.insert(worker.clone(), ledger.revision);
-            holdings.push(holding(worker, ledger, fence));
-        }
-    }
-    this.told = told;
-    let lead = Lead {
-        version,
-        fence: fence.0,
-    };
-    (again || !holdings.is_empty()).then_some(Word {
-        lead: Some(lead),
-        holdings,
-    })
-}
-
-fn holding(worker: &id::Worker, ledger: &crate::decide::orders::Ledger, fence: Fence) -> Holding {
+fn encode_holding(worker: &id::Worker, ledger: &Ledger, fence: Fence) -> Holding {
     let held = ledger.holdings().iter().map(|(model, adapters)| Held {
         model: model.to_string(),
         adapters: adapters.iter().map(ToString::to_string).collect(),
     });
     let closing = ledger.closing();
     let coming = ledger.models();
-    let coming = coming.iter().filter(|model| !ledger.holdings().contains_key(*model));
+    let coming = coming
+        .iter()
+        .filter(|model| !ledger.holdings().contains_key(*model));
     Holding {
         worker: worker.to_string(),
         boot: ledger.backend.boot.0,
@@ -441,5 +557,47 @@
         held: held.collect(),
         closing: closing.iter().map(ToString::to_string).collect(),
         coming: coming.map(ToString::to_string).collect(),
+        open: ledger.is_open(),
+        from_store: ledger.loads_from_store(),
     }
 }
+
+/// Reads what a holder told of a worker.
+pub(crate) fn decode_holding(holding: &Holding) -> Option<(id::Worker, Told)> {
+    let held = holding.held.iter().filter_map(|held| {
+        Some((held.model.parse().ok()?, names(&held.adapters).collect()))
+    });
+    let told = Told {
+        boot: Incarnation(holding.boot),
+        fence: Fence(holding.fence),
+        revision: holding.revision,
+        holdings: held.collect(),
+        closing: names(&holding.closing).collect(),
+        coming: names(&holding.coming).collect(),
+        open: holding.open,
+        from_store: holding.from_store,
+    };
+    Some((holding.worker.parse().ok()?, told))
+}
+
+fn names<T: FromStr>(texts: &[String]) -> impl Iterator<Item = T> {
+    texts.iter().filter_map(|text| text.parse().ok())
+}
+
+fn encode_job(job: &arrange::Job) -> Job {
+    Job {
+        worker: job.worker.to_string(),
+        load: job.load.to_string(),
+        evict: job.evict.iter().map(ToString::to_string).collect(),
+        from_store: job.from_store,
+    }
+}
+
+fn decode_job(job: &Job) -> Option<arrange::Job> {
+    Some(arrange::Job {
+        worker: job.worker.parse().ok()?,
+        load: job.load.parse().ok()?,
+        evict: names(&job.evict).collect(),
+        from_store: job.from_store,
+    })
+}
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -5,14 +5,16 @@
 use super::metrics::Metrics;
 use super::pool::Pool;
 use crate::common::*;
-use crate::decide::balance::{Balance, Running};
+use super::placer;
+use crate::decide::balance::{Balance, Need, Running};
+use crate::decide::fleet::Told;
 use crate::decide::retry::Budget;
 use crate::node::clock::Clock;
-use crate::wire::generated_gossip::{Demand, Gossip, Holding, Load, Want};
-use crate::world::backend::Holdings;
+use crate::wire::generated_gossip::{Demand, Gossip, Holding, Lead, Load, Want};
 use crate::world::deployment::Deployment;
 use crate::world::id;
 use crate::world::message::Target;
+use crate::world::shard::Shard;
 use crate::world::site::Site;
 use crate::world::unit::Incarnation;
 use std::cell::{Cell, RefCell};
@@ -26,7 +28,7 @@
 /// A peer that is silent this long has no share of what all instances may do together.
 const PEER_GONE: Duration = Duration::from_secs(3);
 /// The word of a holder counts for this long.
-const HOLDER_MEMORY: Duration = Duration::from_millis(3_000);
+const HOLDER_MEMORY: Duration = Duration::from_millis(1_100);
 
 /// Everything that tasks of this duty share.
 pub struct Traffic {
@@ -48,10 +50,12 @@
     budgets: RefCell<BTreeMap<id::Service, Budget>>,
     members: RefCell<BTreeMap<id::Instance, Member>>,
     demands: RefCell<BTreeMap<Target, Asked>>,
-    wants: RefCell<BTreeMap<Target, Duration>>,
+    /// Adapters that requests wait for, where, and when the holder was told.
+    wants: RefCell<BTreeMap<(id::Worker, Target), Duration>>,
     unlisted: RefCell<BTreeMap<id::Worker, Duration>>,
     held: RefCell<BTreeMap<id::Worker, Told>>,
-    holder_heard: Cell<Option<Duration>>,
+    /// When the holder of a shard was last heard.
+    holders: RefCell<BTreeMap<Shard, Duration>>,
     demand_told_at: Cell<Duration>,
     sequence: Cell<u64>,
     placer: flume::Sender<Heard>,
@@ -71,15 +75,6 @@
     told: u64,
 }
 
-/// The newest word about a worker's memory.
-#[derive(Debug, Clone)]
-struct Told {
-    boot: u64,
-    fence: u64,
-    revision: u64,
-    coming: BTreeSet<id::Model>,
-}
-
 impl Traffic {
     /// A gateway that knows nothing yet.
     #[must_use]
@@ -110,7 +105,7 @@
             wants: RefCell::default(),
             unlisted: RefCell::default(),
             held: RefCell::default(),
-            holder_heard: Cell::new(None),
+            holders: RefCell::default(),
             demand_told_at: Cell::new(Duration::ZERO),
             sequence: Cell::new(0),
             placer,
@@ -133,13 +128,12 @@
                 self.unlisted.borrow_mut().remove(&backend.id);
                 self.journal.note("listed", &json!({"backend": backend}));
                 let held = self.held.borrow().get(&backend.id).cloned();
-                let known = held.filter(|held| held.boot == backend.boot.0);
+                let known = held.filter(|held| held.boot == backend.boot);
                 let mut backend = backend;
-                let mut balance = self.balance.borrow_mut();
-                if let (true, Some(view)) = (self.has_holder(now) && known.is_some(), balance.view(&backend.id)) {
-                    backend.holdings.clone_from(&view.backend.holdings);
+                if let Some(known) = known.filter(|_| self.has_holder(now, &backend.id)) {
+                    backend.holdings = known.holdings;
                 }
-                balance.on_listed(backend);
+                self.balance.borrow_mut().on_listed(backend);
             }
             News::Unlisted { worker, trusted } => {
                 self.journal
@@ -211,13 +205,22 @@
         demands.entry(target.clone()).or_default().tokens += tokens.max(1);
     }
 
-    /// Has the holder told that requests wait for a target.
-    pub fn want(&self, target: &Target) {
+    /// Has an adapter loaded where the request would be served first.
+    pub fn want(&self, need: &Need, target: &Target) {
         let now = self.clock.now();
+        let holders = self.holders.borrow();
+        let is_held = |worker: &id::Worker| is_heard(now, &holders, worker);
+        let worker = self.balance.borrow().place_for(now, need, is_held);
+        drop(holders);
+        let Some(worker) = worker else {
+            return;
+        };
         let mut wants = self.wants.borrow_mut();
-        let told = wants.get(target);
-        if told.is_none_or(|at| now >= *at + WANT_AGAIN) {
-            wants.insert(target.clone(), now);
+        let pending = wants.iter();
+        let mut pending = pending.filter(|((_, wanted), _)| wanted == target);
+        if pending.all(|(_, at)| now >= *at + WANT_AGAIN) {
+            wants.retain(|(_, wanted), _| wanted != target);
+            wants.insert((worker, target.clone()), now);
             drop(wants);
             self.to_tell.notify_one();
         }
@@ -230,11 +233,9 @@
         held.values().any(|told| told.coming.contains(model))
     }
 
-    /// Whether a holder of the lease is heard.
-    #[must_use]
-    pub fn has_holder(&self, now: Duration) -> bool {
-        let heard = self.holder_heard.get();
-        heard.is_some_and(|at| now < at + HOLDER_MEMORY)
+    /// Whether the holder of a worker is heard.
+    fn has_holder(&self, now: Duration, worker: &id::Worker) -> bool {
+        is_heard(now, &self.holders.borrow(), worker)
     }
 
     /// Instances that are heard, this one included.
@@ -284,11 +285,9 @@
         });
         let loads = loads.collect();
         self.balance.borrow_mut().on_peer(now, &instance, &loads);
-        if gossip.lead.is_some() {
-            self.holder_heard.set(Some(now));
-        }
+        self.on_leads(now, &gossip.leads);
         self.on_holdings(&gossip.holdings);
-        if gossip.lead.is_some() || !gossip.demands.is_empty() || !gossip.wants.is_empty() {
+        if concerns_placer(&gossip) {
             self.hand(Heard::Gossip(Box::new(gossip)));
         }
     }
@@ -318,32 +317,24 @@
         is_newer
     }
 
+    fn on_leads(&self, now: Duration, leads: &[Lead]) {
+        let mut holders = self.holders.borrow_mut();
+        holders.extend(leads.iter().map(|lead| (Shard(lead.shard), now)));
+    }
+
     fn on_holdings(&self, holdings: &[Holding]) {
-        for holding in holdings {
-            let Ok(worker) = holding.worker.parse::<id::Worker>() else {
-                continue;
-            };
+        for (worker, told) in holdings.iter().filter_map(placer::decode_holding) {
             let mut held = self.held.borrow_mut();
             let known = held.get(&worker);
-            let order = (holding.fence, holding.revision);
+            let order = (told.fence, told.revision);
             let is_old = known.is_some_and(|known| order <= (known.fence, known.revision));
-            let boot = self.balance.borrow().view(&worker).map(|view| view.backend.boot);
-            if is_old || boot.is_some_and(|boot| boot.0 > holding.boot) {
+            let mut balance = self.balance.borrow_mut();
+            let boot = balance.view(&worker).map(|view| view.backend.boot);
+            if is_old || boot.is_some_and(|boot| boot > told.boot) {
                 continue;
             }
-            let told = Told {
-                boot: holding.boot,
-                fence: holding.fence,
-                revision: holding.revision,
-                coming: names(&holding.coming).collect(),
-            };
-            held.insert(worker.clone(), told);
-            let held = holding.held.iter().filter_map(|held| {
-                Some((held.model.parse().ok()?, names(&held.adapters).collect()))
-            });
-            let held: Holdings = held.collect();
-            let closing = names(&holding.closing).collect();
-            self.balance.borrow_mut().on_holdings(&worker, held, closing);
+            balance.on_holdings(&worker, told.holdings.clone(), told.closing.clone());
+            held.insert(worker, told);
         }
         if !holdings.is_empty() {
             self.changed.notify_waiters();
@@ -352,10 +343,7 @@
 
     /// Takes the word of this instance's own placer.
     pub fn on_word(&self, word: &Word) {
-        let now = self.clock.now();
-        if word.lead.is_some() {
-            self.holder_heard.set(Some(now));
-        }
+        self.on_leads(self.clock.now(), &word.leads);
         self.on_holdings(&word.holdings);
     }
 
@@ -378,8 +366,9 @@
             loads: loads.collect(),
             demands: self.take_demands(now),
             wants: self.take_wants(now),
-            lead: None,
+            leads: Vec::new(),
             holdings: Vec::new(),
+            jobs: Vec::new(),
         };
         if !gossip.demands.is_empty() || !gossip.wants.is_empty() {
             self.hand(Heard::Gossip(Box::new(gossip.clone())));
@@ -408,8 +397,9 @@
     fn take_wants(&self, now: Duration) -> Vec<Want> {
         let mut wants = self.wants.borrow_mut();
         wants.retain(|_, at| now < *at + WANT_AGAIN);
-        let told = wants.keys().map(|target| Want {
+        let told = wants.keys().map(|(worker, target)| Want {
             target: target.to_string(),
+            worker: worker.to_string(),
         });
         told.collect()
     }
@@ -447,6 +437,16 @@
     }
 }
 
-fn names<T: FromStr>(texts: &[String]) -> impl Iterator<Item = T> {
-    texts.iter().filter_map(|text| text.parse().ok())
+fn is_heard(now: Duration, holders: &BTreeMap<Shard, Duration>, worker: &id::Worker) -> bool {
+    let heard = holders.get(&Shard::of(worker));
+    heard.is_some_and(|at| now < *at + HOLDER_MEMORY)
+}
+
+fn concerns_placer(gossip: &Gossip) -> bool {
+    let says_nothing = gossip.leads.is_empty()
+        && gossip.demands.is_empty()
+        && gossip.wants.is_empty()
+        && gossip.holdings.is_empty()
+        && gossip.jobs.is_empty();
+    !says_nothing
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
     pub mod id;
     pub mod message;
     pub mod order;
+    pub mod shard;
     pub mod site;
     pub mod table;
     pub mod time;
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -18,14 +18,17 @@
     /// Prompt tokens that callers asked for since the sender started.
     #[prost(message, repeated, tag = "6")]
     pub demands: ::prost::alloc::vec::Vec<Demand>,
-    /// Models and adapters that the sender's requests wait for.
+    /// Adapters that the sender's requests wait for.
     #[prost(message, repeated, tag = "7")]
     pub wants: ::prost::alloc::vec::Vec<Want>,
-    /// Set where the sender holds the lease.
-    #[prost(message, optional, tag = "8")]
-    pub lead: ::core::option::Option<Lead>,
+    /// Shards of workers that the sender holds.
+    #[prost(message, repeated, tag = "8")]
+    pub leads: ::prost::alloc::vec::Vec<Lead>,
     #[prost(message, repeated, tag = "9")]
     pub holdings: ::prost::alloc::vec::Vec<Holding>,
+    /// What the planner asks of the holder that gets this.
+    #[prost(message, repeated, tag = "10")]
+    pub jobs: ::prost::alloc::vec::Vec<Job>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Load {
@@ -45,21 +48,26 @@
     #[prost(uint64, tag = "2")]
     pub tokens: u64,
 }
+/// An adapter to load at one worker.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Want {
     #[prost(string, tag = "1")]
     pub target: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub worker: ::prost::alloc::string::String,
 }
-/// The lease, so that others need not read its row.
+/// A lease, so that others need not read its row.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Lead {
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
     /// Version of the row after the holder's last renewal.
-    #[prost(uint64, tag = "1")]
-    pub version: u64,
     #[prost(uint64, tag = "2")]
+    pub version: u64,
+    #[prost(uint64, tag = "3")]
     pub fence: u64,
 }
-/// What one worker holds, as the holder of the lease knows it.
+/// What one worker holds, as its holder knows it.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Holding {
     #[prost(string, tag = "1")]
@@ -79,6 +87,24 @@
     /// Models that are being loaded.
     #[prost(string, repeated, tag = "7")]
     pub coming: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Whether a job may be given.
+    #[prost(bool, tag = "8")]
+    pub open: bool,
+    /// Whether what comes is loaded from the weight store.
+    #[prost(bool, tag = "9")]
+    pub from_store: bool,
+}
+/// Unload some models of a worker, then load one.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Job {
+    #[prost(string, tag = "1")]
+    pub worker: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub load: ::prost::alloc::string::String,
+    #[prost(string, repeated, tag = "3")]
+    pub evict: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(bool, tag = "4")]
+    pub from_store: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Held {
