--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -1,35 +1,51 @@
 //! What the duties of a gateway tell each other, through bounded rings.
 
 use crate::common::*;
-use crate::world::backend::Backend;
+use crate::decide::roster::Change;
 use crate::world::id;
 use crate::world::site::Site;
 use crate::world::table::{Commit, Failure, Row, Txn};
-use crate::wire::generated_gossip::{Gossip, Holding, Job, Lead};
+use crate::wire::generated_gossip::{Batch, Gossip, Holding, Job, Lead};
 
 /// Messages that a ring between duties holds.
 pub const RING: usize = 4096;
 
-/// Entries that vanished while the store was disturbed are back within this time, or gone.
-pub const RETURNS: Duration = Duration::from_millis(1_800);
-
 /// News from the store's feeds.
 #[derive(Debug, Clone)]
 pub enum News {
     Site(Arc<Site>),
-    Listed(Backend),
-    /// A server's entry is gone; `trusted` is false while the store was disturbed lately.
-    Unlisted { worker: id::Worker, trusted: bool },
-    /// Instances that registered, with their addresses for peers.
-    Members(BTreeMap<id::Instance, SocketAddr>),
+    /// Changed rows of the list of servers.
+    Servers(Batch),
+    /// Instances that registered.
+    Members(Vec<Member>),
     /// The store answers, or does not.
     Store { up: bool },
 }
 
+/// An instance that registered.
+#[derive(Debug, Clone)]
+pub struct Member {
+    pub instance: id::Instance,
+    pub address: SocketAddr,
+    pub data_centre: id::DataCentre,
+}
+
+/// What the store duty is to follow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Interest {
+    /// Whether to follow the list of servers, and not only to catch up.
+    pub follow: bool,
+    /// Version up to which nothing is missing.
+    pub known: u64,
+    /// Newest version that is heard of.
+    pub heard: u64,
+}
+
 /// What the placer hears.
 #[derive(Debug, Clone)]
 pub enum Heard {
-    News(News),
+    Site(Arc<Site>),
+    Server(Change),
     /// From a peer, or from this instance itself.
     Gossip(Box<Gossip>),
     /// The process stops: give the lease up.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -3,9 +3,9 @@
 //! Three duties have a thread each: traffic, store, placer; a fourth writes logs. They are joined
 //! by bounded rings. A request stays within the traffic thread from its first byte to its last.
 
-use super::event::{Call, Heard, News, RING, Word};
+use super::event::{Call, Heard, Interest, News, RING, Word};
 use super::journal::Journal;
-use super::traffic::Traffic;
+use super::traffic::{Tier, Traffic};
 use super::{admin, gossip, ingress, placer, store};
 use crate::common::*;
 use crate::node::clock::{Clock, incarnation};
@@ -45,10 +45,14 @@
     let (calls, calls_in) = flume::bounded::<Call>(RING);
     let (news, news_in) = flume::bounded::<News>(RING);
     let (heard, heard_in) = flume::bounded::<Heard>(RING);
+    let (interest, interest_in) = watch::channel(Interest {
+        follow: true,
+        ..Interest::default()
+    });
     let (words, words_in) = flume::bounded::<Word>(RING);
     let store_duty = {
         let deployment = Arc::clone(&deployment);
-        move || store::run(deployment, clock, calls_in, vec![news])
+        move || store::run(deployment, clock, calls_in, news, interest_in)
     };
     let placer_duty = {
         let deployment = Arc::clone(&deployment);
@@ -58,7 +62,8 @@
     spawn("store", store_duty)?;
     spawn("placer", placer_duty)?;
     let traffic = || async move {
-        let traffic = Traffic::new(deployment, clock, incarnation, journal, heard.clone());
+        let placer = heard.clone();
+        let traffic = Traffic::new(deployment, clock, incarnation, journal, placer, interest);
         serve(traffic, news_in, words_in, heard).await
     };
     block(traffic)?
@@ -139,7 +144,10 @@
     spawn_local(admin::serve(Rc::clone(&traffic), listen(deployment.ready)?));
     spawn_local(admin::serve(Rc::clone(&traffic), listen(deployment.metrics)?));
     spawn_local(gossip::listen(Rc::clone(&traffic), Rc::clone(&socket)));
-    spawn_local(gossip::tell(Rc::clone(&traffic), Rc::clone(&socket)));
+    for tier in [Tier::DataCentre, Tier::Region, Tier::Far] {
+        spawn_local(gossip::tell(Rc::clone(&traffic), Rc::clone(&socket), tier));
+    }
+    spawn_local(gossip::hurry(Rc::clone(&traffic), Rc::clone(&socket)));
     spawn_local(gossip::pass(Rc::clone(&traffic), socket, words));
     spawn_local(follow(Rc::clone(&traffic), news));
     spawn_local(ticks(Rc::clone(&traffic)));
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -3,19 +3,19 @@
 //! Each says what is, not what changed, so a lost one is made good by the next.
 
 use super::event::Word;
-use super::traffic::Traffic;
+use super::traffic::{Tier, Traffic};
 use crate::common::*;
 use crate::wire::generated_gossip::Gossip;
 use prost::Message;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 /// Longest datagram.
 const LARGEST: usize = 60_000;
 /// Holdings in one datagram.
 const HOLDINGS: usize = 10;
-/// Time between datagrams while requests come, and the longest time without one.
+/// Time between datagrams within a data centre while requests come, and the longest without one.
 const OFTEN: Duration = Duration::from_millis(100);
 const SELDOM: Duration = Duration::from_millis(1_000);
 /// Wants go out at once, but not more often than this.
@@ -38,25 +38,49 @@
     }
 }
 
-/// Tells peers what runs here, often while it changes.
-pub async fn tell(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
+/// Tells the peers of a tier what runs here, often while it changes.
+pub async fn tell(traffic: Rc<Traffic>, socket: Rc<UdpSocket>, tier: Tier) {
+    let pace = pace(tier);
     let mut told = Gossip::default();
     let mut told_at = Instant::now();
     loop {
-        tokio::select! {
-            () = traffic.to_tell.notified() => sleep(GATHER).await,
-            () = sleep_until(told_at + OFTEN) => {}
+        sleep(pace).await;
+        let gossip = traffic.gossip(tier);
+        if tier == Tier::DataCentre {
+            traffic.tell_placer(&gossip);
         }
-        let gossip = traffic.gossip();
-        let news = gossip.loads != told.loads
-            || !gossip.demands.is_empty()
-            || !gossip.wants.is_empty();
+        let news = gossip.running != told.running || !gossip.demands.is_empty();
         if news || told_at.elapsed() >= SELDOM {
-            send(&traffic, &socket, &gossip).await;
+            send(&socket, &gossip, &traffic.peers(tier)).await;
             told = gossip;
             told_at = Instant::now();
-        } else {
-            sleep(OFTEN).await;
+        }
+    }
+}
+
+fn pace(tier: Tier) -> Duration {
+    match tier {
+        Tier::DataCentre => OFTEN,
+        Tier::Region => OFTEN * 2,
+        Tier::Far => OFTEN * 4,
+    }
+}
+
+/// Tells at once what can't wait: wants to holders, changes of the list of servers to all.
+pub async fn hurry(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
+    loop {
+        traffic.to_tell.notified().await;
+        sleep(GATHER).await;
+        for (holder, want) in traffic.take_wants() {
+            let mut gossip = traffic.envelope();
+            gossip.wants.push(want);
+            send(&socket, &gossip, &[holder]).await;
+        }
+        let batches = std::mem::take(&mut *traffic.batches.borrow_mut());
+        for batch in batches.into_iter().filter(|_| traffic.is_planner()) {
+            let mut gossip = traffic.envelope();
+            gossip.batch = Some(batch);
+            send(&socket, &gossip, &traffic.all_peers()).await;
         }
     }
 }
@@ -69,21 +93,25 @@
         if parts.is_empty() {
             parts.push(&[]);
         }
-        for (index, part) in parts.into_iter().enumerate() {
-            let mut gossip = traffic.gossip();
+        for part in parts {
+            let mut gossip = traffic.envelope();
             gossip.leads.clone_from(&word.leads);
             gossip.holdings = part.to_vec();
-            if index == 0 {
-                gossip.jobs.clone_from(&word.jobs);
-            }
-            send(&traffic, &socket, &gossip).await;
+            send(&socket, &gossip, &traffic.all_peers()).await;
+        }
+        for job in word.jobs {
+            let holder = job.worker.parse().ok();
+            let holder = holder.and_then(|worker| traffic.holder_address(&worker));
+            let mut gossip = traffic.envelope();
+            gossip.jobs.push(job);
+            send(&socket, &gossip, holder.as_slice()).await;
         }
     }
 }
 
-async fn send(traffic: &Traffic, socket: &UdpSocket, gossip: &Gossip) {
+async fn send(socket: &UdpSocket, gossip: &Gossip, peers: &[SocketAddr]) {
     let bytes = gossip.encode_to_vec();
-    for peer in traffic.peers() {
+    for peer in peers {
         if let Err(error) = socket.send_to(&bytes, peer).await {
             log::debug!("no datagram to {peer}: {error}");
         }
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -4,13 +4,14 @@
 //! another instance waits until no order of that one can come any more.
 
 use super::channel;
-use super::event::{Call, Heard, News, RETURNS, Word};
+use super::event::{Call, Heard, Word};
 use super::journal::Journal;
 use crate::common::*;
 use crate::decide::arrange;
 use crate::decide::fleet::{Fleet, Task, Told};
 use crate::decide::lease::{Action, Lease, Timing};
 use crate::decide::orders::Ledger;
+use crate::decide::roster::Change;
 use crate::node::clock::Clock;
 use crate::platform::{request, worker};
 use crate::wire::generated_gossip::{Gossip, Held, Holding, Job, Lead};
@@ -71,8 +72,6 @@
     told: BTreeMap<id::Worker, u64>,
     told_all_at: Duration,
     told_leads_at: Duration,
-    /// Entries that vanished while the store was disturbed: forgotten then, unless they return.
-    doubtful: BTreeMap<id::Worker, Duration>,
     is_stopping: bool,
 }
 
@@ -117,7 +116,8 @@
 fn on_heard(placer: &Shared, event: Heard, calls: &flume::Sender<Call>) {
     let mut this = placer.borrow_mut();
     match event {
-        Heard::News(news) => this.on_news(news),
+        Heard::Site(site) => this.fleet.on_site(&site),
+        Heard::Server(change) => this.on_server(change),
         Heard::Gossip(gossip) => this.on_gossip(&gossip),
         Heard::Stop => {
             this.is_stopping = true;
@@ -165,28 +165,18 @@
             told: BTreeMap::new(),
             told_all_at: Duration::ZERO,
             told_leads_at: Duration::ZERO,
-            doubtful: BTreeMap::new(),
             is_stopping: false,
         }
     }
 
-    fn on_news(&mut self, news: News) {
+    fn on_server(&mut self, change: Change) {
         let now = self.clock.now();
-        match news {
-            News::Site(site) => self.fleet.on_site(&site),
-            News::Listed(backend) => {
-                self.doubtful.remove(&backend.id);
+        match change {
+            Change::Listed(backend) => {
                 let held = self.part(&backend.id).is_some_and(|part| part.was_holder);
                 self.fleet.on_listed(now, backend, held);
             }
-            News::Unlisted { worker, trusted } => {
-                if trusted {
-                    self.fleet.on_unlisted(&worker);
-                } else {
-                    self.doubtful.insert(worker, now + RETURNS);
-                }
-            }
-            News::Members(_) | News::Store { .. } => {}
+            Change::Unlisted(worker) => self.fleet.on_unlisted(&worker),
         }
     }
 
@@ -234,15 +224,6 @@
         }
     }
 
-    fn forget_doubtful(&mut self, now: Duration) {
-        let over = self.doubtful.iter().filter(|(_, until)| now >= **until);
-        let over: Vec<id::Worker> = over.map(|(worker, _)| worker.clone()).collect();
-        for worker in over {
-            self.doubtful.remove(&worker);
-            self.fleet.on_unlisted(&worker);
-        }
-    }
-
     /// The fence under which a worker may be given orders now.
     fn fence(&self, worker: &id::Worker) -> Option<Fence> {
         self.part(worker)?.fence(self.clock.now(), self.is_stopping)
@@ -440,7 +421,6 @@
     let mut this = placer.borrow_mut();
     let this = &mut *this;
     let now = this.clock.now();
-    this.forget_doubtful(now);
     this.fleet.appetite.tick(now);
     let jobs = if this.is_planner(now) && !this.is_stopping {
         this.fleet.plan(now)
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -5,9 +5,10 @@
 //! answer older than what was seen already is not taken, for the store may answer from the past.
 
 use super::channel::{self, Channel, Reply};
-use super::event::{Call, News};
+use super::event::{Call, Interest, Member, News};
 use crate::common::*;
 use crate::platform::{config, rows, worker};
+use crate::wire::generated_gossip::{Batch, Entry};
 use crate::world::deployment::Deployment;
 use crate::world::site::Version;
 use crate::world::table::{Commit, Failure, Row, Txn};
@@ -17,6 +18,7 @@
 use rows::Page;
 use std::cell::Cell;
 use std::rc::Rc;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 /// Longest time that the store keeps a call for changes waiting.
@@ -24,7 +26,7 @@
 /// Longest time for any other answer of the store; it may be slow.
 const ANSWER: Duration = Duration::from_millis(1_200);
 /// Changes that come close together are fetched together.
-const GATHER: Duration = Duration::from_millis(150);
+const GATHER: Duration = Duration::from_millis(200);
 /// Pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Entries that vanish this soon after a failed call may be those that lapsed meanwhile.
@@ -38,7 +40,7 @@
 struct Store {
     address: SocketAddr,
     clock: crate::node::clock::Clock,
-    news: Vec<flume::Sender<News>>,
+    news: flume::Sender<News>,
     failed_at: Cell<Option<Duration>>,
     is_up: Cell<bool>,
 }
@@ -48,7 +50,8 @@
     deployment: Arc<Deployment>,
     clock: crate::node::clock::Clock,
     calls: flume::Receiver<Call>,
-    news: Vec<flume::Sender<News>>,
+    news: flume::Sender<News>,
+    interest: watch::Receiver<Interest>,
 ) {
     let store = Rc::new(Store {
         address: deployment.store,
@@ -58,7 +61,7 @@
         is_up: Cell::new(true),
     });
     tokio::task::spawn_local(follow_site(Rc::clone(&store)));
-    tokio::task::spawn_local(follow_servers(Rc::clone(&store)));
+    tokio::task::spawn_local(follow_servers(Rc::clone(&store), interest));
     tokio::task::spawn_local(register(Rc::clone(&store), deployment));
     while let Ok(call) = calls.recv_async().await {
         tokio::task::spawn_local(answer(Rc::clone(&store), call));
@@ -67,10 +70,8 @@
 
 impl Store {
     async fn tell(&self, news: News) {
-        for ring in &self.news {
-            if ring.send_async(news.clone()).await.is_err() {
-                log::debug!("a duty has ended: its news is dropped");
-            }
+        if self.news.send_async(news).await.is_err() {
+            log::debug!("the duty of traffic has ended: its news is dropped");
         }
     }
 
@@ -212,7 +213,6 @@
         if page.rows.is_empty() {
             return Ok(None);
         }
-        sleep(GATHER).await;
         Ok(Some(Change::Some(page.rows)))
     }
 
@@ -247,52 +247,46 @@
     }
 }
 
-async fn follow_servers(store: Rc<Store>) {
+/// Follows the list of servers while that is of interest; else only catches up where peers know
+/// more.
+async fn follow_servers(store: Rc<Store>, mut interest: watch::Receiver<Interest>) {
     let mut feed = Feed::new(Rc::clone(&store), worker::TABLE);
-    let mut listed: BTreeSet<String> = BTreeSet::new();
     loop {
-        let (rows, gone) = match feed.next().await {
-            Change::Some(rows) => (rows, Vec::new()),
-            Change::All(rows) => {
-                let present: BTreeSet<_> = rows.iter().map(|row| row.key.clone()).collect();
-                let gone: Vec<_> = listed.difference(&present).cloned().collect();
-                (rows, gone)
-            }
-        };
-        for key in gone {
-            unlist(&store, &mut listed, &key).await;
-        }
-        for row in rows {
-            let backend = row.value.map(|value| worker::decode(&row.key, &value));
-            match backend {
-                Some(Ok(backend)) => {
-                    listed.insert(row.key);
-                    store.tell(News::Listed(backend)).await;
-                }
-                Some(Err(error)) => {
-                    log::warn!("an entry names no server: {error}");
-                    unlist(&store, &mut listed, &row.key).await;
-                }
-                None => unlist(&store, &mut listed, &row.key).await,
+        let now = *interest.borrow_and_update();
+        feed.after = feed.after.max(now.known);
+        let is_behind = feed.after == 0 || now.heard > feed.after;
+        if !now.follow && !is_behind {
+            feed.channel = None;
+            if interest.changed().await.is_err() {
+                return;
             }
+            continue;
         }
-    }
-}
-
-async fn unlist(store: &Store, listed: &mut BTreeSet<String>, key: &str) {
-    if !listed.remove(key) {
-        return;
-    }
-    if let Ok(worker) = key.parse() {
-        let trusted = !store.is_disturbed();
-        store.tell(News::Unlisted { worker, trusted }).await;
+        let from = feed.after;
+        let (from, rows) = match feed.next().await {
+            Change::All(rows) => (0, rows),
+            Change::Some(rows) => (from, rows),
+        };
+        let entries = rows.into_iter().map(|row| Entry {
+            worker: row.key,
+            version: row.version,
+            value: row.value.unwrap_or_default(),
+        });
+        let batch = Batch {
+            from,
+            to: feed.after,
+            entries: entries.collect(),
+            trusted: !store.is_disturbed(),
+        };
+        store.tell(News::Servers(batch)).await;
+        sleep(GATHER).await;
     }
 }
 
 /// Writes this instance's row and reads those of the others.
 async fn register(store: Rc<Store>, deployment: Arc<Deployment>) {
     let key = format!("{MEMBERS}{}", deployment.instance);
-    let row = json!({"address": deployment.peers});
+    let row = json!({"address": deployment.peers, "data_centre": deployment.data_centre});
     let mut is_written = false;
     loop {
         let page = store.read(rows::OWN, MEMBERS).await;
@@ -313,13 +307,16 @@
     }
 }
 
-fn members(page: &Page) -> BTreeMap<crate::world::id::Instance, SocketAddr> {
+fn members(page: &Page) -> Vec<Member> {
     let rows = page.rows.iter();
     let members = rows.filter_map(|row| {
-        let name = row.key.strip_prefix(MEMBERS)?.parse().ok()?;
+        let instance = row.key.strip_prefix(MEMBERS)?.parse().ok()?;
         let value: Value = serde_json::from_slice(row.value.as_ref()?).ok()?;
-        let address = value.get("address")?.as_str()?.parse().ok()?;
-        Some((name, address))
+        Some(Member {
+            instance,
+            address: value.get("address")?.as_str()?.parse().ok()?,
+            data_centre: value.get("data_centre")?.as_str()?.parse().ok()?,
+        })
     });
     members.collect()
 }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,6 +1,6 @@
 //! What the duty "traffic" knows: routes, servers, channels, budgets, and what it tells peers.
 
-use super::event::{Heard, News, RETURNS, RING, Word};
+use super::event::{self, Heard, Interest, News, RING, Word};
 use super::journal::Journal;
 use super::metrics::Metrics;
 use super::pool::Pool;
@@ -9,8 +9,13 @@
 use crate::decide::balance::{Balance, Need, Running};
 use crate::decide::fleet::Told;
 use crate::decide::retry::Budget;
+use crate::decide::roster::{self, Change, Roster};
 use crate::node::clock::Clock;
-use crate::wire::generated_gossip::{Demand, Gossip, Holding, Lead, Load, Want};
+use crate::wire::generated_gossip::{
+    Batch, Demand, Entry, Gossip, Holding, Lead, Load, Loads, Want,
+};
+use crate::platform::worker;
+use crate::world::backend::Backend;
 use crate::world::deployment::Deployment;
 use crate::world::id;
 use crate::world::message::Target;
@@ -19,10 +24,16 @@
 use crate::world::unit::Incarnation;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// A want is told to the holder again after this time.
 const WANT_AGAIN: Duration = Duration::from_millis(60);
+/// What was asked of a holder is remembered this long.
+const WANT_MEMORY: Duration = Duration::from_secs(2);
+/// An instance that misses changes of the list of servers for this long reads them itself.
+const CATCH_UP: Duration = Duration::from_millis(500);
+/// An instance that hears no holder for this long follows the list of servers itself.
+const ALONE: Duration = Duration::from_millis(1_500);
 /// Demand is told anew in whole after this time, for a holder that has just begun.
 const DEMAND_AGAIN: Duration = Duration::from_secs(2);
 /// A peer that is silent this long has no share of what all instances may do together.
@@ -49,21 +60,39 @@
     pub to_tell: Notify,
     budgets: RefCell<BTreeMap<id::Service, Budget>>,
     members: RefCell<BTreeMap<id::Instance, Member>>,
+    roster: RefCell<Roster>,
+    /// Newest version of the list that a peer knows, and when one was last heard.
+    heard_version: Cell<(u64, Duration)>,
+    /// Since when peers know more of the list than this instance.
+    behind_since: Cell<Option<Duration>>,
+    is_holder: Cell<bool>,
+    interest: watch::Sender<Interest>,
     demands: RefCell<BTreeMap<Target, Asked>>,
     /// Adapters that requests wait for, where, and when the holder was told.
     wants: RefCell<BTreeMap<(id::Worker, Target), Duration>>,
-    unlisted: RefCell<BTreeMap<id::Worker, Duration>>,
     held: RefCell<BTreeMap<id::Worker, Told>>,
-    /// When the holder of a shard was last heard.
-    holders: RefCell<BTreeMap<Shard, Duration>>,
-    demand_told_at: Cell<Duration>,
+    new_wants: RefCell<Vec<(id::Worker, Target)>>,
+    holders: RefCell<BTreeMap<Shard, Holder>>,
+    /// When demand was told in whole to each tier.
+    demand_told_at: Cell<[Duration; 3]>,
     sequence: Cell<u64>,
+    /// Changes of the list of servers that peers are to hear.
+    pub batches: RefCell<Vec<Batch>>,
     placer: flume::Sender<Heard>,
 }
 
+/// How far a peer is; the farther, the less often it is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Tier {
+    DataCentre,
+    Region,
+    Far,
+}
+
 #[derive(Debug, Clone)]
 struct Member {
     address: SocketAddr,
+    tier: Tier,
     incarnation: u64,
     sequence: u64,
     heard: Option<Duration>,
@@ -72,7 +101,22 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Asked {
     tokens: u64,
-    told: u64,
+    /// Tokens that were told to each tier.
+    told: [u64; 3],
+}
+
+/// The holder of a shard.
+#[derive(Debug, Clone, Copy)]
+struct Holder {
+    heard: Duration,
+    /// None where it is this instance.
+    address: Option<SocketAddr>,
+}
+
+impl Holder {
+    fn is_heard(&self, now: Duration) -> bool {
+        now < self.heard + HOLDER_MEMORY
+    }
 }
 
 impl Traffic {
@@ -84,6 +128,7 @@
         incarnation: Incarnation,
         journal: Journal,
         placer: flume::Sender<Heard>,
+        interest: watch::Sender<Interest>,
     ) -> Rc<Self> {
         let balance = Balance::new(&deployment);
         Rc::new(Self {
@@ -101,13 +146,19 @@
             to_tell: Notify::new(),
             budgets: RefCell::default(),
             members: RefCell::default(),
+            roster: RefCell::default(),
+            heard_version: Cell::default(),
+            behind_since: Cell::new(None),
+            is_holder: Cell::new(false),
+            interest,
             demands: RefCell::default(),
             wants: RefCell::default(),
-            unlisted: RefCell::default(),
             held: RefCell::default(),
+            new_wants: RefCell::default(),
             holders: RefCell::default(),
-            demand_told_at: Cell::new(Duration::ZERO),
+            demand_told_at: Cell::default(),
             sequence: Cell::new(0),
+            batches: RefCell::default(),
             placer,
         })
     }
@@ -118,78 +169,151 @@
         !self.is_stopping.get() && self.site.borrow().is_some()
     }
 
-    /// Takes news from the store, and hands it to the placer.
+    /// Takes news from the store.
     pub fn on_news(&self, news: News) {
-        self.hand(Heard::News(news.clone()));
-        let now = self.clock.now();
         match news {
             News::Site(site) => self.on_site(site),
-            News::Listed(backend) => {
-                self.unlisted.borrow_mut().remove(&backend.id);
-                self.journal.note("listed", &json!({"backend": backend}));
-                let held = self.held.borrow().get(&backend.id).cloned();
-                let known = held.filter(|held| held.boot == backend.boot);
-                let mut backend = backend;
-                if let Some(known) = known.filter(|_| self.has_holder(now, &backend.id)) {
-                    backend.holdings = known.holdings;
-                }
-                self.balance.borrow_mut().on_listed(backend);
-            }
-            News::Unlisted { worker, trusted } => {
-                self.journal
-                    .note("unlisted", &json!({"worker": worker, "trusted": trusted}));
-                if trusted {
-                    self.forget(&worker);
-                } else {
-                    let until = now + RETURNS;
-                    self.unlisted.borrow_mut().insert(worker, until);
+            News::Servers(batch) => {
+                if self.is_holder.get() {
+                    self.batches.borrow_mut().push(batch.clone());
+                    self.to_tell.notify_one();
                 }
+                self.on_batch(&batch);
             }
             News::Members(members) => self.on_members(members),
             News::Store { up } => self.journal.note("store", &json!({"up": up})),
         }
+    }
+
+    /// Takes changes of the list of servers, from the store or from a peer.
+    fn on_batch(&self, batch: &Batch) {
+        let entries = batch.entries.iter().filter_map(|entry| self.decode(entry));
+        let batch = roster::Batch {
+            from: batch.from,
+            to: batch.to,
+            entries: entries.collect(),
+            trusted: batch.trusted,
+        };
+        let now = self.clock.now();
+        let changes = self.roster.borrow_mut().on_batch(now, batch);
+        self.on_changes(changes);
+        self.set_interest(now);
+    }
+
+    fn decode(&self, entry: &Entry) -> Option<roster::Entry> {
+        let worker: id::Worker = entry.worker.parse().ok()?;
+        let backend = (!entry.value.is_empty()).then(|| worker::decode(&entry.worker, &entry.value));
+        let backend = backend.and_then(|backend| {
+            backend
+                .inspect_err(|error| {
+                    let values = json!({"server": worker, "error": error.to_string()});
+                    self.journal.note("bad_entry", &values);
+                })
+                .ok()
+        });
+        Some(roster::Entry {
+            worker,
+            version: entry.version,
+            backend,
+        })
+    }
+
+    fn on_changes(&self, changes: Vec<Change>) {
+        for change in changes {
+            match &change {
+                Change::Listed(backend) => self.on_listed(backend.clone()),
+                Change::Unlisted(worker) => {
+                    self.journal.note("unlisted", &json!({"server": worker}));
+                    self.balance.borrow_mut().on_unlisted(worker);
+                    self.pool.close(worker);
+                    self.held.borrow_mut().remove(worker);
+                }
+            }
+            self.hand(Heard::Server(change));
+        }
         self.changed.notify_waiters();
     }
 
+    fn on_listed(&self, mut backend: Backend) {
+        self.journal.note("listed", &json!({"backend": backend}));
+        let now = self.clock.now();
+        let held = self.held.borrow().get(&backend.id).cloned();
+        let known = held.filter(|held| held.boot == backend.boot);
+        if let Some(known) = known.filter(|_| self.has_holder(now, &backend.id)) {
+            backend.holdings = known.holdings;
+        }
+        self.balance.borrow_mut().on_listed(backend);
+    }
+
+    /// Tells the store duty whether to follow the list of servers or to catch up.
+    fn set_interest(&self, now: Duration) {
+        let known = self.roster.borrow().version();
+        let (heard, heard_at) = self.heard_version.get();
+        let is_behind = heard > known;
+        let since = self.behind_since.get().filter(|_| is_behind);
+        let since = since.or(is_behind.then_some(now));
+        self.behind_since.set(since);
+        let waited = since.is_some_and(|since| now >= since + CATCH_UP);
+        let alone = now >= heard_at + ALONE;
+        let interest = Interest {
+            follow: self.is_holder.get() || alone,
+            known,
+            heard: if waited { heard } else { 0 },
+        };
+        self.interest.send_if_modified(|old| {
+            let changed = *old != interest;
+            *old = interest;
+            changed
+        });
+    }
+
     fn on_site(&self, site: Arc<Site>) {
         self.journal.note(
             "configuration",
             &json!({"version": site.version, "routes": site.routes.len()}),
         );
         self.balance.borrow_mut().on_site(&site);
+        self.hand(Heard::Site(Arc::clone(&site)));
         *self.site.borrow_mut() = Some(site);
     }
 
-    fn on_members(&self, listed: BTreeMap<id::Instance, SocketAddr>) {
+    fn on_members(&self, listed: Vec<event::Member>) {
         let mut members = self.members.borrow_mut();
-        for (instance, address) in listed {
-            if instance != self.deployment.instance {
-                let member = members.entry(instance).or_insert(Member::at(address));
-                member.address = address;
+        for listed in listed {
+            if listed.instance != self.deployment.instance {
+                let tier = self.tier(&listed.data_centre);
+                let member = members.entry(listed.instance);
+                let member = member.or_insert(Member::at(listed.address, tier));
+                member.address = listed.address;
+                member.tier = tier;
             }
         }
         drop(members);
-        self.demand_told_at.set(Duration::ZERO);
+        self.demand_told_at.set([Duration::ZERO; 3]);
         self.to_tell.notify_one();
     }
 
-    fn forget(&self, worker: &id::Worker) {
-        self.balance.borrow_mut().on_unlisted(worker);
-        self.pool.close(worker);
-        self.held.borrow_mut().remove(worker);
+    /// How far a data centre is.
+    fn tier(&self, data_centre: &id::DataCentre) -> Tier {
+        let regions = &self.deployment.regions;
+        let here = &self.deployment.data_centre;
+        if data_centre == here {
+            Tier::DataCentre
+        } else if regions.get(data_centre).is_some() && regions.get(data_centre) == regions.get(here) {
+            Tier::Region
+        } else {
+            Tier::Far
+        }
     }
 
     /// Moves on what depends on time.
     pub fn tick(&self) {
         let now = self.clock.now();
-        let unlisted = self.unlisted.borrow();
-        let over = unlisted.iter().filter(|(_, until)| now >= **until);
-        let over: Vec<id::Worker> = over.map(|(worker, _)| worker.clone()).collect();
-        drop(unlisted);
-        for worker in over {
-            self.unlisted.borrow_mut().remove(&worker);
-            self.forget(&worker);
+        let changes = self.roster.borrow_mut().tick(now);
+        if !changes.is_empty() {
+            self.on_changes(changes);
         }
+        self.set_interest(now);
         self.pool.tick(now);
     }
 
@@ -220,7 +344,9 @@
         let mut pending = pending.filter(|((_, wanted), _)| wanted == target);
         if pending.all(|(_, at)| now >= *at + WANT_AGAIN) {
             wants.retain(|(_, wanted), _| wanted != target);
-            wants.insert((worker, target.clone()), now);
+            wants.insert((worker.clone(), target.clone()), now);
+            wants.retain(|_, at| now < *at + WANT_MEMORY);
+            self.new_wants.borrow_mut().push((worker, target.clone()));
             drop(wants);
             self.to_tell.notify_one();
         }
@@ -275,18 +401,18 @@
         if !self.is_newer(now, &instance, &gossip, from) {
             return;
         }
-        let loads = gossip.loads.iter().filter_map(|load| {
-            let running = Running {
-                requests: load.requests,
-                unread: load.unread,
-                kept: load.kept,
-            };
-            Some((load.worker.parse().ok()?, running))
-        });
-        let loads = loads.collect();
-        self.balance.borrow_mut().on_peer(now, &instance, &loads);
-        self.on_leads(now, &gossip.leads);
+        if let Some(running) = &gossip.running {
+            let loads = running.loads.iter().filter_map(decode_load).collect();
+            self.balance.borrow_mut().on_peer(now, &instance, &loads);
+        }
+        let (heard, at) = self.heard_version.get();
+        let at = if gossip.leads.is_empty() { at } else { now };
+        self.heard_version.set((heard.max(gossip.servers_version), at));
+        self.on_leads(now, &gossip.leads, Some(from));
         self.on_holdings(&gossip.holdings);
+        if let Some(batch) = &gossip.batch {
+            self.on_batch(batch);
+        }
         if concerns_placer(&gossip) {
             self.hand(Heard::Gossip(Box::new(gossip)));
         }
@@ -301,12 +427,15 @@
     ) -> bool {
         let mut members = self.members.borrow_mut();
         let is_new = !members.contains_key(instance);
-        let member = members.entry(instance.clone()).or_insert(Member::at(from));
+        let data_centre = gossip.data_centre.parse().unwrap_or_default();
+        let tier = self.tier(&data_centre);
+        let member = members.entry(instance.clone());
+        let member = member.or_insert(Member::at(from, tier));
         let order = (gossip.incarnation, gossip.sequence);
         let is_newer = order > (member.incarnation, member.sequence);
         if is_newer {
             if !member.is_heard(now) || is_new {
-                self.demand_told_at.set(Duration::ZERO);
+                self.demand_told_at.set([Duration::ZERO; 3]);
                 self.journal
                     .note("peer", &json!({"instance": instance, "heard": true}));
             }
@@ -317,9 +446,13 @@
         is_newer
     }
 
-    fn on_leads(&self, now: Duration, leads: &[Lead]) {
+    fn on_leads(&self, now: Duration, leads: &[Lead], address: Option<SocketAddr>) {
+        let holder = Holder {
+            heard: now,
+            address,
+        };
         let mut holders = self.holders.borrow_mut();
-        holders.extend(leads.iter().map(|lead| (Shard(lead.shard), now)));
+        holders.extend(leads.iter().map(|lead| (Shard(lead.shard), holder)));
     }
 
     fn on_holdings(&self, holdings: &[Holding]) {
@@ -343,12 +476,15 @@
 
     /// Takes the word of this instance's own placer.
     pub fn on_word(&self, word: &Word) {
-        self.on_leads(self.clock.now(), &word.leads);
+        let now = self.clock.now();
+        self.is_holder.set(!word.leads.is_empty());
+        self.set_interest(now);
+        self.on_leads(now, &word.leads, None);
         self.on_holdings(&word.holdings);
     }
 
-    /// What to tell peers now; the placer hears it too.
-    pub fn gossip(&self) -> Gossip {
+    /// What to tell peers of a tier now.
+    pub fn gossip(&self, tier: Tier) -> Gossip {
         let now = self.clock.now();
         self.sequence.set(self.sequence.get() + 1);
         let own = self.balance.borrow().own();
@@ -358,34 +494,45 @@
             unread: running.unread,
             kept: running.kept,
         });
-        let gossip = Gossip {
+        Gossip {
             instance: self.deployment.instance.to_string(),
             incarnation: self.incarnation.0,
             sequence: self.sequence.get(),
             data_centre: self.deployment.data_centre.to_string(),
-            loads: loads.collect(),
-            demands: self.take_demands(now),
-            wants: self.take_wants(now),
-            leads: Vec::new(),
-            holdings: Vec::new(),
-            jobs: Vec::new(),
-        };
-        if !gossip.demands.is_empty() || !gossip.wants.is_empty() {
-            self.hand(Heard::Gossip(Box::new(gossip.clone())));
+            running: Some(Loads {
+                loads: loads.collect(),
+            }),
+            demands: self.take_demands(now, tier),
+            servers_version: self.roster.borrow().version(),
+            ..Gossip::default()
         }
-        gossip
     }
 
-    fn take_demands(&self, now: Duration) -> Vec<Demand> {
-        let all = now >= self.demand_told_at.get() + DEMAND_AGAIN;
+    /// A datagram with nothing but its sender.
+    pub fn envelope(&self) -> Gossip {
+        self.sequence.set(self.sequence.get() + 1);
+        Gossip {
+            instance: self.deployment.instance.to_string(),
+            incarnation: self.incarnation.0,
+            sequence: self.sequence.get(),
+            data_centre: self.deployment.data_centre.to_string(),
+            servers_version: self.roster.borrow().version(),
+            ..Gossip::default()
+        }
+    }
+
+    fn take_demands(&self, now: Duration, tier: Tier) -> Vec<Demand> {
+        let mut told_at = self.demand_told_at.get();
+        let all = now >= told_at[tier as usize] + DEMAND_AGAIN;
         if all {
-            self.demand_told_at.set(now);
+            told_at[tier as usize] = now;
+            self.demand_told_at.set(told_at);
         }
         let mut demands = self.demands.borrow_mut();
         let told = demands.iter_mut();
-        let told = told.filter(|(_, asked)| all || asked.tokens > asked.told);
+        let told = told.filter(|(_, asked)| all || asked.tokens > asked.told[tier as usize]);
         let told = told.map(|(target, asked)| {
-            asked.told = asked.tokens;
+            asked.told[tier as usize] = asked.tokens;
             Demand {
                 target: target.to_string(),
                 tokens: asked.tokens,
@@ -394,38 +541,77 @@
         told.collect()
     }
 
-    fn take_wants(&self, now: Duration) -> Vec<Want> {
-        let mut wants = self.wants.borrow_mut();
-        wants.retain(|_, at| now < *at + WANT_AGAIN);
-        let told = wants.keys().map(|(worker, target)| Want {
-            target: target.to_string(),
-            worker: worker.to_string(),
-        });
-        told.collect()
+    /// Adapters that requests wait for, of workers held here; those held elsewhere are returned
+    /// with the addresses of their holders.
+    pub fn take_wants(&self) -> Vec<(SocketAddr, Want)> {
+        let now = self.clock.now();
+        let wants = std::mem::take(&mut *self.new_wants.borrow_mut());
+        let holders = self.holders.borrow();
+        let mut own = self.envelope();
+        let mut others = Vec::new();
+        for (worker, target) in wants {
+            let want = Want {
+                target: target.to_string(),
+                worker: worker.to_string(),
+            };
+            match holders.get(&Shard::of(&worker)) {
+                Some(holder) if holder.is_heard(now) => match holder.address {
+                    Some(address) => others.push((address, want)),
+                    None => own.wants.push(want),
+                },
+                _ => {}
+            }
+        }
+        if !own.wants.is_empty() {
+            self.hand(Heard::Gossip(Box::new(own)));
+        }
+        others
+    }
+
+    /// Has the own placer hear what this instance's callers ask for.
+    pub fn tell_placer(&self, gossip: &Gossip) {
+        if !gossip.demands.is_empty() {
+            self.hand(Heard::Gossip(Box::new(gossip.clone())));
+        }
     }
 
-    /// Addresses of peers, with the data centre's distance left to the network.
+    /// Whether this instance holds the first of the shards that are held, and so plans.
     #[must_use]
-    pub fn peers(&self) -> Vec<SocketAddr> {
+    pub fn is_planner(&self) -> bool {
+        let now = self.clock.now();
+        let holders = self.holders.borrow();
+        let mut held = holders.values();
+        let first = held.find(|holder| holder.is_heard(now));
+        first.is_some_and(|holder| holder.address.is_none())
+    }
+
+    /// Addresses of the peers of a tier.
+    #[must_use]
+    pub fn peers(&self, tier: Tier) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let members = members.values().filter(|member| member.tier == tier);
+        members.map(|member| member.address).collect()
+    }
+
+    /// Addresses of all peers.
+    #[must_use]
+    pub fn all_peers(&self) -> Vec<SocketAddr> {
         let members = self.members.borrow();
         members.values().map(|member| member.address).collect()
     }
 
-    /// Connections that this instance may have to one server of a service.
+    /// The address of the holder of a worker, where that is another instance.
     #[must_use]
-    pub fn most_connections(&self, service: &id::Service) -> usize {
-        let site = self.site.borrow();
-        let service = site.as_ref().and_then(|site| site.services.get(service));
-        let most = service.map_or(8, |service| service.most_connections);
-        let share = most / self.instances().max(1);
-        usize::try_from(share.max(2)).unwrap_or(2)
+    pub fn holder_address(&self, worker: &id::Worker) -> Option<SocketAddr> {
+        self.holders.borrow().get(&Shard::of(worker))?.address
     }
 }
 
 impl Member {
-    fn at(address: SocketAddr) -> Self {
+    fn at(address: SocketAddr, tier: Tier) -> Self {
         Self {
             address,
+            tier,
             incarnation: 0,
             sequence: 0,
             heard: None,
@@ -437,9 +623,18 @@
     }
 }
 
-fn is_heard(now: Duration, holders: &BTreeMap<Shard, Duration>, worker: &id::Worker) -> bool {
-    let heard = holders.get(&Shard::of(worker));
-    heard.is_some_and(|at| now < *at + HOLDER_MEMORY)
+fn is_heard(now: Duration, holders: &BTreeMap<Shard, Holder>, worker: &id::Worker) -> bool {
+    let holder = holders.get(&Shard::of(worker));
+    holder.is_some_and(|holder| holder.is_heard(now))
+}
+
+fn decode_load(load: &Load) -> Option<(id::Worker, Running)> {
+    let running = Running {
+        requests: load.requests,
+        unread: load.unread,
+        kept: load.kept,
+    };
+    Some((load.worker.parse().ok()?, running))
 }
 
 fn concerns_placer(gossip: &Gossip) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
     pub mod pool;
     pub mod retry;
     pub mod rollout;
+    pub mod roster;
     pub mod route;
     pub mod share;
     pub mod stream;
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -12,9 +12,9 @@
     /// Where the sender stands; peers it does not know learn it from this.
     #[prost(string, tag = "4")]
     pub data_centre: ::prost::alloc::string::String,
-    /// What the sender has running, at every server where it has anything.
-    #[prost(message, repeated, tag = "5")]
-    pub loads: ::prost::alloc::vec::Vec<Load>,
+    /// What the sender has running, where it says so.
+    #[prost(message, optional, tag = "5")]
+    pub running: ::core::option::Option<Loads>,
     /// Prompt tokens that callers asked for since the sender started.
     #[prost(message, repeated, tag = "6")]
     pub demands: ::prost::alloc::vec::Vec<Demand>,
@@ -29,6 +29,40 @@
     /// What the planner asks of the holder that gets this.
     #[prost(message, repeated, tag = "10")]
     pub jobs: ::prost::alloc::vec::Vec<Job>,
+    /// Version up to which the sender knows the list of servers.
+    #[prost(uint64, tag = "11")]
+    pub servers_version: u64,
+    /// Changes of that list, from the planner.
+    #[prost(message, optional, tag = "12")]
+    pub batch: ::core::option::Option<Batch>,
+}
+/// Rows of the list of servers that changed after one version and up to another.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Batch {
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    #[prost(uint64, tag = "2")]
+    pub to: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub entries: ::prost::alloc::vec::Vec<Entry>,
+    #[prost(bool, tag = "4")]
+    pub trusted: bool,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Entry {
+    #[prost(string, tag = "1")]
+    pub worker: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// The row's value; empty where there is no row.
+    #[prost(bytes = "vec", tag = "3")]
+    pub value: ::prost::alloc::vec::Vec<u8>,
+}
+/// Every server where the sender has anything running.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Loads {
+    #[prost(message, repeated, tag = "1")]
+    pub loads: ::prost::alloc::vec::Vec<Load>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Load {
