--- a/src/decide/appetite.rs
+++ b/src/decide/appetite.rs
@@ -44,11 +44,11 @@
         total: u64,
     ) {
         let key = (instance.clone(), target.clone());
-        let before = self.told.insert(key, (incarnation, total));
-        let before = before.filter(|(known, _)| *known == incarnation);
-        let added = total.saturating_sub(before.map_or(0, |(_, total)| total));
-        if added > 0 {
-            self.on_asked(now, target, added);
+        let (known, before) = self.told.get(&key).copied().unwrap_or_default();
+        let before = if known == incarnation { before } else { 0 };
+        if incarnation >= known && total > before {
+            self.told.insert(key, (incarnation, total));
+            self.on_asked(now, target, total - before);
         }
     }
 
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -256,8 +256,9 @@
         self.journal.note("lease", &values);
     }
 
-    fn holds_any(&self) -> bool {
-        self.parts.iter().any(|part| part.was_holder)
+    fn held_count(&self) -> u32 {
+        let held = self.parts.iter().filter(|part| part.was_holder);
+        u32::try_from(held.count()).unwrap_or(u32::MAX)
     }
 
     /// Whether this instance plans: it holds the first shard of those that are held.
@@ -345,9 +346,8 @@
     }
 
     /// How long this instance leaves the shard to others once it is open.
-    fn patience(&self, instance: &id::Instance, holds_any: bool) -> Duration {
-        let leave = if holds_any { LEAVE } else { Duration::ZERO };
-        leave + PREFERENCE * self.shard.distance(instance)
+    fn patience(&self, instance: &id::Instance, held_count: u32) -> Duration {
+        LEAVE * held_count + PREFERENCE * self.shard.distance(instance)
     }
 }
 
@@ -355,12 +355,14 @@
     let mut this = placer.borrow_mut();
     let now = this.clock.now();
     this.check_holder(index);
-    let (is_stopping, holds_any) = (this.is_stopping, this.holds_any());
+    let (is_stopping, held_count) = (this.is_stopping, this.held_count());
     let instance = this.deployment.instance.clone();
+    let mut open = this.parts.iter().filter(|part| !part.was_holder);
+    let takes_another = open.any(|part| part.in_call);
     let part = &mut this.parts[index];
-    let is_open = now >= part.heard + HEARD + part.patience(&instance, holds_any);
-    let is_first = part.heard == Duration::ZERO && now >= part.patience(&instance, holds_any);
-    let looks = (is_open || is_first) && now >= part.looked_at + LOOK;
+    let is_open = now >= part.heard + HEARD + part.patience(&instance, held_count);
+    let is_first = part.heard == Duration::ZERO && now >= part.patience(&instance, held_count);
+    let looks = (is_open || is_first) && !takes_another && now >= part.looked_at + LOOK;
     if part.in_call || is_stopping || !(part.was_holder || looks) {
         return;
     }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -398,10 +398,10 @@
         let Ok(instance) = gossip.instance.parse::<id::Instance>() else {
             return;
         };
-        if !self.is_newer(now, &instance, &gossip, from) {
+        let Some(is_newest) = self.on_member(now, &instance, &gossip, from) else {
             return;
-        }
-        if let Some(running) = &gossip.running {
+        };
+        if let Some(running) = gossip.running.as_ref().filter(|_| is_newest) {
             let loads = running.loads.iter().filter_map(decode_load).collect();
             self.balance.borrow_mut().on_peer(now, &instance, &loads);
         }
@@ -418,32 +418,37 @@
         }
     }
 
-    fn is_newer(
+    /// Takes the sender of a datagram: whether the datagram is its newest, or none where a later
+    /// start of the sender is known.
+    fn on_member(
         &self,
         now: Duration,
         instance: &id::Instance,
         gossip: &Gossip,
         from: SocketAddr,
-    ) -> bool {
+    ) -> Option<bool> {
         let mut members = self.members.borrow_mut();
         let is_new = !members.contains_key(instance);
         let data_centre = gossip.data_centre.parse().unwrap_or_default();
         let tier = self.tier(&data_centre);
         let member = members.entry(instance.clone());
         let member = member.or_insert(Member::at(from, tier));
+        if gossip.incarnation < member.incarnation {
+            return None;
+        }
+        if !member.is_heard(now) || is_new {
+            self.demand_told_at.set([Duration::ZERO; 3]);
+            self.journal
+                .note("peer", &json!({"instance": instance, "heard": true}));
+        }
         let order = (gossip.incarnation, gossip.sequence);
-        let is_newer = order > (member.incarnation, member.sequence);
-        if is_newer {
-            if !member.is_heard(now) || is_new {
-                self.demand_told_at.set([Duration::ZERO; 3]);
-                self.journal
-                    .note("peer", &json!({"instance": instance, "heard": true}));
-            }
+        let is_newest = order > (member.incarnation, member.sequence);
+        if is_newest {
             (member.incarnation, member.sequence) = order;
-            member.heard = Some(now);
-            member.address = from;
         }
-        is_newer
+        member.heard = Some(now);
+        member.address = from;
+        Some(is_newest)
     }
 
     fn on_leads(&self, now: Duration, leads: &[Lead], address: Option<SocketAddr>) {
