--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -33,8 +33,13 @@
 const DISTURBED: Duration = Duration::from_millis(2_500);
 /// Prefix of the rows in which instances register.
 const MEMBERS: &str = "instance.";
-/// How often the list of instances is read again.
-const MEMBERS_AGAIN: Duration = Duration::from_secs(30);
+/// Pauses between reads of the list of instances. Those that start together don't see each other
+/// at first; later ones announce themselves to all they read.
+const MEMBERS_AGAIN: [Duration; 3] = [
+    Duration::from_millis(700),
+    Duration::from_secs(3),
+    Duration::from_secs(60),
+];
 
 /// What the tasks of this duty share.
 struct Store {
@@ -288,6 +293,7 @@
     let key = format!("{MEMBERS}{}", deployment.instance);
     let row = json!({"address": deployment.peers, "data_centre": deployment.data_centre});
     let mut is_written = false;
+    let mut pauses = MEMBERS_AGAIN.into_iter();
     loop {
         let page = store.read(rows::OWN, MEMBERS).await;
         let Ok(page) = page else {
@@ -296,14 +302,16 @@
         };
         let mine = page.rows.iter().find(|row| row.key == key);
         let version = mine.map_or(0, |row| row.version);
-        let is_right = mine.is_some_and(|mine| mine.value == Some(row.to_string().into_bytes()));
-        if !is_written && !is_right {
+        is_written |= mine.is_some_and(|mine| mine.value == Some(row.to_string().into_bytes()));
+        store.tell(News::Members(members(&page))).await;
+        if is_written {
+            let last = MEMBERS_AGAIN[MEMBERS_AGAIN.len() - 1];
+            sleep(pauses.next().unwrap_or(last)).await;
+        } else {
             let txn = Txn::default().put(key.clone(), version, row.clone());
             is_written = commit(&store, &txn).await.is_ok();
+            sleep(if is_written { MEMBERS_AGAIN[0] } else { AGAIN }).await;
         }
-        store.tell(News::Members(members(&page))).await;
-        let pause = if is_written || is_right { MEMBERS_AGAIN } else { AGAIN };
-        sleep(pause).await;
     }
 }
 
