--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -150,14 +150,7 @@
     }
 
     /// Fall of the sum of squares when a worker takes a share of a model.
-    fn relief(
-        &self,
-        index: usize,
-        model: &id::Model,
-        work: f64,
-        copies: f64,
-        freed: f64,
-    ) -> f64 {
+    fn relief(&self, index: usize, model: &id::Model, work: f64, copies: f64, freed: f64) -> f64 {
         let (before, after) = (work / copies, work / (copies + 1.0));
         let holders = self.workers.iter().zip(&self.work);
         let holders = holders.filter(|(worker, _)| worker.models.contains(model));
@@ -172,7 +165,9 @@
     fn room(&self, index: usize, size: Bytes) -> Option<(Vec<id::Model>, f64, f64)> {
         let worker = &self.workers[index];
         let sizes = worker.models.iter();
-        let used: u64 = sizes.filter_map(|model| Some(self.wanted.get(model)?.size.0)).sum();
+        let used: u64 = sizes
+            .filter_map(|model| Some(self.wanted.get(model)?.size.0))
+            .sum();
         let used = used + worker.reserved.0 + size.0;
         let mut over = used.saturating_sub(worker.memory.0);
         let mut victims: Vec<(f64, &id::Model)> = worker
--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -27,7 +27,7 @@
 const SLOWEST: f64 = 8.0;
 const FASTEST: f64 = 0.5;
 /// What a peer told of its requests counts for this long.
-const PEER_MEMORY: Duration = Duration::from_millis(2_000);
+const PEER_MEMORY: Duration = Duration::from_secs(2);
 /// A server that could not be reached rests this long; twice as long each further time.
 const REST: Duration = Duration::from_millis(400);
 const LONGEST_REST: Duration = Duration::from_secs(4);
@@ -218,7 +218,8 @@
     pub fn own(&self) -> BTreeMap<id::Worker, Running> {
         let busy = self.views.iter();
         let busy = busy.filter(|(_, view)| view.own.requests > 0);
-        busy.map(|(worker, view)| (worker.clone(), view.own)).collect()
+        busy.map(|(worker, view)| (worker.clone(), view.own))
+            .collect()
     }
 
     /// Notes that a request was sent; what it adds is to be given back by [`Self::on_ended`].
@@ -451,7 +452,11 @@
         let full = float(engine.cache.0) * CACHE_FULL;
         let used = float(running.kept + kept(generation));
         let batch_full = running.requests >= engine.batch;
-        if used > full || batch_full { CACHE_WAIT * (used / full).max(1.0) } else { 0.0 }
+        if used > full || batch_full {
+            CACHE_WAIT * (used / full).max(1.0)
+        } else {
+            0.0
+        }
     }
 
     /// Seconds that count against a server beside the wait.
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -296,8 +296,7 @@
 
     fn workers(&self, service: &id::Service, engine: &Engine) -> Vec<Worker> {
         let backends = self.backends.values();
-        let backends =
-            backends.filter(|backend| backend.service == *service && !backend.leaving);
+        let backends = backends.filter(|backend| backend.service == *service && !backend.leaving);
         backends
             .map(|backend| self.worker(backend, engine))
             .collect()
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -179,7 +179,11 @@
         if !mine {
             let usable = self.timing.term.saturating_sub(self.timing.margin);
             self.took_from = seen.holder.map(|holder| {
-                let acted_until = if holder.released { seen.since } else { seen.since + usable };
+                let acted_until = if holder.released {
+                    seen.since
+                } else {
+                    seen.since + usable
+                };
                 (holder.instance, acted_until)
             });
         }
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -42,16 +42,28 @@
 #[serde(rename_all = "snake_case")]
 enum State {
     /// Nothing is known before the first report.
-    Unknown { ask_at: Duration },
+    Unknown {
+        ask_at: Duration,
+    },
     Idle,
     /// An order was sent and not answered yet.
-    Sent { action: Action },
+    Sent {
+        action: Action,
+    },
     /// An order got no answer.
-    Unanswered { action: Action, again_at: Duration },
+    Unanswered {
+        action: Action,
+        again_at: Duration,
+    },
     /// A model's order is being carried out.
-    Running { action: Action, due: Duration },
+    Running {
+        action: Action,
+        due: Duration,
+    },
     /// The count or the outcome is unclear: a report is needed.
-    Unclear { ask_at: Duration },
+    Unclear {
+        ask_at: Duration,
+    },
     Asked,
 }
 
@@ -111,7 +123,7 @@
         let mut listed = self.backend.holdings.clone();
         for (model, adapters) in &mut listed {
             if let Some(known) = known.get(model) {
-                *adapters = known.clone();
+                adapters.clone_from(known);
             }
         }
         let done = match &self.state {
@@ -180,7 +192,13 @@
     /// Whether a load from the weight store is under way, or about to be.
     #[must_use]
     pub fn loads_from_store(&self) -> bool {
-        let running = matches!(&self.state, State::Running { action: Action::Load(_), .. });
+        let running = matches!(
+            &self.state,
+            State::Running {
+                action: Action::Load(_),
+                ..
+            }
+        );
         self.from_store && (running || self.load.is_some())
     }
 
@@ -239,8 +257,14 @@
     #[must_use]
     pub fn adapter_count(&self) -> usize {
         let here: usize = self.backend.holdings.values().map(BTreeSet::len).sum();
-        let loads = self.adapters.iter().filter(|it| matches!(it, Action::Load(_)));
-        let unloads = self.adapters.iter().filter(|it| matches!(it, Action::Unload(_)));
+        let loads = self
+            .adapters
+            .iter()
+            .filter(|it| matches!(it, Action::Load(_)));
+        let unloads = self
+            .adapters
+            .iter()
+            .filter(|it| matches!(it, Action::Unload(_)));
         let sent = match &self.state {
             State::Sent { action } | State::Unanswered { action, .. } => match action {
                 Action::Load(target) => usize::from(target.adapter.is_some()),
@@ -327,15 +351,12 @@
     }
 
     fn drop_held(&mut self, target: &Target) {
-        match &target.adapter {
-            Some(adapter) => {
-                let held = self.backend.holdings.get_mut(&target.model);
-                held.map(|adapters| adapters.remove(adapter));
-            }
-            None => {
-                self.backend.holdings.remove(&target.model);
-                self.closing.remove(&target.model);
-            }
+        if let Some(adapter) = &target.adapter {
+            let held = self.backend.holdings.get_mut(&target.model);
+            held.map(|adapters| adapters.remove(adapter));
+        } else {
+            self.backend.holdings.remove(&target.model);
+            self.closing.remove(&target.model);
         }
     }
 
--- a/src/decide/roster.rs
+++ b/src/decide/roster.rs
@@ -87,13 +87,7 @@
         }
     }
 
-    fn on_entry(
-        &mut self,
-        now: Duration,
-        entry: Entry,
-        trusted: bool,
-        changes: &mut Vec<Change>,
-    ) {
+    fn on_entry(&mut self, now: Duration, entry: Entry, trusted: bool, changes: &mut Vec<Change>) {
         let known = self.entries.get(&entry.worker);
         if known.is_some_and(|(version, _)| entry.version <= *version) {
             return;
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -2,6 +2,7 @@
 
 use super::traffic::Traffic;
 use crate::common::*;
+use crate::platform::settings;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -42,8 +43,8 @@
 
 fn answer(traffic: &Traffic, request: &Request<Incoming>) -> Response<Full<Bytes>> {
     let (status, text) = match request.uri().path() {
-        "/v1/readyz" if traffic.is_ready() => (StatusCode::OK, "ready\n".into()),
-        "/v1/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        settings::READY_PATH if traffic.is_ready() => (StatusCode::OK, "ready\n".into()),
+        settings::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         "/metrics" => (StatusCode::OK, traffic.metrics.text()),
         "/state" => (StatusCode::OK, dump(traffic).to_string()),
         _ => (StatusCode::NOT_FOUND, "use /metrics or /state\n".into()),
--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -110,7 +110,12 @@
 
 /// A request of the system's own.
 #[must_use]
-pub fn request(method: Method, host: SocketAddr, path: &str, body: Vec<u8>) -> Request<Full<Bytes>> {
+pub fn request(
+    method: Method,
+    host: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+) -> Request<Full<Bytes>> {
     let has_body = !body.is_empty();
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = method;
@@ -140,7 +145,9 @@
         reason,
     };
     let call = async {
-        let mut channel = connect(address).await.map_err(|error| lost(error.to_string()))?;
+        let mut channel = connect(address)
+            .await
+            .map_err(|error| lost(error.to_string()))?;
         channel.call(request).await
     };
     timeout(longest, call)
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -2,10 +2,10 @@
 
 use crate::common::*;
 use crate::decide::roster::Change;
+use crate::wire::generated_gossip::{Batch, Gossip, Holding, Job, Lead};
 use crate::world::id;
 use crate::world::site::Site;
 use crate::world::table::{Commit, Failure, Row, Txn};
-use crate::wire::generated_gossip::{Batch, Gossip, Holding, Job, Lead};
 
 /// Messages that a ring between duties holds.
 pub const RING: usize = 4096;
@@ -19,7 +19,9 @@
     /// Instances that registered.
     Members(Vec<Member>),
     /// The store answers, or does not.
-    Store { up: bool },
+    Store {
+        up: bool,
+    },
 }
 
 /// An instance that registered.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -68,9 +68,14 @@
     Live(Box<Live>),
     Whole(Response<Body>),
     /// It did not run, and will not.
-    Refused { cause: &'static str, back: Duration },
+    Refused {
+        cause: &'static str,
+        back: Duration,
+    },
     /// It may have run.
-    Unknown { cause: &'static str },
+    Unknown {
+        cause: &'static str,
+    },
     /// Its time is over, and it may have run.
     Late,
 }
@@ -155,12 +160,20 @@
         let mut turns = 0;
         loop {
             if self.left() <= CLOSE {
-                return if runs > 0 { End::Late } else { self.refused("late", COME_BACK) };
+                return if runs > 0 {
+                    End::Late
+                } else {
+                    self.refused("late", COME_BACK)
+                };
             }
             let (worker, expected) = match self.place(&tried).await {
                 Ok(place) => place,
                 Err(end) if runs == 0 => return end,
-                Err(_) => return End::Unknown { cause: "no other server" },
+                Err(_) => {
+                    return End::Unknown {
+                        cause: "no other server",
+                    };
+                }
             };
             if tried.is_empty() {
                 self.traffic.on_first_send(&self.need.service);
@@ -177,7 +190,11 @@
                     turns += 1;
                     if turns >= MOST_TURNS || !self.traffic.may_repeat(&self.need.service) {
                         let cause = "turned away";
-                        return if runs == 0 { self.refused(cause, COME_BACK) } else { End::Unknown { cause } };
+                        return if runs == 0 {
+                            self.refused(cause, COME_BACK)
+                        } else {
+                            End::Unknown { cause }
+                        };
                     }
                 }
                 Attempt::Failed(response) => {
@@ -207,7 +224,10 @@
         };
         self.traffic.metrics.on_send(outcome);
         let expected_ms = (expected * 1e3).round();
-        self.note("sent", json!({"server": worker, "expected_ms": expected_ms, "outcome": outcome}));
+        self.note(
+            "sent",
+            json!({"server": worker, "expected_ms": expected_ms, "outcome": outcome}),
+        );
     }
 
     #[allow(clippy::unused_self)]
@@ -262,7 +282,11 @@
         let attempt = timeout(longest, self.send(ticket, last_event)).await;
         attempt.unwrap_or_else(|_| {
             self.traffic.balance.borrow_mut().on_failed(worker);
-            if longest < left { Attempt::Unknown("silent") } else { Attempt::Late }
+            if longest < left {
+                Attempt::Unknown("silent")
+            } else {
+                Attempt::Late
+            }
         })
     }
 
@@ -278,7 +302,10 @@
             pooled = channel.is_some();
             let Some(mut channel) = self.open(&worker, channel).await else {
                 let now = self.now();
-                self.traffic.balance.borrow_mut().on_unreachable(now, &worker);
+                self.traffic
+                    .balance
+                    .borrow_mut()
+                    .on_unreachable(now, &worker);
                 return Attempt::NotRun;
             };
             if !matches!(timeout(TAKES, channel.sender.ready()).await, Ok(Ok(()))) {
@@ -297,7 +324,10 @@
                         }
                         return Attempt::NotRun;
                     }
-                    self.note("broke", json!({"server": worker, "error": error.error().to_string()}));
+                    self.note(
+                        "broke",
+                        json!({"server": worker, "error": error.error().to_string()}),
+                    );
                     self.traffic.balance.borrow_mut().on_failed(&worker);
                     return Attempt::Unknown("broken");
                 }
@@ -309,19 +339,24 @@
         if channel.is_some() {
             return channel;
         }
-        let view = self.traffic.balance.borrow();
-        let address = view.view(worker)?.backend.address;
-        drop(view);
+        let address = self.traffic.address(worker)?;
         let opened = channel::connect(address).await;
         self.traffic.metrics.connections.inc();
         opened
             .inspect_err(|error| {
-                self.note("unreachable", json!({"server": worker, "error": error.to_string()}));
+                self.note(
+                    "unreachable",
+                    json!({"server": worker, "error": error.to_string()}),
+                );
             })
             .ok()
     }
 
-    fn outgoing(&self, worker: &id::Worker, last_event: Option<&str>) -> hyper::Request<Full<Bytes>> {
+    fn outgoing(
+        &self,
+        worker: &id::Worker,
+        last_event: Option<&str>,
+    ) -> hyper::Request<Full<Bytes>> {
         let stamp = Stamp {
             worker,
             left: self.left(),
@@ -359,7 +394,10 @@
             }
             Outcome::Misdirected => {
                 let target = self.need.generation.as_ref().map(|it| &it.target);
-                traffic.balance.borrow_mut().on_misdirected(now, &worker, target);
+                traffic
+                    .balance
+                    .borrow_mut()
+                    .on_misdirected(now, &worker, target);
                 Attempt::NotRun
             }
             Outcome::Foreign => {
@@ -398,7 +436,13 @@
     }
 
     /// Keeps a connection whose short answer is of no more use.
-    async fn give_back(&self, body: Incoming, channel: Channel, worker: &id::Worker, answer: &Answer) {
+    async fn give_back(
+        &self,
+        body: Incoming,
+        channel: Channel,
+        worker: &id::Worker,
+        answer: &Answer,
+    ) {
         let read = timeout(TAKES, Limited::new(body, 1 << 16).collect()).await;
         if matches!(read, Ok(Ok(_))) && answer.framed && !answer.closes {
             self.traffic.pool.put(self.now(), worker, channel);
@@ -424,12 +468,22 @@
             End::Unknown { cause } => {
                 (own(&self.request.id, StatusCode::BAD_GATEWAY, cause), cause)
             }
-            End::Late => (own(&self.request.id, StatusCode::GATEWAY_TIMEOUT, "late"), "late"),
+            End::Late => (
+                own(&self.request.id, StatusCode::GATEWAY_TIMEOUT, "late"),
+                "late",
+            ),
         };
         let status = response.status().as_u16();
         self.traffic.metrics.on_answer(status, cause);
-        let target = self.need.generation.as_ref().map(|it| it.target.to_string());
-        self.note("answered", json!({"status": status, "cause": cause, "route": self.route.name, "target": target}));
+        let target = self
+            .need
+            .generation
+            .as_ref()
+            .map(|it| it.target.to_string());
+        self.note(
+            "answered",
+            json!({"status": status, "cause": cause, "route": self.route.name, "target": target}),
+        );
         response
     }
 }
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -41,7 +41,10 @@
     let clock = Clock::default();
     let incarnation = incarnation();
     let journal = Journal::start(clock, deployment.instance.as_str())?;
-    journal.note("start", &json!({"deployment": *deployment, "incarnation": incarnation}));
+    journal.note(
+        "start",
+        &json!({"deployment": *deployment, "incarnation": incarnation}),
+    );
     let (calls, calls_in) = flume::bounded::<Call>(RING);
     let (news, news_in) = flume::bounded::<News>(RING);
     let (heard, heard_in) = flume::bounded::<Heard>(RING);
@@ -57,7 +60,17 @@
     let placer_duty = {
         let deployment = Arc::clone(&deployment);
         let journal = journal.clone();
-        move || placer::run(deployment, clock, incarnation, journal, heard_in, calls, words)
+        move || {
+            placer::run(
+                deployment,
+                clock,
+                incarnation,
+                journal,
+                heard_in,
+                calls,
+                words,
+            )
+        }
     };
     spawn("store", store_duty)?;
     spawn("placer", placer_duty)?;
@@ -142,7 +155,10 @@
     })?);
     let callers = listen(deployment.callers)?;
     spawn_local(admin::serve(Rc::clone(&traffic), listen(deployment.ready)?));
-    spawn_local(admin::serve(Rc::clone(&traffic), listen(deployment.metrics)?));
+    spawn_local(admin::serve(
+        Rc::clone(&traffic),
+        listen(deployment.metrics)?,
+    ));
     spawn_local(gossip::listen(Rc::clone(&traffic), Rc::clone(&socket)));
     for tier in [Tier::DataCentre, Tier::Region, Tier::Far] {
         spawn_local(gossip::tell(Rc::clone(&traffic), Rc::clone(&socket), tier));
@@ -191,7 +207,11 @@
     match read_settings() {
         Ok(settings) => {
             let same = json!(settings) == json!(*traffic.deployment);
-            let remedy = if same { "nothing to do" } else { "restart the process to use them" };
+            let remedy = if same {
+                "nothing to do"
+            } else {
+                "restart the process to use them"
+            };
             traffic
                 .journal
                 .note("reload", &json!({"same": same, "remedy": remedy}));
@@ -205,10 +225,14 @@
 /// Ends without cutting a request: unready first, then idle connections close, then the end.
 async fn stop(traffic: &Traffic, placer: &flume::Sender<Heard>, close: &watch::Sender<bool>) {
     let began = traffic.clock.now();
-    traffic.journal.note("stop", &json!({"open": traffic.open.get()}));
+    traffic
+        .journal
+        .note("stop", &json!({"open": traffic.open.get()}));
     traffic.is_stopping.set(true);
     if placer.try_send(Heard::Stop).is_err() {
-        traffic.journal.note("ring_full", &json!({"ring": "placer"}));
+        traffic
+            .journal
+            .note("ring_full", &json!({"ring": "placer"}));
     }
     sleep(UNREADY).await;
     close.send_replace(true);
@@ -217,8 +241,9 @@
         sleep(LOOK).await;
     }
     let took = traffic.clock.now().saturating_sub(began);
-    traffic
-        .journal
-        .note("stopped", &json!({"open": traffic.open.get(), "took_ms": took.as_millis()}));
+    traffic.journal.note(
+        "stopped",
+        &json!({"open": traffic.open.get(), "took_ms": took.as_millis()}),
+    );
     sleep(LOOK).await;
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -17,7 +17,7 @@
 const HOLDINGS: usize = 10;
 /// Time between datagrams within a data centre while requests come, and the longest without one.
 const OFTEN: Duration = Duration::from_millis(100);
-const SELDOM: Duration = Duration::from_millis(1_000);
+const SELDOM: Duration = Duration::from_secs(1);
 /// Wants go out at once, but not more often than this.
 const GATHER: Duration = Duration::from_millis(2);
 
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -78,7 +78,8 @@
 
 fn limits(traffic: &Traffic) -> Limits {
     let site = traffic.site.borrow();
-    site.as_ref().map_or_else(Limits::default, |site| site.limits)
+    site.as_ref()
+        .map_or_else(Limits::default, |site| site.limits)
 }
 
 /// Counts a caller's connection while it is open: until the last byte of its last answer.
@@ -124,13 +125,23 @@
         return Err(forward::refusal("", "no configuration", COME_BACK));
     };
     let Some(request) = request::decode(&head) else {
-        return Err(denied(traffic, "", StatusCode::BAD_REQUEST, "the request has no id"));
+        return Err(denied(
+            traffic,
+            "",
+            StatusCode::BAD_REQUEST,
+            "the request has no id",
+        ));
     };
     let path = head.uri.path();
     let Some(route) = site.route(&request.host, path).cloned() else {
         let values = json!({"request": request.id, "host": request.host, "path": path, "version": site.version});
         traffic.journal.note("no_route", &values);
-        return Err(denied(traffic, &request.id, StatusCode::NOT_FOUND, "no route"));
+        return Err(denied(
+            traffic,
+            &request.id,
+            StatusCode::NOT_FOUND,
+            "no route",
+        ));
     };
     let patience = request.patience.unwrap_or(PATIENCE).min(route.timeout);
     let need = need(&site, &request, &route)
@@ -156,7 +167,10 @@
     let draw = xxh3_64(request.id.as_bytes());
     let part = f64::from(u32::try_from(draw >> 32).unwrap_or(0)) / f64::from(u32::MAX);
     let service = route.service(part)?.clone();
-    let engine = site.services.get(&service).and_then(|it| it.engine.as_ref());
+    let engine = site
+        .services
+        .get(&service)
+        .and_then(|it| it.engine.as_ref());
     Some(Need {
         generation: engine.and(request.generation.clone()),
         service,
@@ -177,7 +191,12 @@
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(denied(traffic, &request.id, status, "the body is too large"))
+            Err(denied(
+                traffic,
+                &request.id,
+                status,
+                "the body is too large",
+            ))
         }
         Ok(Err(_)) => {
             let status = StatusCode::BAD_REQUEST;
@@ -185,7 +204,12 @@
         }
         Err(_) => {
             let status = StatusCode::REQUEST_TIMEOUT;
-            Err(denied(traffic, &request.id, status, "the body came too slowly"))
+            Err(denied(
+                traffic,
+                &request.id,
+                status,
+                "the body came too slowly",
+            ))
         }
     }
 }
--- a/src/gateway/journal.rs
+++ b/src/gateway/journal.rs
@@ -57,7 +57,11 @@
     for line in ring {
         let lost = dropped.swap(0, Ordering::Relaxed);
         let noted = if lost > 0 {
-            writeln!(out, "{}", json!({"event": "log_lines_dropped", "count": lost}))
+            writeln!(
+                out,
+                "{}",
+                json!({"event": "log_lines_dropped", "count": lost})
+            )
         } else {
             Ok(())
         };
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,10 +25,26 @@
         let sends = Family::<Labels, Counter>::default();
         let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 14));
         let connections = Counter::default();
-        registry.register("answers", "Answers to callers, by status and cause", answers.clone());
-        registry.register("sends", "Requests sent to servers, by outcome", sends.clone());
-        registry.register("first_byte_seconds", "Time to the first byte", first_byte.clone());
-        registry.register("connections", "Connections opened to servers", connections.clone());
+        registry.register(
+            "answers",
+            "Answers to callers, by status and cause",
+            answers.clone(),
+        );
+        registry.register(
+            "sends",
+            "Requests sent to servers, by outcome",
+            sends.clone(),
+        );
+        registry.register(
+            "first_byte_seconds",
+            "Time to the first byte",
+            first_byte.clone(),
+        );
+        registry.register(
+            "connections",
+            "Connections opened to servers",
+            connections.clone(),
+        );
         Self {
             registry,
             answers,
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -30,7 +30,7 @@
 /// Rows of the leases, one a shard.
 const LEASE: &str = "lease.shard.";
 /// Others may take a lease over that stood unchanged this long.
-const TERM: Duration = Duration::from_millis(2_000);
+const TERM: Duration = Duration::from_secs(2);
 /// The holder stops this much before the end of its term.
 const MARGIN: Duration = Duration::from_millis(500);
 /// Time between looks at what is to be done.
@@ -105,7 +105,7 @@
         let parts = placer.borrow().parts.len();
         (0..parts).for_each(|index| step_lease(&placer, index, &calls));
         let jobs = step_fleet(&placer);
-        if let Some(word) = placer.borrow_mut().word(jobs)
+        if let Some(word) = placer.borrow_mut().word(&jobs)
             && words.try_send(word).is_err()
         {
             log::warn!("a full ring drops what workers hold; it is told again");
@@ -290,7 +290,7 @@
     }
 
     /// What has changed since the last word, or everything once in a while.
-    fn word(&mut self, jobs: Vec<arrange::Job>) -> Option<Word> {
+    fn word(&mut self, jobs: &[arrange::Job]) -> Option<Word> {
         let now = self.clock.now();
         if now >= self.told_all_at + TELL_AGAIN {
             self.told_all_at = now;
@@ -546,9 +546,10 @@
 
 /// Reads what a holder told of a worker.
 pub(crate) fn decode_holding(holding: &Holding) -> Option<(id::Worker, Told)> {
-    let held = holding.held.iter().filter_map(|held| {
-        Some((held.model.parse().ok()?, names(&held.adapters).collect()))
-    });
+    let held = holding
+        .held
+        .iter()
+        .filter_map(|held| Some((held.model.parse().ok()?, names(&held.adapters).collect())));
     let told = Told {
         boot: Incarnation(holding.boot),
         fence: Fence(holding.fence),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,8 +3,8 @@
 //! Bytes are passed on as they come. A stream that may be resumed is passed on by whole events,
 //! so that another worker can go on after the last one when its worker breaks off.
 
-use super::forward::{Case, End, Live, Ticket};
 use super::channel::Channel;
+use super::forward::{Case, End, Live, Ticket};
 use crate::common::*;
 use crate::platform::request;
 use crate::world::site::Repeat;
@@ -78,7 +78,9 @@
                     match frame {
                         Some(Ok(frame)) => {
                             end.ticket.on_first();
-                            let Ok(data) = frame.into_data() else { continue };
+                            let Ok(data) = frame.into_data() else {
+                                continue;
+                            };
                             if let Some(bytes) = self.pass(data) {
                                 return Poll::Ready(Some(Ok(bytes)));
                             }
@@ -117,7 +119,7 @@
         }
         let events = self.partial.split_to(whole).freeze();
         let ids = events.split(|byte| *byte == b'\n');
-        if let Some(last) = ids.filter_map(request::event_id).last() {
+        if let Some(last) = ids.filter_map(request::event_id).next_back() {
             self.last_event = Some(last.to_owned());
         }
         Some(events)
@@ -141,7 +143,9 @@
         let last = self.last_event.clone();
         let values = json!({"request": case.request.id, "after": last});
         traffic.journal.note("resumed", &values);
-        self.state = State::Resuming(Box::pin(async move { case.dispatch(last.as_deref()).await }));
+        self.state = State::Resuming(Box::pin(
+            async move { case.dispatch(last.as_deref()).await },
+        ));
         true
     }
 
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -38,7 +38,7 @@
 const MEMBERS_AGAIN: [Duration; 3] = [
     Duration::from_millis(700),
     Duration::from_secs(3),
-    Duration::from_secs(60),
+    Duration::from_mins(1),
 ];
 
 /// What the tasks of this duty share.
@@ -209,7 +209,10 @@
         let call = timeout(WAIT + ANSWER, channel.call(request)).await;
         let reply = call.map_err(|error| lost(&error))??;
         if reply.status == 410 {
-            log::info!("the store dropped its history of {}: reading anew", self.table);
+            log::info!(
+                "the store dropped its history of {}: reading anew",
+                self.table
+            );
             return self.read_anew().await;
         }
         let page = decode(&reply)?;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -3,18 +3,18 @@
 use super::event::{self, Heard, Interest, News, RING, Word};
 use super::journal::Journal;
 use super::metrics::Metrics;
+use super::placer;
 use super::pool::Pool;
 use crate::common::*;
-use super::placer;
 use crate::decide::balance::{Balance, Need, Running};
 use crate::decide::fleet::Told;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
 use crate::node::clock::Clock;
+use crate::platform::worker;
 use crate::wire::generated_gossip::{
     Batch, Demand, Entry, Gossip, Holding, Lead, Load, Loads, Want,
 };
-use crate::platform::worker;
 use crate::world::backend::Backend;
 use crate::world::deployment::Deployment;
 use crate::world::id;
@@ -163,6 +163,13 @@
         })
     }
 
+    /// Address of a server.
+    #[must_use]
+    pub fn address(&self, worker: &id::Worker) -> Option<SocketAddr> {
+        let balance = self.balance.borrow();
+        Some(balance.view(worker)?.backend.address)
+    }
+
     /// Whether requests can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -202,7 +209,8 @@
 
     fn decode(&self, entry: &Entry) -> Option<roster::Entry> {
         let worker: id::Worker = entry.worker.parse().ok()?;
-        let backend = (!entry.value.is_empty()).then(|| worker::decode(&entry.worker, &entry.value));
+        let backend =
+            (!entry.value.is_empty()).then(|| worker::decode(&entry.worker, &entry.value));
         let backend = backend.and_then(|backend| {
             backend
                 .inspect_err(|error| {
@@ -299,7 +307,9 @@
         let here = &self.deployment.data_centre;
         if data_centre == here {
             Tier::DataCentre
-        } else if regions.get(data_centre).is_some() && regions.get(data_centre) == regions.get(here) {
+        } else if regions.get(data_centre).is_some()
+            && regions.get(data_centre) == regions.get(here)
+        {
             Tier::Region
         } else {
             Tier::Far
@@ -319,7 +329,8 @@
 
     fn hand(&self, heard: Heard) {
         if self.placer.try_send(heard).is_err() {
-            self.journal.note("ring_full", &json!({"ring": "placer", "size": RING}));
+            self.journal
+                .note("ring_full", &json!({"ring": "placer", "size": RING}));
         }
     }
 
@@ -407,7 +418,8 @@
         }
         let (heard, at) = self.heard_version.get();
         let at = if gossip.leads.is_empty() { at } else { now };
-        self.heard_version.set((heard.max(gossip.servers_version), at));
+        self.heard_version
+            .set((heard.max(gossip.servers_version), at));
         self.on_leads(now, &gossip.leads, Some(from));
         self.on_holdings(&gossip.holdings);
         if let Some(batch) = &gossip.batch {
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -107,9 +107,9 @@
 #[must_use]
 pub fn encode(caller: &HeaderMap, stamp: &Stamp<'_>) -> HeaderMap {
     let mut headers = end_to_end(caller);
-    SYSTEM.iter().for_each(|name| {
-        headers.remove(*name);
-    });
+    for name in SYSTEM {
+        headers.remove(name);
+    }
     headers.remove("content-length");
     headers.remove("expect");
     set(&mut headers, EXPECTED_INSTANCE, stamp.worker.as_str());
@@ -146,9 +146,9 @@
             kept.remove(name);
         }
     }
-    HOP.iter().for_each(|name| {
-        kept.remove(*name);
-    });
+    for name in HOP {
+        kept.remove(name);
+    }
     kept
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -6,6 +6,9 @@
 /// Variable that holds the path of the settings file.
 pub const VARIABLE: &str = "POPLARSEAM_SETTINGS";
 
+/// Path at which the platform asks whether this instance is ready.
+pub const READY_PATH: &str = "/v1/readyz";
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct File {
@@ -83,7 +86,8 @@
 }
 
 fn wrong(reason: &str) -> Error {
-    let problem = format!("the file that {VARIABLE} names: {reason}; let the platform write it anew");
+    let problem =
+        format!("the file that {VARIABLE} names: {reason}; let the platform write it anew");
     Error::Settings {
         problems: vec![problem],
     }
--- /dev/null
+++ b/tests/gateway/appetite.rs
@@ -0,0 +1,44 @@
+//! Demand as instances tell it.
+
+use super::build::{model, ms, target};
+use poplarseam::decide::appetite::Appetite;
+use poplarseam::world::unit::Incarnation;
+
+fn asked(told: &[(u64, u64)]) -> f64 {
+    let mut appetite = Appetite::default();
+    appetite.tick(ms(0));
+    for (incarnation, total) in told {
+        let (one, m1) = ("one".parse().unwrap(), target("m1"));
+        appetite.on_told(ms(100), &one, Incarnation(*incarnation), m1, *total);
+    }
+    appetite.tick(ms(1_000));
+    appetite.of_model(&model("m1"))
+}
+
+#[test]
+fn totals_out_of_order_count_once() {
+    assert!((asked(&[(1, 100), (1, 300), (1, 200), (1, 300)]) - asked(&[(1, 300)])).abs() < 1e-9);
+}
+
+#[test]
+fn a_restarted_instance_counts_from_nothing() {
+    assert!((asked(&[(1, 300), (2, 100)]) - asked(&[(1, 400)])).abs() < 1e-9);
+}
+
+#[test]
+fn a_total_from_before_a_restart_is_not_taken() {
+    assert!((asked(&[(2, 100), (1, 300)]) - asked(&[(2, 100)])).abs() < 1e-9);
+}
+
+#[test]
+fn demand_that_ends_is_forgotten_slowly() {
+    let mut appetite = Appetite::default();
+    appetite.on_asked(ms(0), target("m1/a1"), 1_000);
+    appetite.tick(ms(1_000));
+    let busy = appetite.of_model(&model("m1"));
+    appetite.tick(ms(2_000));
+    let later = appetite.of_model(&model("m1"));
+    assert!(busy > 0.0 && later > busy / 2.0 && later < busy);
+    assert!(appetite.is_asked(ms(9_000), &model("m1")));
+    assert!(!appetite.is_asked(ms(11_000), &model("m1")));
+}
--- /dev/null
+++ b/tests/gateway/balance.rs
@@ -0,0 +1,154 @@
+//! Routing: where requests go under which load.
+
+use super::build::{SERVICE, backend, deployment, generation, holdings, ms, site, target, worker};
+use poplarseam::decide::balance::{Balance, Choice, Need, Running};
+use poplarseam::world::backend::Backend;
+use std::collections::BTreeMap;
+
+fn need(text: &str) -> Need {
+    Need {
+        service: SERVICE.parse().unwrap(),
+        generation: Some(generation(text, 2_000)),
+        draw: 7,
+    }
+}
+
+fn balance(backends: Vec<Backend>) -> Balance {
+    let mut balance = Balance::new(&deployment("north-1"));
+    balance.on_site(&site());
+    for backend in backends {
+        balance.on_listed(backend);
+    }
+    balance
+}
+
+fn chosen(balance: &Balance, text: &str) -> String {
+    match balance.choose(ms(100), &need(text), &[]) {
+        Choice::Send(worker, _) => worker.to_string(),
+        other => format!("{other:?}"),
+    }
+}
+
+#[test]
+fn own_sends_count_at_once() {
+    let mut balance = balance(vec![
+        backend("a", "north-1", "m1"),
+        backend("b", "north-1", "m1"),
+    ]);
+    let first = chosen(&balance, "m1");
+    balance.on_sent(&worker(&first), &need("m1"));
+    assert_ne!(chosen(&balance, "m1"), first);
+}
+
+#[test]
+fn what_peers_have_running_counts_until_it_is_old() {
+    let mut balance = balance(vec![
+        backend("a", "north-1", "m1"),
+        backend("b", "north-2", "m1"),
+    ]);
+    let running = Running {
+        requests: 4,
+        unread: 8_000,
+        kept: 8_000,
+    };
+    let loads = BTreeMap::from([(worker("a"), running)]);
+    balance.on_peer(ms(0), &"two".parse().unwrap(), &loads);
+    assert_eq!(chosen(&balance, "m1"), "b");
+    let later = balance.choose(ms(5_000), &need("m1"), &[]);
+    assert!(matches!(later, Choice::Send(id, _) if id == worker("a")));
+}
+
+#[test]
+fn the_paid_link_is_taken_only_when_it_gains() {
+    let mut balance = balance(vec![
+        backend("near", "north-2", "m1"),
+        backend("far", "south-1", "m1"),
+    ]);
+    assert_eq!(chosen(&balance, "m1"), "near");
+    for _ in 0..4 {
+        balance.on_sent(&worker("near"), &need("m1"));
+    }
+    assert_eq!(chosen(&balance, "m1"), "far");
+}
+
+#[test]
+fn a_missing_model_and_a_missing_adapter_are_told_apart() {
+    let balance = balance(vec![backend("a", "north-1", "m1/a1")]);
+    assert_eq!(chosen(&balance, "m1/a1"), "a");
+    assert_eq!(chosen(&balance, "m1/a2"), "NoAdapter");
+    assert_eq!(chosen(&balance, "m2"), "NoModel");
+}
+
+#[test]
+fn a_server_that_leaves_gets_nothing_more() {
+    let mut balance = balance(vec![backend("a", "north-1", "m1")]);
+    let mut leaving = backend("a", "north-1", "m1");
+    leaving.leaving = true;
+    balance.on_listed(leaving);
+    balance.on_listed(backend("a", "north-1", "m1"));
+    assert_eq!(chosen(&balance, "m1"), "Nobody");
+}
+
+#[test]
+fn a_model_about_to_be_unloaded_gets_nothing_more() {
+    let mut balance = balance(vec![backend("a", "north-1", "m1")]);
+    let closing = [super::build::model("m1")].into();
+    balance.on_holdings(&worker("a"), holdings("m1"), closing);
+    assert_eq!(chosen(&balance, "m1"), "NoModel");
+}
+
+#[test]
+fn a_server_that_can_not_be_reached_rests_while_others_serve() {
+    let mut balance = balance(vec![
+        backend("a", "north-1", "m1"),
+        backend("b", "south-1", "m1"),
+    ]);
+    balance.on_unreachable(ms(100), &worker("a"));
+    assert_eq!(chosen(&balance, "m1"), "b");
+    let later = balance.choose(ms(2_000), &need("m1"), &[]);
+    assert!(matches!(later, Choice::Send(id, _) if id == worker("a")));
+}
+
+#[test]
+fn the_only_server_is_used_even_while_it_rests() {
+    let mut balance = balance(vec![backend("a", "north-1", "m1")]);
+    balance.on_unreachable(ms(100), &worker("a"));
+    assert_eq!(chosen(&balance, "m1"), "a");
+}
+
+#[test]
+fn a_slow_server_gets_less() {
+    let mut balance = balance(vec![
+        backend("a", "north-1", "m1"),
+        backend("b", "north-2", "m1"),
+    ]);
+    for _ in 0..50 {
+        balance.on_served(&worker("a"), 0.1, ms(400));
+        balance.on_served(&worker("b"), 0.1, ms(100));
+    }
+    assert_eq!(chosen(&balance, "m1"), "b");
+}
+
+#[test]
+fn a_restarted_server_begins_without_history() {
+    let mut balance = balance(vec![backend("a", "north-1", "m1")]);
+    balance.on_sent(&worker("a"), &need("m1"));
+    let mut restarted = backend("a", "north-1", "");
+    restarted.boot.0 += 1;
+    balance.on_listed(restarted);
+    assert_eq!(balance.own(), BTreeMap::new());
+    assert_eq!(chosen(&balance, "m1"), "NoModel");
+}
+
+#[test]
+fn a_missing_adapter_goes_where_a_place_is_free() {
+    let balance = balance(vec![
+        backend("a", "north-1", "m1/a1 m1/a2"),
+        backend("b", "north-2", "m1"),
+    ]);
+    let place = balance.place_for(ms(0), &need("m1/a3"), |_| true);
+    assert_eq!(place, Some(worker("b")));
+    let place = balance.place_for(ms(0), &need("m1/a3"), |id| *id == worker("a"));
+    assert_eq!(place, Some(worker("a")));
+    let _ = target("m1/a3");
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,12 @@
+//! The decisions and formats of the gateway, without processes or a network.
+
+mod appetite;
+mod arrange;
+mod balance;
+mod build;
+mod fleet;
+mod lease;
+mod names;
+mod orders;
+mod platform;
+mod roster;
--- /dev/null
+++ b/tests/gateway/names.rs
@@ -0,0 +1,61 @@
+//! The platform's names stay in the folder that speaks its language.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// Names that the product's own interface for callers had before.
+const SHARED: [&str; 2] = ["X-Deadline-Ms", "X-Request-Id"];
+
+const NAMES: [&str; 20] = [
+    "X-Expected-Instance",
+    "X-Model-Name",
+    "X-Token-Usage",
+    "X-Prompt-Prefix",
+    "X-Not-Executed",
+    "X-Response-Signature",
+    "X-Request-Priority",
+    "X-Instance-Load",
+    "PathPrefix",
+    "MaxAttempts",
+    "TimeoutMs",
+    "TargetLatencyMs",
+    "FencingToken",
+    "WeightsMb",
+    "rows-tx",
+    "rows-get",
+    "rows-feed",
+    "/v1/order",
+    "/v1/report",
+    "/v1/readyz",
+];
+
+fn sources(folder: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder)
+        .unwrap()
+        .map(|entry| entry.unwrap().path());
+    let nested = entries.map(|path| {
+        if path.is_dir() {
+            sources(&path)
+        } else {
+            vec![path]
+        }
+    });
+    nested.flatten().collect()
+}
+
+#[test]
+fn platform_names_stand_in_its_folder_only() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    for path in sources(&root) {
+        if path.starts_with(root.join("platform")) {
+            continue;
+        }
+        let text = fs::read_to_string(&path).unwrap().to_lowercase();
+        let own = path.starts_with(root.join("node")) || path.ends_with("src/command.rs");
+        let shared = SHARED.iter().filter(|_| !own);
+        for name in NAMES.iter().chain(shared) {
+            let found = text.contains(&name.to_lowercase());
+            assert!(!found, "{} names {name}", path.display());
+        }
+    }
+}
--- /dev/null
+++ b/tests/gateway/platform.rs
@@ -0,0 +1,240 @@
+//! The platform's formats, as they are read and written.
+
+use super::build::{holdings, model, ms, target, worker};
+use hyper::{Request, Response};
+use poplarseam::platform::{config, request, rows, settings, worker as wire};
+use poplarseam::world::message::Outcome;
+use poplarseam::world::order::{Action, Order};
+use poplarseam::world::site::Repeat;
+use poplarseam::world::table::Txn;
+use poplarseam::world::unit::{Bytes, Fence, Incarnation};
+use rstest::rstest;
+use serde_json::{Value, json};
+
+fn settings_file() -> Value {
+    json!({
+        "NodeName": "edge-1", "Zone": "north-1", "Zones": {"north-1": "north"}, "Ip": "127.0.0.1",
+        "Listen": {"Frontend": "127.0.0.1:1", "Ready": "127.0.0.1:2"}, "InternalPorts": [10, 20],
+        "Bounds": {"GraceS": 8, "LeaseMs": 3000, "RetryBudgetRatio": 0.2, "BudgetExtra": 56,
+            "BudgetWindowS": 10, "CeilingWindowS": 5},
+        "Platform": {"Address": "127.0.0.1:3"}, "SomethingNew": 1,
+    })
+}
+
+#[test]
+fn settings_are_read_and_new_fields_are_ignored() {
+    let read = settings::decode(&settings_file().to_string()).unwrap();
+    assert_eq!(read.instance.as_str(), "edge-1");
+    assert_eq!(read.peers.port(), 10);
+    assert_eq!(read.bounds.lease, ms(3_000));
+}
+
+#[rstest]
+#[case::missing("Listen", Value::Null)]
+#[case::type_of_another("Bounds", json!({"GraceS": "eight"}))]
+#[case::one_port("InternalPorts", json!([10, 10]))]
+fn wrong_settings_say_what_and_where(#[case] field: &str, #[case] value: Value) {
+    let mut file = settings_file();
+    file[field] = value;
+    let error = settings::decode(&file.to_string()).unwrap_err().to_string();
+    assert!(error.contains("POPLARSEAM_SETTINGS"), "{error}");
+    assert!(error.contains("let the platform write it anew"), "{error}");
+}
+
+fn site() -> Value {
+    let route = |name: &str, kind: &str, resumable: bool| {
+        json!({"Name": name, "Hostname": "h", "PathPrefix": format!("/{name}/"), "Type": kind,
+            "TimeoutMs": 5000, "TargetLatencyMs": 800, "Priority": 1, "Service": "s",
+            "MaxAttempts": 2, "Resumable": resumable})
+    };
+    let mut split = route("split", "safe", false);
+    split["Service"] = Value::Null;
+    split["TrafficSplit"] = json!([{"Service": "s", "Weight": 90}, {"Service": "t", "Weight": 10}]);
+    json!({
+        "Version": 7,
+        "Routes": [route("a", "streaming", true), route("b", "streaming", false),
+            route("c", "unsafe", false), route("a/deep", "safe", false), split],
+        "Services": [{"Name": "s", "MaxConnections": 370, "Engine": {"Slots": 64,
+            "KvCapacity": 1000, "WeightsMb": 200.5, "AdapterCapacity": 8, "LoadsPerS": 1.6,
+            "Models": [{"Name": "m1", "WeightsMb": 65.1, "LoadTimeS": 1.2, "Adapters": 3,
+                "AdapterSizeMb": 0.5}]}}],
+        "Limits": {"MaxHeaderBytes": 100, "MaxBodyBytes": 200, "IdleTimeoutMs": 15000},
+    })
+}
+
+#[test]
+fn a_configuration_is_read() {
+    let site = config::decode(site().to_string().as_bytes()).unwrap();
+    assert_eq!(site.version.0, 7);
+    let repeat = |path: &str| site.route("h", path).unwrap().repeat;
+    assert_eq!(repeat("/a/x"), Repeat::Resume);
+    assert_eq!(repeat("/b/x"), Repeat::Stream);
+    assert_eq!(repeat("/c/x"), Repeat::Never);
+    assert_eq!(repeat("/a/deep/x"), Repeat::Safe);
+    assert!(site.route("h", "/none/").is_none());
+    assert!(site.route("other", "/a/").is_none());
+    let engine = site
+        .services
+        .values()
+        .next()
+        .unwrap()
+        .engine
+        .as_ref()
+        .unwrap();
+    assert_eq!(engine.memory, Bytes(200_500_000));
+    assert_eq!(engine.models[&model("m1")].adapter_size, Bytes(500_000));
+}
+
+#[test]
+fn shares_of_a_route_follow_the_draw() {
+    let site = config::decode(site().to_string().as_bytes()).unwrap();
+    let route = site.route("h", "/split/").unwrap();
+    assert_eq!(route.service(0.5).unwrap().as_str(), "s");
+    assert_eq!(route.service(0.95).unwrap().as_str(), "t");
+    assert_eq!(route.service(1.0).unwrap().as_str(), "t");
+}
+
+fn entry() -> Value {
+    json!({"Service": "s", "Address": "127.0.0.1:1", "Zone": "north-1", "Slots": 64,
+        "State": "ready", "Sequence": 412, "born": 1_785_548_337_053_u64,
+        "Models": [{"Name": "m1", "Version": 1, "Adapters": ["a1"]}],
+        "Available": {"InMemory": ["m1"], "OnDisk": ["m1", "m2"]}})
+}
+
+#[test]
+fn an_entry_is_read() {
+    let read = wire::decode("i-1", entry().to_string().as_bytes()).unwrap();
+    assert_eq!(read.holdings, holdings("m1/a1"));
+    assert_eq!(read.copies, [model("m1"), model("m2")].into());
+    assert!(!read.leaving);
+}
+
+#[rstest]
+#[case::missing("Address", Value::Null)]
+#[case::another_type("Slots", json!("many"))]
+#[case::unknown_state("State", json!("dreaming"))]
+#[case::part_of_a_millisecond("born", json!(1.5))]
+fn an_entry_of_another_writer_names_no_server(#[case] field: &str, #[case] value: Value) {
+    let mut entry = entry();
+    entry[field] = value;
+    let error = wire::decode("i-1", entry.to_string().as_bytes()).unwrap_err();
+    assert!(error.to_string().contains("servers/i-1"), "{error}");
+}
+
+#[test]
+fn an_order_carries_its_condition() {
+    let order = Order {
+        worker: worker("i-1"),
+        boot: Incarnation(1),
+        action: Action::Load(target("m1/a3")),
+        expected: 2,
+        holder: "edge-1".parse().unwrap(),
+        fence: Fence(41),
+    };
+    let body: Value = serde_json::from_slice(&wire::encode_order(&order)).unwrap();
+    let wanted = json!({"Operation": "load", "Model": "m1", "Adapter": "a3", "Expected": 2,
+        "Holder": "edge-1", "FencingToken": 41});
+    assert_eq!(body, wanted);
+}
+
+#[test]
+fn headers_that_are_the_systems_to_set_are_dropped_and_set() {
+    let head = Request::builder()
+        .header("host", "h")
+        .header("x-request-id", "r1")
+        .header("x-pin-ms", "4000")
+        .header("x-hold-request", "1")
+        .header("kv-from", "127.0.0.1:1/x")
+        .header("connection", "close, x-odd")
+        .header("x-odd", "1")
+        .header("x-model-name", "m1/a1")
+        .header("x-deadline-ms", "5000");
+    let (head, ()) = head.body(()).unwrap().into_parts();
+    let id = worker("i-1");
+    let stamp = request::Stamp {
+        worker: &id,
+        left: ms(4_321),
+        priority: Some(1),
+        last_event: None,
+    };
+    let sent = request::encode(&head.headers, &stamp);
+    for dropped in [
+        "x-pin-ms",
+        "x-hold-request",
+        "kv-from",
+        "connection",
+        "x-odd",
+    ] {
+        assert!(!sent.contains_key(dropped), "{dropped}");
+    }
+    let value = |name: &str| sent[name].to_str().unwrap().to_owned();
+    assert_eq!(value("x-expected-instance"), "i-1");
+    assert_eq!(value("x-deadline-ms"), "4321");
+    assert_eq!(value("x-request-priority"), "1");
+    assert_eq!(value("x-model-name"), "m1/a1");
+}
+
+#[test]
+fn a_request_is_read() {
+    let head = Request::builder()
+        .header("host", "h:80")
+        .header("x-request-id", "r1")
+        .header("x-model-name", "m1/a1")
+        .header("x-token-usage", "1460,80")
+        .header("x-prompt-prefix", "5c1e07a2:800,91bd3f06:410");
+    let (head, ()) = head.body(()).unwrap().into_parts();
+    let read = request::decode(&head).unwrap();
+    let generation = read.generation.unwrap();
+    assert_eq!(read.host, "h");
+    assert_eq!((generation.prompt.0, generation.output.0), (1_460, 80));
+    assert_eq!(generation.parts.len(), 2);
+    assert_eq!(generation.parts[0].id, 0x5c1e_07a2);
+}
+
+#[rstest]
+#[case::signed(200, &[("x-request-id", "r1"), ("x-response-signature", "s")], Outcome::Success)]
+#[case::unsigned(200, &[("x-request-id", "r1")], Outcome::Foreign)]
+#[case::of_another_request(200, &[("x-request-id", "r2"), ("x-response-signature", "s")], Outcome::Foreign)]
+#[case::without_id(200, &[("x-response-signature", "s")], Outcome::Foreign)]
+#[case::encoded(200, &[("x-request-id", "r1"), ("x-response-signature", "s"), ("content-encoding", "gzip")], Outcome::Foreign)]
+#[case::full(503, &[("x-not-executed", "1")], Outcome::Full)]
+#[case::another_worker(421, &[("x-instance-id", "i-2")], Outcome::Misdirected)]
+#[case::failed(500, &[("x-request-id", "r1")], Outcome::Failed)]
+#[case::without_room_but_may_have_run(503, &[("x-request-id", "r1")], Outcome::Failed)]
+#[case::rejected(400, &[("x-request-id", "r1")], Outcome::Rejected)]
+fn answers_are_told_apart(
+    #[case] status: u16,
+    #[case] headers: &[(&str, &str)],
+    #[case] outcome: Outcome,
+) {
+    let mut head = Response::builder().status(status);
+    for (name, value) in headers {
+        head = head.header(*name, *value);
+    }
+    let (head, ()) = head.body(()).unwrap().into_parts();
+    assert_eq!(request::decode_answer("r1", &head).outcome, outcome);
+}
+
+#[test]
+fn a_transaction_carries_its_conditions() {
+    let txn = Txn::default()
+        .put("lease", 3, json!({"a": 1}))
+        .put("old", 4, Value::Null);
+    let body: Value = serde_json::from_slice(&rows::encode_commit(&txn)).unwrap();
+    assert_eq!(body["Expected"][0]["Ver"], 3);
+    assert_eq!(body["Put"][0]["Value"], "eyJhIjoxfQ==");
+    assert_eq!(body["Remove"][0]["Key"], "old");
+}
+
+#[test]
+fn a_page_of_rows_is_read() {
+    let body = json!({"Rows": [{"Key": "a", "Value": "eyJhIjoxfQ==", "Ver": 3},
+        {"Key": "b", "Ver": 4, "Tombstone": true}, {"Key": "c", "Value": "?", "Ver": 5}],
+        "HasMore": true, "Ver": 9, "NowMs": 1});
+    let page = rows::decode_page(body.to_string().as_bytes()).unwrap();
+    assert!(page.more);
+    assert_eq!(page.version, 9);
+    assert_eq!(page.rows[0].value.as_deref(), Some(&b"{\"a\":1}"[..]));
+    assert_eq!(page.rows[1].value, None);
+    assert_eq!(page.rows[2].value, Some(Vec::new()));
+}
--- /dev/null
+++ b/tests/gateway/roster.rs
@@ -0,0 +1,88 @@
+//! The list of servers from batches in any order.
+
+use super::build::{backend, ms, worker};
+use poplarseam::decide::roster::{Batch, Change, Entry, Roster};
+
+/// A batch of entries, written with the version and whether the server is there.
+fn batch(from: u64, to: u64, entries: &[(&str, u64, bool)]) -> Batch {
+    let entries = entries.iter().map(|(name, version, is_there)| Entry {
+        worker: worker(name),
+        version: *version,
+        backend: is_there.then(|| backend(name, "north-1", "")),
+    });
+    Batch {
+        from,
+        to,
+        entries: entries.collect(),
+        trusted: true,
+    }
+}
+
+fn known() -> Roster {
+    let mut roster = Roster::default();
+    let changes = roster.on_batch(ms(0), batch(0, 10, &[("a", 3, true), ("b", 5, true)]));
+    assert_eq!(changes.len(), 2);
+    roster
+}
+
+#[test]
+fn an_older_row_never_replaces_a_newer_one() {
+    let mut roster = known();
+    assert_eq!(
+        roster
+            .on_batch(ms(1), batch(10, 12, &[("a", 12, false)]))
+            .len(),
+        1
+    );
+    assert_eq!(
+        roster.on_batch(ms(2), batch(2, 11, &[("a", 11, true)])),
+        vec![]
+    );
+    assert_eq!(roster.version(), 12);
+}
+
+#[test]
+fn a_gap_is_noticed_and_its_rows_still_count() {
+    let mut roster = known();
+    let changes = roster.on_batch(ms(1), batch(14, 16, &[("c", 16, true)]));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(roster.version(), 10);
+    roster.on_batch(ms(2), batch(10, 16, &[]));
+    assert_eq!(roster.version(), 16);
+}
+
+#[test]
+fn a_server_that_a_whole_list_misses_is_gone() {
+    let mut roster = known();
+    let changes = roster.on_batch(ms(1), batch(0, 20, &[("a", 3, true)]));
+    assert_eq!(changes, vec![Change::Unlisted(worker("b"))]);
+}
+
+#[test]
+fn an_answer_from_the_past_takes_nobody_away() {
+    let mut roster = known();
+    roster.on_batch(ms(1), batch(10, 12, &[("c", 12, true)]));
+    assert_eq!(
+        roster.on_batch(ms(2), batch(0, 11, &[("a", 3, true), ("b", 5, true)])),
+        vec![]
+    );
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_has_time_to_come_back() {
+    let mut roster = known();
+    let mut lapsed = batch(10, 12, &[("a", 11, false), ("b", 12, false)]);
+    lapsed.trusted = false;
+    assert_eq!(roster.on_batch(ms(0), lapsed), vec![]);
+    let back = roster.on_batch(ms(1_000), batch(12, 13, &[("a", 13, true)]));
+    assert_eq!(back.len(), 1);
+    assert_eq!(roster.tick(ms(1_700)), vec![]);
+    assert_eq!(roster.tick(ms(1_900)), vec![Change::Unlisted(worker("b"))]);
+}
+
+#[test]
+fn a_server_that_leaves_in_a_calm_time_is_gone_at_once() {
+    let mut roster = known();
+    let changes = roster.on_batch(ms(1), batch(10, 12, &[("a", 12, false)]));
+    assert_eq!(changes, vec![Change::Unlisted(worker("a"))]);
+}
--- a/tests/wire_generated.rs
+++ b/tests/wire_generated.rs
@@ -11,8 +11,7 @@
     let committed = root.join(committed);
     let out = std::env::temp_dir().join(format!("poplarseam-proto-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&out).unwrap();
-    let descriptors =
-        protox::compile([format!("{name}.proto")], [root.join("proto")]).unwrap();
+    let descriptors = protox::compile([format!("{name}.proto")], [root.join("proto")]).unwrap();
     prost_build::Config::new()
         .out_dir(&out)
         .compile_fds(descriptors)
