--- a/src/decide/appetite.rs
+++ b/src/decide/appetite.rs
@@ -3,6 +3,7 @@
 //! Each instance tells the tokens that its callers asked for since it started. Rates rise within
 //! seconds and fall more slowly, so that a short lull drops no copy.
 
+use super::tally::{Source, Tally};
 use crate::common::*;
 use crate::world::id;
 use crate::world::message::Target;
@@ -28,27 +29,24 @@
 /// Demand for each target.
 #[derive(Debug, Clone, Default)]
 pub struct Appetite {
-    told: Map<(id::Instance, Target), (Incarnation, u64)>,
+    told: Tally,
     rates: BTreeMap<Target, Rate>,
     stepped_at: Duration,
 }
 
 impl Appetite {
-    /// Takes the tokens that an instance's callers asked for since it started.
+    /// Takes the tokens that callers asked for since the source started.
     pub fn on_told(
         &mut self,
         now: Duration,
-        instance: &id::Instance,
+        source: &Source,
         incarnation: Incarnation,
         target: Target,
         total: u64,
     ) {
-        let key = (instance.clone(), target.clone());
-        let (known, before) = self.told.get(&key).copied().unwrap_or_default();
-        let before = if known == incarnation { before } else { 0 };
-        if incarnation >= known && total > before {
-            self.told.insert(key, (incarnation, total));
-            self.on_asked(now, target, total - before);
+        let added = self.told.on_told(source, incarnation, &target, total);
+        if added > 0 {
+            self.on_asked(now, target, added);
         }
     }
 
--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -45,6 +45,9 @@
 const GREY: f64 = 0.3;
 const GREY_COST: f64 = 1.0;
 
+/// Prefix of the peers that stand for all instances of another data centre.
+pub const SUM: &str = "sum.";
+
 /// What a request needs of a backend server.
 #[derive(Debug, Clone)]
 pub struct Need {
@@ -77,6 +80,16 @@
     pub kept: u64,
 }
 
+impl Running {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            unread: self.unread + other.unread,
+            kept: self.kept + other.kept,
+        }
+    }
+}
+
 /// What is known of one server.
 #[derive(Debug, Clone, Serialize)]
 pub struct View {
@@ -120,11 +133,7 @@
     pub fn running(&self, now: Duration) -> Running {
         let fresh = self.peers.values();
         let fresh = fresh.filter(|(at, _)| now < *at + PEER_MEMORY);
-        fresh.fold(self.own, |sum, (_, peer)| Running {
-            requests: sum.requests + peer.requests,
-            unread: sum.unread + peer.unread,
-            kept: sum.kept + peer.kept,
-        })
+        fresh.fold(self.own, |sum, (_, peer)| sum.plus(*peer))
     }
 
     fn holds(&self, target: &Target) -> bool {
@@ -222,6 +231,19 @@
             .collect()
     }
 
+    /// What this instance and its peers in the data centre have running, at all servers.
+    #[must_use]
+    pub fn near(&self, now: Duration) -> BTreeMap<id::Worker, Running> {
+        let views = self.views.iter().map(|(worker, view)| {
+            let peers = view.peers.iter();
+            let peers = peers.filter(|(peer, _)| !peer.as_str().starts_with(SUM));
+            let fresh = peers.filter(|(_, (at, _))| now < *at + PEER_MEMORY);
+            let near = fresh.fold(view.own, |sum, (_, (_, running))| sum.plus(*running));
+            (worker.clone(), near)
+        });
+        views.filter(|(_, running)| running.requests > 0).collect()
+    }
+
     /// Notes that a request was sent; what it adds is to be given back by [`Self::on_ended`].
     pub fn on_sent(&mut self, worker: &id::Worker, need: &Need) -> Running {
         let Some(view) = self.views.get_mut(worker) else {
--- /dev/null
+++ b/src/decide/tally.rs
@@ -0,0 +1,43 @@
+//! Increments out of totals that instances tell, in any order and with gaps.
+
+use crate::common::*;
+use crate::world::id;
+use crate::world::message::Target;
+use crate::world::unit::Incarnation;
+
+/// Who told a total: an instance of itself, or the speaker of a data centre for all of it.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Source {
+    pub instance: id::Instance,
+    pub is_sum: bool,
+}
+
+/// The newest total of each source and target.
+#[derive(Debug, Clone, Default)]
+pub struct Tally {
+    told: Map<(Source, Target), (Incarnation, u64)>,
+}
+
+impl Tally {
+    /// What a total adds to what was told before.
+    ///
+    /// The first total of a new speaker adds nothing: the speaker before told most of it.
+    pub fn on_told(
+        &mut self,
+        source: &Source,
+        incarnation: Incarnation,
+        target: &Target,
+        total: u64,
+    ) -> u64 {
+        let key = (source.clone(), target.clone());
+        let known = self.told.get(&key).copied();
+        let is_first = known.is_none() && source.is_sum;
+        let (known, before) = known.unwrap_or_default();
+        let before = if known == incarnation { before } else { 0 };
+        if incarnation < known || total <= before {
+            return 0;
+        }
+        self.told.insert(key, (incarnation, total));
+        if is_first { 0 } else { total - before }
+    }
+}
--- /dev/null
+++ b/src/decide/topology.rs
@@ -0,0 +1,202 @@
+//! Which instances there are, and who tells whom.
+//!
+//! Within a data centre every instance tells every other one. Between data centres one instance
+//! of each, its speaker, tells the sum for all; what it is told is passed on within the data centre
+//! that hears it. So the messages of an instance grow with its data centre and not with the site.
+
+use crate::common::*;
+use crate::world::deployment::Deployment;
+use crate::world::id;
+
+/// A peer that is silent this long does not speak for its data centre.
+const SILENT: Duration = Duration::from_millis(1_500);
+/// A peer that is silent this long has no share of what all instances may do together.
+const GONE: Duration = Duration::from_secs(3);
+
+/// One instance.
+#[derive(Debug, Clone)]
+struct Member {
+    address: SocketAddr,
+    data_centre: id::DataCentre,
+    incarnation: u64,
+    sequence: u64,
+    heard: Option<Duration>,
+}
+
+/// A datagram's sender, as it describes itself.
+#[derive(Debug, Clone)]
+pub struct Sender {
+    pub instance: id::Instance,
+    pub address: SocketAddr,
+    pub data_centre: id::DataCentre,
+    pub incarnation: u64,
+    pub sequence: u64,
+}
+
+/// What to do with a datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// A later start of its sender is known.
+    Outdated,
+    /// A later datagram of its sender was taken already.
+    Overtaken,
+    Newest,
+}
+
+/// What one data centre tells others of itself.
+#[derive(Debug, Clone)]
+struct Summary {
+    speaker: SocketAddr,
+    heard: Duration,
+    instances: u32,
+}
+
+/// All instances, as one of them sees them.
+#[derive(Debug)]
+pub struct Topology {
+    me: id::Instance,
+    here: id::DataCentre,
+    members: BTreeMap<id::Instance, Member>,
+    summaries: BTreeMap<id::DataCentre, Summary>,
+    turn: usize,
+}
+
+impl Topology {
+    /// A view that holds nobody else yet.
+    #[must_use]
+    pub fn new(deployment: &Deployment) -> Self {
+        Self {
+            me: deployment.instance.clone(),
+            here: deployment.data_centre.clone(),
+            members: BTreeMap::new(),
+            summaries: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// Takes an instance from the list in the store.
+    pub fn on_listed(
+        &mut self,
+        instance: id::Instance,
+        address: SocketAddr,
+        data_centre: id::DataCentre,
+    ) {
+        if instance == self.me {
+            return;
+        }
+        let member = self.members.entry(instance).or_insert(Member {
+            address,
+            data_centre: data_centre.clone(),
+            incarnation: 0,
+            sequence: 0,
+            heard: None,
+        });
+        if member.heard.is_none() {
+            member.address = address;
+            member.data_centre = data_centre;
+        }
+    }
+
+    /// Takes the sender of a datagram; says besides whether it was silent before.
+    pub fn on_heard(&mut self, now: Duration, sender: &Sender) -> (Standing, bool) {
+        let member = self.members.entry(sender.instance.clone());
+        let member = member.or_insert(Member {
+            address: sender.address,
+            data_centre: sender.data_centre.clone(),
+            incarnation: 0,
+            sequence: 0,
+            heard: None,
+        });
+        if sender.incarnation < member.incarnation {
+            return (Standing::Outdated, false);
+        }
+        let was_silent = !is_within(now, member.heard, GONE);
+        member.heard = Some(now);
+        member.address = sender.address;
+        member.data_centre.clone_from(&sender.data_centre);
+        let order = (sender.incarnation, sender.sequence);
+        if order <= (member.incarnation, member.sequence) {
+            return (Standing::Overtaken, was_silent);
+        }
+        (member.incarnation, member.sequence) = order;
+        (Standing::Newest, was_silent)
+    }
+
+    /// Takes the summary of another data centre, from its speaker.
+    pub fn on_summary(&mut self, now: Duration, sender: &Sender, instances: u32) {
+        let summary = Summary {
+            speaker: sender.address,
+            heard: now,
+            instances,
+        };
+        self.summaries.insert(sender.data_centre.clone(), summary);
+    }
+
+    /// Whether this instance speaks for its data centre: the first by name of those heard.
+    #[must_use]
+    pub fn is_speaker(&self, now: Duration) -> bool {
+        let before = self.members.range(..self.me.clone());
+        let mut near = before.filter(|(_, member)| member.data_centre == self.here);
+        near.all(|(_, member)| !is_within(now, member.heard, SILENT))
+    }
+
+    /// Instances of this data centre that are heard, this one included.
+    #[must_use]
+    pub fn near_count(&self, now: Duration) -> u32 {
+        let near = self.members.values();
+        let near = near.filter(|member| member.data_centre == self.here);
+        let heard = near.filter(|member| is_within(now, member.heard, GONE));
+        u32::try_from(heard.count()).unwrap_or(u32::MAX - 1) + 1
+    }
+
+    /// Instances of the site that are heard or summed up, this one included.
+    #[must_use]
+    pub fn count(&self, now: Duration) -> u32 {
+        let others = self.summaries.values();
+        let others = others.filter(|summary| now < summary.heard + GONE);
+        self.near_count(now) + others.map(|summary| summary.instances).sum::<u32>()
+    }
+
+    /// Addresses of all peers in this data centre.
+    #[must_use]
+    pub fn near(&self) -> Vec<SocketAddr> {
+        let near = self.members.values();
+        let near = near.filter(|member| member.data_centre == self.here);
+        near.map(|member| member.address).collect()
+    }
+
+    /// Addresses in each of some other data centres that pass on what they are told: the speaker
+    /// if it is heard, and others by turns up to `most`.
+    pub fn relays(
+        &mut self,
+        now: Duration,
+        most: usize,
+        is_wanted: impl Fn(&id::DataCentre) -> bool,
+    ) -> Vec<SocketAddr> {
+        self.turn += 1;
+        let mut centres: BTreeMap<&id::DataCentre, Vec<SocketAddr>> = BTreeMap::new();
+        for member in self.members.values() {
+            if member.data_centre != self.here && is_wanted(&member.data_centre) {
+                let members = centres.entry(&member.data_centre).or_default();
+                members.push(member.address);
+            }
+        }
+        let relays = centres.into_iter().flat_map(|(centre, mut members)| {
+            let summary = self.summaries.get(centre);
+            let speaker = summary.filter(|summary| now < summary.heard + SILENT);
+            let first = self.turn % members.len();
+            members.rotate_left(first);
+            if let Some(speaker) = speaker {
+                members.retain(|address| *address != speaker.speaker);
+                members.insert(0, speaker.speaker);
+            }
+            members.truncate(most);
+            members
+        });
+        relays.collect()
+    }
+}
+
+fn is_within(now: Duration, heard: Option<Duration>, span: Duration) -> bool {
+    heard.is_some_and(|at| now < at + span)
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -21,13 +21,13 @@
 /// Wants go out at once, but not more often than this.
 const GATHER: Duration = Duration::from_millis(2);
 
-/// Takes datagrams of peers.
+/// Takes datagrams of peers, and passes on those that are for the whole data centre.
 pub async fn listen(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; LARGEST];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => match Gossip::decode(&buffer[..length]) {
-                Ok(gossip) => traffic.on_gossip(gossip, from),
+                Ok(gossip) => take(&traffic, &socket, gossip).await,
                 Err(error) => log::warn!("a datagram of {from} can't be read: {error}"),
             },
             Err(error) => {
@@ -38,6 +38,17 @@
     }
 }
 
+async fn take(traffic: &Traffic, socket: &UdpSocket, mut gossip: Gossip) {
+    let passed_on = gossip.pass_on.then(|| {
+        gossip.pass_on = false;
+        gossip.encode_to_vec()
+    });
+    traffic.on_gossip(gossip);
+    if let Some(bytes) = passed_on {
+        send_bytes(socket, &bytes, &traffic.near()).await;
+    }
+}
+
 /// Tells the peers of a tier what runs here, often while it changes.
 pub async fn tell(traffic: Rc<Traffic>, socket: Rc<UdpSocket>, tier: Tier) {
     let pace = pace(tier);
@@ -45,13 +56,20 @@
     let mut told_at = Instant::now();
     loop {
         sleep(pace).await;
+        let peers = match tier {
+            Tier::DataCentre => traffic.near(),
+            Tier::Region | Tier::Far => traffic.told_of_sums(tier),
+        };
+        if peers.is_empty() && tier != Tier::DataCentre {
+            continue;
+        }
         let gossip = traffic.gossip(tier);
         if tier == Tier::DataCentre {
             traffic.tell_placer(&gossip);
         }
         let news = gossip.running != told.running || !gossip.demands.is_empty();
         if news || told_at.elapsed() >= SELDOM {
-            send(&socket, &gossip, &traffic.peers(tier)).await;
+            send(&socket, &gossip, &peers).await;
             told = gossip;
             told_at = Instant::now();
         }
@@ -80,7 +98,7 @@
         for batch in batches.into_iter().filter(|_| traffic.is_planner()) {
             let mut gossip = traffic.envelope();
             gossip.batch = Some(batch);
-            send(&socket, &gossip, &traffic.all_peers()).await;
+            broadcast(&traffic, &socket, gossip).await;
         }
     }
 }
@@ -97,7 +115,7 @@
             let mut gossip = traffic.envelope();
             gossip.leads.clone_from(&word.leads);
             gossip.holdings = part.to_vec();
-            send(&socket, &gossip, &traffic.all_peers()).await;
+            broadcast(&traffic, &socket, gossip).await;
         }
         for job in word.jobs {
             let holder = job.worker.parse().ok();
@@ -109,10 +127,20 @@
     }
 }
 
+/// Tells all instances: those of other data centres through their relays.
+async fn broadcast(traffic: &Traffic, socket: &UdpSocket, mut gossip: Gossip) {
+    send(socket, &gossip, &traffic.near()).await;
+    gossip.pass_on = true;
+    send(socket, &gossip, &traffic.relays()).await;
+}
+
 async fn send(socket: &UdpSocket, gossip: &Gossip, peers: &[SocketAddr]) {
-    let bytes = gossip.encode_to_vec();
+    send_bytes(socket, &gossip.encode_to_vec(), peers).await;
+}
+
+async fn send_bytes(socket: &UdpSocket, bytes: &[u8], peers: &[SocketAddr]) {
     for peer in peers {
-        if let Err(error) = socket.send_to(&bytes, peer).await {
+        if let Err(error) = socket.send_to(bytes, peer).await {
             log::debug!("no datagram to {peer}: {error}");
         }
     }
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -12,6 +12,7 @@
 use crate::decide::lease::{Action, Lease, Timing};
 use crate::decide::orders::Ledger;
 use crate::decide::roster::Change;
+use crate::decide::tally::Source;
 use crate::node::clock::Clock;
 use crate::platform::{request, worker};
 use crate::wire::generated_gossip::{Gossip, Held, Holding, Job, Lead};
@@ -26,6 +27,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::time::{MissedTickBehavior, interval};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Rows of the leases, one a shard.
 const LEASE: &str = "lease.shard.";
@@ -43,6 +45,8 @@
 /// other shards does so for each step of its preference.
 const LEAVE: Duration = Duration::from_millis(600);
 const PREFERENCE: Duration = Duration::from_millis(150);
+/// Span over which the instances of a site take turns at an open shard.
+const TURNS: Duration = Duration::from_millis(600);
 /// Longest time for a worker's answer to an order or a question.
 const ANSWER: Duration = Duration::from_millis(700);
 /// How often leases are told, and everything that workers hold is told again.
@@ -191,10 +195,14 @@
             return;
         };
         let incarnation = Incarnation(gossip.incarnation);
+        let source = Source {
+            instance: instance.clone(),
+            is_sum: gossip.is_sum,
+        };
         for demand in &gossip.demands {
             if let Ok(target) = demand.target.parse() {
                 let appetite = &mut self.fleet.appetite;
-                appetite.on_told(now, &instance, incarnation, target, demand.tokens);
+                appetite.on_told(now, &source, incarnation, target, demand.tokens);
             }
         }
         for want in &gossip.wants {
@@ -347,7 +355,9 @@
 
     /// How long this instance leaves the shard to others once it is open.
     fn patience(&self, instance: &id::Instance, held_count: u32) -> Duration {
-        LEAVE * held_count + PREFERENCE * self.shard.distance(instance)
+        let hash = xxh3_64(instance.as_str().as_bytes()) >> 32;
+        let turn = TURNS.mul_f64(f64::from(u32::try_from(hash).unwrap_or(0)) / f64::from(u32::MAX));
+        turn + LEAVE * held_count + PREFERENCE * self.shard.distance(instance)
     }
 }
 
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -6,10 +6,12 @@
 use super::placer;
 use super::pool::Pool;
 use crate::common::*;
-use crate::decide::balance::{Balance, Need, Running};
+use crate::decide::balance::{Balance, Need, Running, SUM};
 use crate::decide::fleet::Told;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
+use crate::decide::tally::{Source, Tally};
+use crate::decide::topology::{Sender, Standing, Topology};
 use crate::node::clock::Clock;
 use crate::platform::worker;
 use crate::wire::generated_gossip::{
@@ -36,8 +38,8 @@
 const ALONE: Duration = Duration::from_millis(1_500);
 /// Demand is told anew in whole after this time, for a holder that has just begun.
 const DEMAND_AGAIN: Duration = Duration::from_secs(2);
-/// A peer that is silent this long has no share of what all instances may do together.
-const PEER_GONE: Duration = Duration::from_secs(3);
+/// Instances of each other data centre that are told what a holder tells, should one be lost.
+const RELAYS: usize = 2;
 /// The word of a holder counts for this long.
 const HOLDER_MEMORY: Duration = Duration::from_millis(1_100);
 
@@ -59,7 +61,7 @@
     /// Wakes the task that tells peers.
     pub to_tell: Notify,
     budgets: RefCell<BTreeMap<id::Service, Budget>>,
-    members: RefCell<BTreeMap<id::Instance, Member>>,
+    topology: RefCell<Topology>,
     roster: RefCell<Roster>,
     /// Newest version of the list that a peer knows, and when one was last heard.
     heard_version: Cell<(u64, Duration)>,
@@ -67,7 +69,11 @@
     behind_since: Cell<Option<Duration>>,
     is_holder: Cell<bool>,
     interest: watch::Sender<Interest>,
+    /// Tokens that this instance's callers asked for.
     demands: RefCell<BTreeMap<Target, Asked>>,
+    /// Tokens that callers of the whole data centre asked for.
+    sums: RefCell<BTreeMap<Target, Asked>>,
+    tally: RefCell<Tally>,
     /// Adapters that requests wait for, where, and when the holder was told.
     wants: RefCell<BTreeMap<(id::Worker, Target), Duration>>,
     held: RefCell<BTreeMap<id::Worker, Told>>,
@@ -81,7 +87,7 @@
     placer: flume::Sender<Heard>,
 }
 
-/// How far a peer is; the farther, the less often it is told.
+/// How far a data centre is; the farther, the less often it is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Tier {
     DataCentre,
@@ -89,15 +95,6 @@
     Far,
 }
 
-#[derive(Debug, Clone)]
-struct Member {
-    address: SocketAddr,
-    tier: Tier,
-    incarnation: u64,
-    sequence: u64,
-    heard: Option<Duration>,
-}
-
 #[derive(Debug, Clone, Copy, Default)]
 struct Asked {
     tokens: u64,
@@ -131,6 +128,7 @@
         interest: watch::Sender<Interest>,
     ) -> Rc<Self> {
         let balance = Balance::new(&deployment);
+        let topology = RefCell::new(Topology::new(&deployment));
         Rc::new(Self {
             deployment,
             clock,
@@ -145,13 +143,15 @@
             changed: Notify::new(),
             to_tell: Notify::new(),
             budgets: RefCell::default(),
-            members: RefCell::default(),
+            topology,
             roster: RefCell::default(),
             heard_version: Cell::default(),
             behind_since: Cell::new(None),
             is_holder: Cell::new(false),
             interest,
             demands: RefCell::default(),
+            sums: RefCell::default(),
+            tally: RefCell::default(),
             wants: RefCell::default(),
             held: RefCell::default(),
             new_wants: RefCell::default(),
@@ -286,17 +286,11 @@
     }
 
     fn on_members(&self, listed: Vec<event::Member>) {
-        let mut members = self.members.borrow_mut();
-        for listed in listed {
-            if listed.instance != self.deployment.instance {
-                let tier = self.tier(&listed.data_centre);
-                let member = members.entry(listed.instance);
-                let member = member.or_insert(Member::at(listed.address, tier));
-                member.address = listed.address;
-                member.tier = tier;
-            }
+        let mut topology = self.topology.borrow_mut();
+        for member in listed {
+            topology.on_listed(member.instance, member.address, member.data_centre);
         }
-        drop(members);
+        drop(topology);
         self.demand_told_at.set([Duration::ZERO; 3]);
         self.to_tell.notify_one();
     }
@@ -336,8 +330,10 @@
 
     /// Notes what a caller asked for.
     pub fn on_asked(&self, target: &Target, tokens: u64) {
-        let mut demands = self.demands.borrow_mut();
-        demands.entry(target.clone()).or_default().tokens += tokens.max(1);
+        for demands in [&self.demands, &self.sums] {
+            let mut demands = demands.borrow_mut();
+            demands.entry(target.clone()).or_default().tokens += tokens.max(1);
+        }
     }
 
     /// Has an adapter loaded where the request would be served first.
@@ -378,10 +374,7 @@
     /// Instances that are heard, this one included.
     #[must_use]
     pub fn instances(&self) -> u32 {
-        let now = self.clock.now();
-        let members = self.members.borrow();
-        let heard = members.values().filter(|member| member.is_heard(now));
-        u32::try_from(heard.count()).unwrap_or(u32::MAX - 1) + 1
+        self.topology.borrow().count(self.clock.now())
     }
 
     /// Takes one repeat of the share of this instance, if one is left.
@@ -404,23 +397,43 @@
     }
 
     /// Takes a peer's datagram.
-    pub fn on_gossip(&self, gossip: Gossip, from: SocketAddr) {
+    pub fn on_gossip(&self, gossip: Gossip) {
         let now = self.clock.now();
-        let Ok(instance) = gossip.instance.parse::<id::Instance>() else {
+        let Some(sender) = sender(&gossip) else {
             return;
         };
-        let Some(is_newest) = self.on_member(now, &instance, &gossip, from) else {
+        let (standing, was_silent) = self.topology.borrow_mut().on_heard(now, &sender);
+        if standing == Standing::Outdated {
             return;
-        };
-        if let Some(running) = gossip.running.as_ref().filter(|_| is_newest) {
+        }
+        if was_silent {
+            self.demand_told_at.set([Duration::ZERO; 3]);
+            let values = json!({"instance": sender.instance, "heard": true});
+            self.journal.note("peer", &values);
+        }
+        let is_far = sender.data_centre != self.deployment.data_centre;
+        if gossip.is_sum && is_far {
+            let mut topology = self.topology.borrow_mut();
+            topology.on_summary(now, &sender, gossip.instances);
+        }
+        let running = gossip.running.as_ref();
+        if let Some(running) = running.filter(|_| standing == Standing::Newest) {
             let loads = running.loads.iter().filter_map(decode_load).collect();
-            self.balance.borrow_mut().on_peer(now, &instance, &loads);
+            let source = if gossip.is_sum {
+                format!("{SUM}{}", sender.data_centre).parse().unwrap_or_default()
+            } else {
+                sender.instance.clone()
+            };
+            self.balance.borrow_mut().on_peer(now, &source, &loads);
+        }
+        if !is_far && !gossip.is_sum {
+            self.add_to_sum(&sender, &gossip);
         }
         let (heard, at) = self.heard_version.get();
         let at = if gossip.leads.is_empty() { at } else { now };
         self.heard_version
             .set((heard.max(gossip.servers_version), at));
-        self.on_leads(now, &gossip.leads, Some(from));
+        self.on_leads(now, &gossip.leads, Some(sender.address));
         self.on_holdings(&gossip.holdings);
         if let Some(batch) = &gossip.batch {
             self.on_batch(batch);
@@ -430,37 +443,21 @@
         }
     }
 
-    /// Takes the sender of a datagram: whether the datagram is its newest, or none where a later
-    /// start of the sender is known.
-    fn on_member(
-        &self,
-        now: Duration,
-        instance: &id::Instance,
-        gossip: &Gossip,
-        from: SocketAddr,
-    ) -> Option<bool> {
-        let mut members = self.members.borrow_mut();
-        let is_new = !members.contains_key(instance);
-        let data_centre = gossip.data_centre.parse().unwrap_or_default();
-        let tier = self.tier(&data_centre);
-        let member = members.entry(instance.clone());
-        let member = member.or_insert(Member::at(from, tier));
-        if gossip.incarnation < member.incarnation {
-            return None;
-        }
-        if !member.is_heard(now) || is_new {
-            self.demand_told_at.set([Duration::ZERO; 3]);
-            self.journal
-                .note("peer", &json!({"instance": instance, "heard": true}));
-        }
-        let order = (gossip.incarnation, gossip.sequence);
-        let is_newest = order > (member.incarnation, member.sequence);
-        if is_newest {
-            (member.incarnation, member.sequence) = order;
+    /// Adds what a peer's callers asked for to the sum of this data centre.
+    fn add_to_sum(&self, sender: &Sender, gossip: &Gossip) {
+        let source = Source {
+            instance: sender.instance.clone(),
+            is_sum: false,
+        };
+        let incarnation = Incarnation(sender.incarnation);
+        let mut tally = self.tally.borrow_mut();
+        let mut sums = self.sums.borrow_mut();
+        for demand in &gossip.demands {
+            if let Ok(target) = demand.target.parse::<Target>() {
+                let added = tally.on_told(&source, incarnation, &target, demand.tokens);
+                sums.entry(target).or_default().tokens += added;
+            }
         }
-        member.heard = Some(now);
-        member.address = from;
-        Some(is_newest)
     }
 
     fn on_leads(&self, now: Duration, leads: &[Lead], address: Option<SocketAddr>) {
@@ -500,28 +497,30 @@
         self.on_holdings(&word.holdings);
     }
 
-    /// What to tell peers of a tier now.
+    /// What to tell peers of a tier now: what runs here, or in the whole data centre.
     pub fn gossip(&self, tier: Tier) -> Gossip {
         let now = self.clock.now();
-        self.sequence.set(self.sequence.get() + 1);
-        let own = self.balance.borrow().own();
-        let loads = own.into_iter().map(|(worker, running)| Load {
+        let is_sum = tier != Tier::DataCentre;
+        let loads = if is_sum {
+            self.balance.borrow().near(now)
+        } else {
+            self.balance.borrow().own()
+        };
+        let loads = loads.into_iter().map(|(worker, running)| Load {
             worker: worker.to_string(),
             requests: running.requests,
             unread: running.unread,
             kept: running.kept,
         });
         Gossip {
-            instance: self.deployment.instance.to_string(),
-            incarnation: self.incarnation.0,
-            sequence: self.sequence.get(),
-            data_centre: self.deployment.data_centre.to_string(),
             running: Some(Loads {
                 loads: loads.collect(),
             }),
             demands: self.take_demands(now, tier),
-            servers_version: self.roster.borrow().version(),
-            ..Gossip::default()
+            is_sum,
+            pass_on: is_sum,
+            instances: self.topology.borrow().near_count(now),
+            ..self.envelope()
         }
     }
 
@@ -533,6 +532,7 @@
             incarnation: self.incarnation.0,
             sequence: self.sequence.get(),
             data_centre: self.deployment.data_centre.to_string(),
+            address: self.deployment.peers.to_string(),
             servers_version: self.roster.borrow().version(),
             ..Gossip::default()
         }
@@ -545,7 +545,11 @@
             told_at[tier as usize] = now;
             self.demand_told_at.set(told_at);
         }
-        let mut demands = self.demands.borrow_mut();
+        let demands = match tier {
+            Tier::DataCentre => &self.demands,
+            Tier::Region | Tier::Far => &self.sums,
+        };
+        let mut demands = demands.borrow_mut();
         let told = demands.iter_mut();
         let told = told.filter(|(_, asked)| all || asked.tokens > asked.told[tier as usize]);
         let told = told.map(|(target, asked)| {
@@ -602,19 +606,29 @@
         first.is_some_and(|holder| holder.address.is_none())
     }
 
-    /// Addresses of the peers of a tier.
+    /// Addresses of all peers in this data centre.
+    #[must_use]
+    pub fn near(&self) -> Vec<SocketAddr> {
+        self.topology.borrow().near()
+    }
+
+    /// Addresses in the data centres of a tier that are told the sum for this one; none where
+    /// another instance speaks for it.
     #[must_use]
-    pub fn peers(&self, tier: Tier) -> Vec<SocketAddr> {
-        let members = self.members.borrow();
-        let members = members.values().filter(|member| member.tier == tier);
-        members.map(|member| member.address).collect()
+    pub fn told_of_sums(&self, tier: Tier) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let mut topology = self.topology.borrow_mut();
+        if !topology.is_speaker(now) {
+            return Vec::new();
+        }
+        topology.relays(now, 1, |data_centre| self.tier(data_centre) == tier)
     }
 
-    /// Addresses of all peers.
+    /// Addresses in all other data centres that pass on what a holder tells.
     #[must_use]
-    pub fn all_peers(&self) -> Vec<SocketAddr> {
-        let members = self.members.borrow();
-        members.values().map(|member| member.address).collect()
+    pub fn relays(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        self.topology.borrow_mut().relays(now, RELAYS, |_| true)
     }
 
     /// The address of the holder of a worker, where that is another instance.
@@ -624,20 +638,14 @@
     }
 }
 
-impl Member {
-    fn at(address: SocketAddr, tier: Tier) -> Self {
-        Self {
-            address,
-            tier,
-            incarnation: 0,
-            sequence: 0,
-            heard: None,
-        }
-    }
-
-    fn is_heard(&self, now: Duration) -> bool {
-        self.heard.is_some_and(|at| now < at + PEER_GONE)
-    }
+fn sender(gossip: &Gossip) -> Option<Sender> {
+    Some(Sender {
+        instance: gossip.instance.parse().ok()?,
+        address: gossip.address.parse().ok()?,
+        data_centre: gossip.data_centre.parse().ok()?,
+        incarnation: gossip.incarnation,
+        sequence: gossip.sequence,
+    })
 }
 
 fn is_heard(now: Duration, holders: &BTreeMap<Shard, Holder>, worker: &id::Worker) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,8 @@
     pub mod share;
     pub mod stream;
     pub mod suspect;
+    pub mod tally;
+    pub mod topology;
 }
 
 /// Frames between this system's processes.
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -35,6 +35,18 @@
     /// Changes of that list, from the planner.
     #[prost(message, optional, tag = "12")]
     pub batch: ::core::option::Option<Batch>,
+    /// Address of the sender for other instances.
+    #[prost(string, tag = "13")]
+    pub address: ::prost::alloc::string::String,
+    /// Whether to pass it on within the data centre of the receiver.
+    #[prost(bool, tag = "14")]
+    pub pass_on: bool,
+    /// Whether loads and demands are sums over the data centre of the sender.
+    #[prost(bool, tag = "15")]
+    pub is_sum: bool,
+    /// Instances that a sum is over.
+    #[prost(uint32, tag = "16")]
+    pub instances: u32,
 }
 /// Rows of the list of servers that changed after one version and up to another.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/gateway/appetite.rs
+++ b/tests/gateway/appetite.rs
@@ -2,14 +2,18 @@
 
 use super::build::{model, ms, target};
 use poplarseam::decide::appetite::Appetite;
+use poplarseam::decide::tally::Source;
 use poplarseam::world::unit::Incarnation;
 
 fn asked(told: &[(u64, u64)]) -> f64 {
     let mut appetite = Appetite::default();
     appetite.tick(ms(0));
     for (incarnation, total) in told {
-        let (one, m1) = ("one".parse().unwrap(), target("m1"));
-        appetite.on_told(ms(100), &one, Incarnation(*incarnation), m1, *total);
+        let source = Source {
+            instance: "one".parse().unwrap(),
+            is_sum: false,
+        };
+        appetite.on_told(ms(100), &source, Incarnation(*incarnation), target("m1"), *total);
     }
     appetite.tick(ms(1_000));
     appetite.of_model(&model("m1"))
