--- a/src/decide/appetite.rs
+++ b/src/decide/appetite.rs
@@ -1,7 +1,9 @@
 //! How much work callers ask for, for each model and adapter, over all instances.
 //!
-//! Each instance tells the tokens that its callers asked for since it started. Rates rise within
-//! seconds and fall more slowly, so that a short lull drops no copy.
+//! Each instance tells the tokens that its callers asked for since it started. Two averages follow
+//! the rate, a fast one and a slow one. While the fast one is above, demand rises, and what is
+//! expected goes on with the rise: a load that begins now serves only seconds later. A rate falls
+//! with the slow one, so that a short lull drops no copy.
 
 use super::tally::{Source, Tally};
 use crate::common::*;
@@ -11,9 +13,11 @@
 
 /// Span over which asked tokens become a rate.
 const STEP: Duration = Duration::from_millis(500);
-/// Weight of the newest span while demand rises, and while it falls.
-const RISE: f64 = 0.35;
-const FALL: f64 = 0.12;
+/// Weight of the newest span in the fast average and in the slow one.
+const FAST: f64 = 0.25;
+const SLOW: f64 = 0.08;
+/// Part of the difference between both by which a rise is expected to go on.
+const AHEAD: f64 = 0.7;
 /// A model counts as asked for this long after the last request.
 const ASKED: Duration = Duration::from_secs(10);
 /// Rates below this many tokens a second count as none.
@@ -22,10 +26,18 @@
 #[derive(Debug, Clone, Default)]
 struct Rate {
     fresh: f64,
-    per_second: f64,
+    fast: f64,
+    slow: f64,
     asked_at: Option<Duration>,
 }
 
+impl Rate {
+    fn expected(&self) -> f64 {
+        let rise = (self.fast - self.slow).max(0.0);
+        self.fast.max(self.slow) + AHEAD * rise
+    }
+}
+
 /// Demand for each target.
 #[derive(Debug, Clone, Default)]
 pub struct Appetite {
@@ -67,20 +79,26 @@
         let steps = span.as_secs_f64() / STEP.as_secs_f64();
         for rate in self.rates.values_mut() {
             let fresh = std::mem::take(&mut rate.fresh) / span.as_secs_f64();
-            let weight = if fresh > rate.per_second { RISE } else { FALL };
-            let weight = 1.0 - (1.0 - weight).powf(steps);
-            rate.per_second += weight * (fresh - rate.per_second);
+            for (average, weight) in [(&mut rate.fast, FAST), (&mut rate.slow, SLOW)] {
+                let weight = 1.0 - (1.0 - weight).powf(steps);
+                *average += weight * (fresh - *average);
+            }
         }
         self.rates
-            .retain(|_, rate| rate.per_second >= LEAST || is_recent(now, rate));
+            .retain(|_, rate| rate.expected() >= LEAST || is_recent(now, rate));
     }
 
-    /// Tokens a second asked of a model, its adapters included.
+    /// Tokens a second expected of a model, its adapters included.
     #[must_use]
     pub fn of_model(&self, model: &id::Model) -> f64 {
         let rates = self.rates.iter();
         let rates = rates.filter(|(target, _)| target.model == *model);
-        rates.map(|(_, rate)| rate.per_second).sum()
+        let sum = rates.fold(Rate::default(), |sum, (_, rate)| Rate {
+            fast: sum.fast + rate.fast,
+            slow: sum.slow + rate.slow,
+            ..sum
+        });
+        sum.expected()
     }
 
     /// Whether anybody asked for a model lately.
@@ -90,10 +108,10 @@
         rates.any(|(target, rate)| target.model == *model && is_recent(now, rate))
     }
 
-    /// Tokens a second asked of one target.
+    /// Tokens a second expected of one target.
     #[must_use]
     pub fn of(&self, target: &Target) -> f64 {
-        self.rates.get(target).map_or(0.0, |rate| rate.per_second)
+        self.rates.get(target).map_or(0.0, Rate::expected)
     }
 }
 
--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -21,6 +21,8 @@
     pub reserved: Bytes,
     /// Models that it holds or will hold.
     pub models: BTreeSet<id::Model>,
+    /// Those of them that it does not serve yet.
+    pub coming: BTreeSet<id::Model>,
     /// Models that it loads from its own copies.
     pub copies: BTreeSet<id::Model>,
     /// Whether it may get a job now.
@@ -61,7 +63,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            least_gain: 0.06,
+            least_gain: 0.1,
             missing: 10.0,
             last_copy: 1.0,
         }
@@ -75,6 +77,8 @@
     wanted: &'a BTreeMap<id::Model, Wanted>,
     workers: &'a [Worker],
     copies: BTreeMap<&'a id::Model, f64>,
+    /// Copies that serve now.
+    serving: BTreeMap<&'a id::Model, f64>,
     work: Vec<f64>,
 }
 
@@ -87,8 +91,13 @@
         workers: &'a [Worker],
     ) -> Self {
         let mut copies: BTreeMap<&id::Model, f64> = BTreeMap::new();
-        for model in workers.iter().flat_map(|worker| &worker.models) {
-            *copies.entry(model).or_default() += 1.0;
+        let mut serving: BTreeMap<&id::Model, f64> = BTreeMap::new();
+        for worker in workers {
+            for model in &worker.models {
+                *copies.entry(model).or_default() += 1.0;
+                let serves = !worker.coming.contains(model);
+                *serving.entry(model).or_default() += f64::from(u8::from(serves));
+            }
         }
         let work = workers.iter().map(|worker| {
             let models = worker.models.iter();
@@ -101,6 +110,7 @@
             wanted,
             workers,
             copies,
+            serving,
             work,
         }
     }
@@ -190,18 +200,24 @@
         (over == 0 && loss.is_finite()).then_some((evict, loss, freed))
     }
 
-    /// What it costs when one copy of a model goes.
+    /// What it costs when one copy of a model goes. Copies that are still on their way don't
+    /// serve in its place, so a model in use gives up one copy at a time.
     fn loss(&self, model: &id::Model) -> f64 {
         let Some(wanted) = self.wanted.get(model) else {
             return 0.0;
         };
-        let copies = self.copies[model];
+        let copies = self.serving[model];
         if copies > 1.0 {
             let (before, after) = (wanted.work / copies, wanted.work / (copies - 1.0));
+            let serves =
+                |worker: &Worker| worker.models.contains(model) && !worker.coming.contains(model);
             let holders = self.workers.iter().zip(&self.work);
-            let others = holders.filter(|(worker, _)| worker.models.contains(model));
+            let others = holders.filter(|(worker, _)| serves(worker));
             let rise: f64 = others
-                .map(|(_, load)| (load - before + after).powi(2) - load * load)
+                .map(|(_, load)| {
+                    let load = load.max(before);
+                    (load - before + after).powi(2) - load * load
+                })
                 .sum();
             return rise * (copies - 1.0) / copies;
         }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -314,7 +314,14 @@
                 (Ledger::adapter_space(engine), models, false)
             }
         };
+        let held = match (ledger, told) {
+            (Some(ledger), _) => ledger.holdings(),
+            (None, Some(told)) => &told.holdings,
+            (None, None) => &backend.holdings,
+        };
+        let coming = models.iter().filter(|model| !held.contains_key(*model));
         Worker {
+            coming: coming.cloned().collect(),
             id: backend.id.clone(),
             region: self.regions.get(&backend.data_centre).cloned(),
             memory: engine.memory,
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -420,7 +420,9 @@
         if let Some(running) = running.filter(|_| standing == Standing::Newest) {
             let loads = running.loads.iter().filter_map(decode_load).collect();
             let source = if gossip.is_sum {
-                format!("{SUM}{}", sender.data_centre).parse().unwrap_or_default()
+                format!("{SUM}{}", sender.data_centre)
+                    .parse()
+                    .unwrap_or_default()
             } else {
                 sender.instance.clone()
             };
--- a/tests/gateway/appetite.rs
+++ b/tests/gateway/appetite.rs
@@ -13,7 +13,13 @@
             instance: "one".parse().unwrap(),
             is_sum: false,
         };
-        appetite.on_told(ms(100), &source, Incarnation(*incarnation), target("m1"), *total);
+        appetite.on_told(
+            ms(100),
+            &source,
+            Incarnation(*incarnation),
+            target("m1"),
+            *total,
+        );
     }
     appetite.tick(ms(1_000));
     appetite.of_model(&model("m1"))
--- a/tests/gateway/arrange.rs
+++ b/tests/gateway/arrange.rs
@@ -18,6 +18,7 @@
         memory: Bytes(100),
         reserved: Bytes(10),
         models: models(held),
+        coming: models(""),
         copies: models(""),
         open: true,
     });
