--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -13,6 +13,7 @@
 use crate::world::deployment::Deployment;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::runtime::Builder;
@@ -72,12 +73,15 @@
             )
         }
     };
-    spawn("store", store_duty)?;
-    spawn("placer", placer_duty)?;
+    let ending = Arc::new(AtomicBool::new(false));
+    spawn("store", &ending, store_duty)?;
+    spawn("placer", &ending, placer_duty)?;
     let traffic = || async move {
         let placer = heard.clone();
         let traffic = Traffic::new(deployment, clock, incarnation, journal, placer, interest);
-        serve(traffic, news_in, words_in, heard).await
+        let served = serve(traffic, news_in, words_in, heard).await;
+        ending.store(true, Ordering::SeqCst);
+        served
     };
     block(traffic)?
 }
@@ -101,16 +105,22 @@
 /// Exit code of a process of which a duty ended before it was told to.
 const DUTY_ENDED: i32 = 70;
 
-/// Starts a duty on a thread and a runtime of its own; the process ends with it.
+/// Starts a duty on a thread and a runtime of its own; if it ends before the process does, so
+/// does the process.
 fn spawn<F: Future<Output = ()>>(
     name: &str,
+    ending: &Arc<AtomicBool>,
     duty: impl FnOnce() -> F + Send + 'static,
 ) -> Result<()> {
     let label = name.to_owned();
+    let ending = Arc::clone(ending);
     thread::Builder::new()
         .name(name.into())
         .spawn(move || {
             let ended = catch_unwind(AssertUnwindSafe(|| block(duty)));
+            if ending.load(Ordering::SeqCst) {
+                return;
+            }
             eprintln!("the duty {label} ended: {ended:?}; the process ends and starts anew");
             std::process::exit(DUTY_ENDED);
         })
--- /dev/null
+++ b/standins/src/platform.rs
@@ -0,0 +1,283 @@
+//! The users' platform: its store of rows with a feed, and the settings file of an instance.
+//!
+//! Everything runs on one thread with a runtime of its own, which ends when the stand-in is
+//! dropped. Only what the system uses of the platform is here.
+
+use crate::worker::{self, Worker};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+
+/// Table and key of the operator's configuration, and the table of servers.
+const OPERATOR: &str = "op";
+const SERVERS: &str = "servers";
+/// How long a feed is kept waiting at most.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Clone)]
+struct Row {
+    table: String,
+    key: String,
+    value: Option<String>,
+    version: u64,
+}
+
+/// Rows of the store, and whether it answers.
+#[derive(Debug, Default)]
+struct Store {
+    rows: BTreeMap<(String, String), Row>,
+    version: u64,
+    is_down: bool,
+}
+
+impl Store {
+    fn write(&mut self, table: &str, key: &str, value: Option<String>) {
+        let row = Row {
+            table: table.into(),
+            key: key.into(),
+            value,
+            version: self.version,
+        };
+        self.rows.insert((table.into(), key.into()), row);
+    }
+
+    fn current(&self, table: &str, key: &str) -> u64 {
+        let row = self.rows.get(&(table.to_owned(), key.to_owned()));
+        let row = row.filter(|row| row.value.is_some());
+        row.map_or(0, |row| row.version)
+    }
+
+    fn commit(&mut self, body: &Value) -> (u16, Value) {
+        let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+        let text = |row: &Value, name: &str| row[name].as_str().unwrap_or_default().to_owned();
+        let expected = list("Expected");
+        let holds = expected.iter().all(|row| {
+            let current = self.current(&text(row, "Table"), &text(row, "Key"));
+            row["Ver"].as_u64() == Some(current)
+        });
+        if !holds {
+            return (412, json!({"Rows": [], "Ver": self.version}));
+        }
+        self.version += 1;
+        for row in list("Put") {
+            let value = Some(text(&row, "Value"));
+            self.write(&text(&row, "Table"), &text(&row, "Key"), value);
+        }
+        for row in list("Remove") {
+            self.write(&text(&row, "Table"), &text(&row, "Key"), None);
+        }
+        (200, json!({"Ver": self.version, "NowMs": 1}))
+    }
+
+    fn rows(&self, table: &str, is_wanted: impl Fn(&Row) -> bool) -> Vec<Value> {
+        let rows = self.rows.values().filter(|row| row.table == table);
+        let rows = rows.filter(|row| is_wanted(row));
+        let rows = rows.map(|row| {
+            json!({"Table": row.table, "part": "", "Key": row.key, "Value": row.value,
+                "Ver": row.version, "Tombstone": row.value.is_none()})
+        });
+        rows.collect()
+    }
+}
+
+/// The platform with its workers.
+#[derive(Debug)]
+pub struct Platform {
+    pub address: SocketAddr,
+    store: Arc<Mutex<Store>>,
+    changed: Arc<Notify>,
+    workers: BTreeMap<String, Arc<Worker>>,
+    _end: oneshot::Sender<()>,
+}
+
+impl Platform {
+    /// Starts the store, model workers and servers of a plain service.
+    #[must_use]
+    pub fn start(workers: Vec<Worker>) -> Self {
+        let listener = listen();
+        let address = listener.local_addr().expect("an address");
+        let store = Arc::new(Mutex::new(Store::default()));
+        let changed = Arc::new(Notify::new());
+        let workers = workers.into_iter().map(Arc::new);
+        let workers: BTreeMap<String, Arc<Worker>> =
+            workers.map(|worker| (worker.id.clone(), worker)).collect();
+        let (end, ended) = oneshot::channel();
+        let hosted: Vec<Arc<Worker>> = workers.values().cloned().collect();
+        let (rows, feed) = (Arc::clone(&store), Arc::clone(&changed));
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime");
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, async move {
+                tokio::task::spawn_local(host(listener, move |request| {
+                    answer(Arc::clone(&rows), Arc::clone(&feed), request)
+                }));
+                for worker in hosted {
+                    tokio::task::spawn_local(worker::host(worker));
+                }
+                let _ = ended.await;
+            });
+        });
+        let platform = Self {
+            address,
+            store,
+            changed,
+            workers,
+            _end: end,
+        };
+        for worker in platform.workers.values() {
+            platform.list(worker, "ready");
+        }
+        platform
+    }
+
+    fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A worker by its id.
+    #[must_use]
+    pub fn worker(&self, id: &str) -> &Worker {
+        &self.workers[id]
+    }
+
+    /// Writes a worker's entry with a state.
+    pub fn list(&self, worker: &Worker, state: &str) {
+        let entry = worker.entry(state);
+        self.write(SERVERS, &worker.id, Some(&entry));
+    }
+
+    /// Writes the operator's configuration.
+    pub fn configure(&self, config: &Value) {
+        self.write(OPERATOR, "config", Some(config));
+    }
+
+    /// Has the store answer every call with 503, or answer again.
+    pub fn set_down(&self, is_down: bool) {
+        self.store().is_down = is_down;
+    }
+
+    fn write(&self, table: &str, key: &str, value: Option<&Value>) {
+        let mut store = self.store();
+        store.version += 1;
+        let value = value.map(|value| BASE64.encode(value.to_string()));
+        store.write(table, key, value);
+        drop(store);
+        self.changed.notify_waiters();
+    }
+
+    /// Settings of an instance on its own loopback address.
+    #[must_use]
+    pub fn settings(&self, name: &str, ip: Ipv4Addr) -> Value {
+        json!({
+            "NodeName": name, "Zone": "north-1", "Ip": ip, "InternalPorts": [7000, 7015],
+            "Zones": {"north-1": "north", "north-2": "north"},
+            "Listen": {"Frontend": format!("{ip}:8000"), "Ready": format!("{ip}:8001")},
+            "Bounds": {"GraceS": 8, "LeaseMs": 3000, "RetryBudgetRatio": 0.2, "BudgetExtra": 56,
+                "BudgetWindowS": 10, "CeilingWindowS": 5},
+            "Platform": {"Address": self.address},
+        })
+    }
+}
+
+/// Listens on a free loopback port.
+pub(crate) fn listen() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.set_nonblocking(true).expect("a socket");
+    listener
+}
+
+/// Answers requests on a listener until the runtime ends.
+pub(crate) async fn host<F>(
+    listener: TcpListener,
+    handler: impl Fn(Request<Incoming>) -> F + Clone + 'static,
+) where
+    F: Future<Output = Option<Response<worker::Body>>> + 'static,
+{
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+    while let Ok((stream, _)) = listener.accept().await {
+        let handler = handler.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answer = handler(request);
+                async move { answer.await.ok_or(std::fmt::Error) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            let _: Result<(), _> = connection.await;
+        });
+    }
+}
+
+async fn answer(
+    store: Arc<Mutex<Store>>,
+    changed: Arc<Notify>,
+    request: Request<Incoming>,
+) -> Option<Response<worker::Body>> {
+    let path = request.uri().path().to_owned();
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let lock = || store.lock().unwrap_or_else(PoisonError::into_inner);
+    let (status, body) = match path.as_str() {
+        _ if lock().is_down => (503, json!({})),
+        "/v1/rows-tx" => {
+            let answer = lock().commit(&body);
+            changed.notify_waiters();
+            answer
+        }
+        "/v1/rows-get" => {
+            let from = parameter(&query, "From");
+            let store = lock();
+            let rows = store.rows(&parameter(&query, "Table"), |row| {
+                row.value.is_some() && row.key >= from
+            });
+            (
+                200,
+                json!({"Rows": rows, "HasMore": false, "Ver": store.version}),
+            )
+        }
+        "/v1/rows-feed" => {
+            let after = parameter(&query, "after").parse().unwrap_or(0);
+            let table = parameter(&query, "Table");
+            let longest = tokio::time::sleep(LONGEST_WAIT);
+            let mut longest = std::pin::pin!(longest);
+            loop {
+                let woken = changed.notified();
+                let (rows, version) = {
+                    let store = lock();
+                    (store.rows(&table, |row| row.version > after), store.version)
+                };
+                if !rows.is_empty() || longest.is_elapsed() {
+                    break (200, json!({"Rows": rows, "HasMore": false, "Ver": version}));
+                }
+                tokio::select! {
+                    () = woken => {}
+                    () = &mut longest => {}
+                }
+            }
+        }
+        _ => (404, json!({})),
+    };
+    let body = worker::Body::Whole(Full::new(Bytes::from(body.to_string())));
+    Response::builder().status(status).body(body).ok()
+}
+
+fn parameter(query: &str, name: &str) -> String {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let found = pairs.find(|(key, _)| *key == name);
+    found.map_or_else(String::new, |(_, value)| value.to_owned())
+}
--- /dev/null
+++ b/standins/src/worker.rs
@@ -0,0 +1,303 @@
+//! A worker of the users' platform: runs requests, streams events, takes orders.
+
+use crate::platform;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, Incoming, SizeHint};
+use hyper::{HeaderMap, Request, Response};
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{SocketAddr, TcpListener};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::Sleep;
+
+/// What a worker does and holds.
+#[derive(Debug, Default)]
+struct State {
+    models: BTreeMap<String, BTreeSet<String>>,
+    orders: u64,
+    /// Ids of the requests that ran, in order.
+    ran: Vec<String>,
+    /// Ids of the requests whose connection closed before their end.
+    dropped: Vec<String>,
+    faults: Faults,
+}
+
+/// Faults in force; the default is none.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Requests run, and their connection closes without an answer.
+    pub lose_answers: bool,
+    /// Streams break off after this many events.
+    pub cut_after: Option<u32>,
+    /// Requests run without end.
+    pub hang: bool,
+}
+
+/// A worker; it is hosted by [`platform::Platform`].
+#[derive(Debug)]
+pub struct Worker {
+    pub id: String,
+    pub service: String,
+    address: SocketAddr,
+    listener: Mutex<Option<TcpListener>>,
+    state: Mutex<State>,
+    /// Events of each stream, and the pause before each.
+    events: u32,
+    pause: Duration,
+}
+
+impl Worker {
+    /// A worker with models, which streams `events` with a pause before each.
+    #[must_use]
+    pub fn new(id: &str, service: &str, models: &[&str], events: u32, pause: Duration) -> Self {
+        let listener = platform::listen();
+        let models = models
+            .iter()
+            .map(|model| ((*model).into(), BTreeSet::new()));
+        let state = State {
+            models: models.collect(),
+            ..State::default()
+        };
+        Self {
+            id: id.into(),
+            service: service.into(),
+            address: listener.local_addr().expect("an address"),
+            listener: Mutex::new(Some(listener)),
+            state: Mutex::new(state),
+            events,
+            pause,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ids of the requests that ran here.
+    #[must_use]
+    pub fn ran(&self) -> Vec<String> {
+        self.state().ran.clone()
+    }
+
+    /// Ids of the requests that were broken off by the other side.
+    #[must_use]
+    pub fn dropped(&self) -> Vec<String> {
+        self.state().dropped.clone()
+    }
+
+    /// Replaces the faults in force.
+    pub fn set(&self, faults: Faults) {
+        self.state().faults = faults;
+    }
+
+    /// The worker's entry in the platform's list.
+    #[must_use]
+    pub fn entry(&self, state: &str) -> Value {
+        json!({"Service": self.service, "Address": self.address, "Zone": "north-1",
+            "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0, "Sequence": 5,
+            "Models": self.models(), "born": 1_000})
+    }
+
+    fn models(&self) -> Vec<Value> {
+        let state = self.state();
+        let models = state.models.iter();
+        let models = models
+            .map(|(name, adapters)| json!({"Name": name, "Version": 1, "Adapters": adapters}));
+        models.collect()
+    }
+
+    fn order(&self, order: &Value) -> u16 {
+        let mut state = self.state();
+        if order["Expected"].as_u64() != Some(state.orders) {
+            return 409;
+        }
+        state.orders += 1;
+        let model = order["Model"].as_str().unwrap_or_default().to_owned();
+        let adapter = order["Adapter"].as_str().map(str::to_owned);
+        match (order["Operation"].as_str(), adapter) {
+            (Some("load"), Some(adapter)) => {
+                state.models.entry(model).or_default().insert(adapter);
+            }
+            (Some("load"), None) => {
+                state.models.entry(model).or_default();
+            }
+            (_, Some(adapter)) => {
+                state.models.entry(model).or_default().remove(&adapter);
+            }
+            (_, None) => {
+                state.models.remove(&model);
+            }
+        }
+        202
+    }
+
+    fn holds(&self, target: &str) -> bool {
+        let (model, adapter) = target.split_once('/').unwrap_or((target, ""));
+        let state = self.state();
+        let adapters = state.models.get(model);
+        adapters.is_some_and(|held| adapter.is_empty() || held.contains(adapter))
+    }
+}
+
+/// Answers on the worker's address.
+pub(crate) async fn host(worker: Arc<Worker>) {
+    let listener = {
+        let mut listener = worker.listener.lock();
+        listener.as_mut().ok().and_then(|listener| listener.take())
+    };
+    let Some(listener) = listener else {
+        return;
+    };
+    platform::host(listener, move |request| {
+        answer(Arc::clone(&worker), request)
+    })
+    .await;
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default()
+}
+
+async fn answer(worker: Arc<Worker>, request: Request<Incoming>) -> Option<Response<Body>> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.ok()?.to_bytes();
+    let headers = &head.headers;
+    let expected = text(headers, "x-expected-instance");
+    if !expected.is_empty() && expected != worker.id {
+        return plain(421, &[], "");
+    }
+    match head.uri.path() {
+        "/v1/report" => {
+            let orders = worker.state().orders;
+            let report = json!({"Phase": "unified", "Models": worker.models(), "Busy": false,
+                "Sequence": orders, "Queued": 0, "Active": 0, "KvInUse": 0, "KvSize": 1000});
+            plain(200, &[], &report.to_string())
+        }
+        "/v1/order" => {
+            let order = serde_json::from_slice(&body).unwrap_or_default();
+            plain(worker.order(&order), &[], "")
+        }
+        _ => run(&worker, headers).await,
+    }
+}
+
+async fn run(worker: &Arc<Worker>, headers: &HeaderMap) -> Option<Response<Body>> {
+    let id = text(headers, "x-request-id").to_owned();
+    let target = text(headers, "x-model-name");
+    if !target.is_empty() && !worker.holds(target) {
+        return plain(421, &[], "");
+    }
+    worker.state().ran.push(id.clone());
+    let faults = worker.state().faults;
+    if faults.lose_answers {
+        return None;
+    }
+    let signed = [("x-request-id", id.as_str()), ("x-response-signature", "s")];
+    if target.is_empty() {
+        let _gone = Watch(Arc::clone(worker), id.clone(), !faults.hang);
+        if faults.hang {
+            std::future::pending::<()>().await;
+        }
+        return plain(200, &signed, "done");
+    }
+    let after = text(headers, "last-event-id").parse().unwrap_or(0);
+    let stream = Stream {
+        watch: Watch(Arc::clone(worker), id.clone(), false),
+        next: after + 1,
+        last: worker.events,
+        cut_after: faults.cut_after.map(|events| after + events),
+        pause: worker.pause,
+        sleep: Box::pin(tokio::time::sleep(worker.pause)),
+    };
+    respond(200, &signed, Body::Stream(Box::new(stream)))
+}
+
+fn plain(status: u16, headers: &[(&str, &str)], body: &str) -> Option<Response<Body>> {
+    let body = Full::new(Bytes::from(body.to_owned()));
+    respond(status, headers, Body::Whole(body))
+}
+
+fn respond(status: u16, headers: &[(&str, &str)], body: Body) -> Option<Response<Body>> {
+    let mut response = Response::builder().status(status);
+    for (name, value) in headers {
+        response = response.header(*name, *value);
+    }
+    response.body(body).ok()
+}
+
+/// Notes a run that is dropped before its end.
+#[derive(Debug)]
+struct Watch(Arc<Worker>, String, bool);
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if !self.2 {
+            self.0.state().dropped.push(self.1.clone());
+        }
+    }
+}
+
+/// Events of one run.
+#[derive(Debug)]
+pub struct Stream {
+    watch: Watch,
+    next: u32,
+    last: u32,
+    cut_after: Option<u32>,
+    pause: Duration,
+    sleep: Pin<Box<Sleep>>,
+}
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    Whole(Full<Bytes>),
+    Stream(Box<Stream>),
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match self.get_mut() {
+            Self::Whole(whole) => Pin::new(whole)
+                .poll_frame(context)
+                .map_err(std::io::Error::other),
+            Self::Stream(stream) => stream.poll(context),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(whole) => whole.size_hint(),
+            Self::Stream(_) => SizeHint::new(),
+        }
+    }
+}
+
+impl Stream {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<std::io::Result<Frame<Bytes>>>> {
+        if self.next > self.last {
+            self.watch.2 = true;
+            return Poll::Ready(None);
+        }
+        std::task::ready!(self.sleep.as_mut().poll(context));
+        if self.cut_after.is_some_and(|cut| self.next > cut) {
+            self.watch.2 = true;
+            return Poll::Ready(Some(Err(std::io::Error::other("cut"))));
+        }
+        self.sleep = Box::pin(tokio::time::sleep(self.pause));
+        let event = format!("id: {}\ndata: piece {}\n\n", self.next, self.next);
+        self.next += 1;
+        Poll::Ready(Some(Ok(Frame::data(Bytes::from(event)))))
+    }
+}
--- /dev/null
+++ b/tests/gateway_processes.rs
@@ -0,0 +1,375 @@
+//! The gateway as processes, on our own stand-in of the platform.
+
+use serde_json::{Value, json};
+use standins::platform::Platform;
+use standins::process::Process;
+use standins::worker::{Faults, Worker};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+/// Longest wait for something that happens soon.
+const SOON: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(50);
+
+static SUBNET: AtomicU8 = AtomicU8::new(1);
+
+/// A platform with instances in front of it.
+struct Site {
+    platform: Platform,
+    instances: Vec<(Ipv4Addr, Process)>,
+    folder: PathBuf,
+}
+
+fn config(timeout_ms: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        json!({"Name": name, "Hostname": "h", "PathPrefix": format!("/{name}/"), "Type": kind,
+            "TimeoutMs": timeout_ms, "TargetLatencyMs": 200, "Priority": 1, "Service": service,
+            "MaxAttempts": 2, "Resumable": resumable})
+    };
+    let models = ["m1", "m2"].map(|name| {
+        json!({"Name": name, "WeightsMb": 40, "LoadTimeS": 0.1, "Adapters": 3,
+            "AdapterSizeMb": 1})
+    });
+    json!({
+        "Version": timeout_ms,
+        "Routes": [route("draft", "streaming", "llm", false), route("long", "streaming", "llm", true),
+            route("issue", "unsafe", "app", false), route("check", "safe", "app", false)],
+        "Services": [{"Name": "llm", "MaxConnections": 50, "Engine": {"Slots": 8,
+                "KvCapacity": 100_000, "WeightsMb": 100, "AdapterCapacity": 2, "LoadsPerS": 2,
+                "Models": models}},
+            {"Name": "app", "MaxConnections": 50}],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1000, "IdleTimeoutMs": 15000},
+    })
+}
+
+impl Site {
+    /// Workers `a` and `b` with models, servers `p` and `q` of the plain service.
+    fn start(instances: u8) -> Self {
+        Self::start_when(instances, false)
+    }
+
+    fn start_when(instances: u8, store_down: bool) -> Self {
+        let workers = vec![
+            Worker::new("a", "llm", &["m1"], 10, PAUSE),
+            Worker::new("b", "llm", &["m1", "m2"], 10, PAUSE),
+            Worker::new("p", "app", &[], 0, PAUSE),
+            Worker::new("q", "app", &[], 0, PAUSE),
+        ];
+        let platform = Platform::start(workers);
+        platform.configure(&config(5_000));
+        platform.set_down(store_down);
+        let subnet = SUBNET.fetch_add(1, Ordering::Relaxed);
+        let folder = format!("poplarseam-gateway-{}-{subnet}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut site = Self {
+            platform,
+            instances: Vec::new(),
+            folder,
+        };
+        let pid = std::process::id().to_le_bytes();
+        for number in 1..=instances {
+            site.add(Ipv4Addr::new(
+                127,
+                16 + pid[0] % 100,
+                subnet + pid[1] % 100,
+                number,
+            ));
+        }
+        site
+    }
+
+    fn add(&mut self, ip: Ipv4Addr) {
+        let name = format!("edge-{}", ip.octets()[3]);
+        let settings = self.folder.join(format!("{name}.json"));
+        std::fs::write(&settings, self.platform.settings(&name, ip).to_string()).unwrap();
+        let path = settings.to_string_lossy().into_owned();
+        let environment = [("POPLARSEAM_SETTINGS".to_owned(), path)];
+        let process = Process::start("poplarseam-gateway", &name, &environment, &self.folder);
+        self.instances.push((ip, process));
+    }
+
+    fn callers(&self, instance: usize) -> SocketAddr {
+        (self.instances[instance].0, 8000).into()
+    }
+
+    fn status(&self, instance: usize, port: u16, path: &str) -> u16 {
+        let address = (self.instances[instance].0, port).into();
+        let answer = exchange(address, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n"));
+        answer.map_or(0, |answer| status(&answer))
+    }
+
+    fn state(&self, instance: usize) -> Value {
+        let address = (self.instances[instance].0, 7001).into();
+        let answer = exchange(address, "GET /state HTTP/1.1\r\nHost: x\r\n\r\n");
+        let answer = answer.unwrap_or_default();
+        let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+        serde_json::from_str(body).unwrap_or_default()
+    }
+
+    fn wait_until_ready(&self) {
+        wait_for("ready", || {
+            (0..self.instances.len())
+                .all(|instance| self.status(instance, 8001, "/v1/readyz") == 200)
+        });
+        wait_for("all servers listed", || {
+            let states = (0..self.instances.len()).map(|instance| self.state(instance));
+            let mut counts = states.map(|state| state["servers"].as_array().map_or(0, Vec::len));
+            counts.all(|count| count == 4)
+        });
+    }
+
+    fn ask(&self, path: &str, id: &str, model: &str) -> String {
+        let answer = exchange(self.callers(0), &request(path, id, model));
+        answer.unwrap_or_default()
+    }
+
+    fn ran(&self, id: &str) -> usize {
+        let workers = ["a", "b", "p", "q"].map(|worker| self.platform.worker(worker).ran());
+        workers.iter().flatten().filter(|ran| *ran == id).count()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn request(path: &str, id: &str, model: &str) -> String {
+    let model = if model.is_empty() {
+        String::new()
+    } else {
+        format!("X-Model-Name: {model}\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: 1:100\r\n")
+    };
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 4000\r\n{model}\
+         Content-Length: 2\r\n\r\nhi"
+    )
+}
+
+/// Sends a request on a connection of its own and reads to the connection's end, or until the
+/// answer is whole.
+fn exchange(address: SocketAddr, request: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(6)))?;
+    let request = request.replacen("\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1);
+    stream.write_all(request.as_bytes())?;
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    if answer.is_empty() {
+        read?;
+    }
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
+
+fn status(answer: &str) -> u16 {
+    let code = answer.split(' ').nth(1);
+    code.and_then(|code| code.parse().ok()).unwrap_or(0)
+}
+
+fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + SOON;
+    while !holds() {
+        assert!(Instant::now() < until, "not in time: {what}");
+        std::thread::sleep(PAUSE);
+    }
+}
+
+#[test]
+fn requests_are_served_and_adapters_loaded_on_demand() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    let answer = site.ask("/issue/x", "r1", "");
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert!(answer.contains("x-response-signature: s"), "{answer}");
+    let stream = site.ask("/draft/x", "r2", "m2");
+    assert!(stream.contains("piece 10"), "{stream}");
+    wait_for("an adapter", || {
+        status(&site.ask("/draft/x", "r3", "m1/a2")) == 200
+    });
+    assert_eq!(status(&site.ask("/none/x", "r4", "")), 404);
+}
+
+#[test]
+fn instances_that_start_together_all_hear_each_other() {
+    let site = Site::start(3);
+    wait_for("three instances", || {
+        (0..3).all(|instance| site.state(instance)["instances"] == json!(3))
+    });
+}
+
+#[test]
+fn a_stop_lets_streams_end_and_then_takes_no_connections() {
+    let mut site = Site::start(1);
+    site.wait_until_ready();
+    let callers = site.callers(0);
+    let stream = std::thread::spawn(move || exchange(callers, &request("/draft/x", "r1", "m2")));
+    wait_for("the stream runs", || site.ran("r1") == 1);
+    site.instances[0].1.signal("TERM");
+    wait_for("unready", || site.status(0, 8001, "/v1/readyz") != 200);
+    let answer = stream.join().unwrap().unwrap();
+    assert!(answer.contains("piece 10"), "{answer}");
+    let ended = site.instances[0].1.wait(SOON);
+    assert!(ended.is_some_and(|status| status.success()));
+    assert!(TcpStream::connect(callers).is_err());
+}
+
+#[test]
+fn without_a_store_it_is_not_ready_and_says_when_to_come_back() {
+    let site = Site::start_when(1, true);
+    wait_for("an answer", || site.status(0, 8001, "/v1/readyz") == 503);
+    let answer = site.ask("/issue/x", "r1", "");
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+    site.platform.set_down(false);
+    site.wait_until_ready();
+    assert_eq!(status(&site.ask("/issue/x", "r2", "")), 200);
+}
+
+#[test]
+fn a_node_that_lost_the_store_goes_on_serving() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    site.platform.set_down(true);
+    std::thread::sleep(Duration::from_secs(1));
+    assert_eq!(site.status(0, 8001, "/v1/readyz"), 200);
+    assert_eq!(status(&site.ask("/issue/x", "r1", "")), 200);
+}
+
+#[test]
+fn a_request_that_may_run_once_is_not_sent_again_when_its_answer_is_lost() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    for server in ["p", "q"] {
+        let lost = Faults {
+            lose_answers: true,
+            ..Faults::default()
+        };
+        site.platform.worker(server).set(lost);
+    }
+    assert_eq!(status(&site.ask("/issue/x", "r1", "")), 502);
+    assert_eq!(site.ran("r1"), 1);
+    assert_eq!(status(&site.ask("/check/x", "r2", "")), 502);
+    assert_eq!(site.ran("r2"), 2);
+}
+
+#[test]
+fn a_stream_that_may_be_resumed_goes_on_at_another_worker() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    for worker in ["a", "b"] {
+        let cut = Faults {
+            cut_after: Some(4),
+            ..Faults::default()
+        };
+        site.platform.worker(worker).set(cut);
+    }
+    let answer = site.ask("/long/x", "r1", "m1");
+    for event in 1..=10 {
+        let count = answer.matches(&format!("data: piece {event}\n")).count();
+        assert_eq!(count, 1, "event {event} in {answer}");
+    }
+}
+
+#[test]
+fn a_stream_that_breaks_off_does_not_look_complete() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    for worker in ["a", "b"] {
+        let cut = Faults {
+            cut_after: Some(4),
+            ..Faults::default()
+        };
+        site.platform.worker(worker).set(cut);
+    }
+    let answer = site.ask("/draft/x", "r1", "m1");
+    assert!(answer.contains("piece 4"), "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_run() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    for server in ["p", "q"] {
+        let hang = Faults {
+            hang: true,
+            ..Faults::default()
+        };
+        site.platform.worker(server).set(hang);
+    }
+    let mut caller = TcpStream::connect(site.callers(0)).unwrap();
+    caller
+        .write_all(request("/issue/x", "r1", "").as_bytes())
+        .unwrap();
+    wait_for("the run", || site.ran("r1") == 1);
+    caller.shutdown(Shutdown::Both).unwrap();
+    drop(caller);
+    wait_for("the end of the run", || {
+        let dropped = ["p", "q"].map(|server| site.platform.worker(server).dropped());
+        dropped.concat().contains(&"r1".to_owned())
+    });
+}
+
+#[test]
+fn a_request_gets_its_answer_at_the_time_out_of_its_route() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    site.platform.configure(&config(5_001));
+    for server in ["p", "q"] {
+        let hang = Faults {
+            hang: true,
+            ..Faults::default()
+        };
+        site.platform.worker(server).set(hang);
+    }
+    assert_eq!(status(&site.ask("/issue/x", "r1", "")), 504);
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_more() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    site.platform.list(site.platform.worker("p"), "draining");
+    wait_for("the news", || {
+        let state = site.state(0);
+        let servers = state["servers"].as_array().cloned().unwrap_or_default();
+        servers
+            .iter()
+            .any(|server| server["backend"]["leaving"] == json!(true))
+    });
+    for number in 0..10 {
+        assert_eq!(
+            status(&site.ask("/issue/x", &format!("r{number}"), "")),
+            200
+        );
+    }
+    assert!(site.platform.worker("p").ran().is_empty());
+}
+
+#[test]
+fn a_hangup_signal_ends_nothing() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    site.instances[0].1.signal("HUP");
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(status(&site.ask("/issue/x", "r1", "")), 200);
+}
+
+#[test]
+fn bad_requests_get_one_clear_answer() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    let callers = site.callers(0);
+    let without_id = exchange(callers, "POST /issue/x HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
+    assert_eq!(status(&without_id), 400, "{without_id}");
+    let large = format!(
+        "POST /issue/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\nContent-Length: 2000\r\n\r\n{}",
+        "x".repeat(2_000)
+    );
+    assert_eq!(status(&exchange(callers, &large).unwrap()), 413);
+}
