--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -64,7 +64,7 @@
     /// When loads from the weight store began, on all workers.
     loads: VecDeque<Duration>,
     /// Jobs that were asked of other holders.
-    asked: BTreeMap<id::Worker, Duration>,
+    asked: BTreeMap<id::Worker, (Duration, Job)>,
     looked_at: Duration,
 }
 
@@ -237,13 +237,13 @@
             return Vec::new();
         }
         self.looked_at = now;
-        self.asked.retain(|_, at| now < *at + JOB_MEMORY);
+        self.asked.retain(|_, (at, _)| now < *at + JOB_MEMORY);
         let mut jobs = Vec::new();
         let services: Vec<id::Service> = self.engines.keys().cloned().collect();
         for service in services {
             while let Some(job) = self.next_job(now, &service) {
                 if !self.on_job(now, &job) {
-                    self.asked.insert(job.worker.clone(), now);
+                    self.asked.insert(job.worker.clone(), (now, job.clone()));
                 }
                 jobs.push(job);
             }
@@ -306,7 +306,7 @@
         let ledger = self.ledgers.get(&backend.id);
         let told = self.told.get(&backend.id);
         let told = told.filter(|told| told.boot == backend.boot);
-        let (reserved, models, open) = match (ledger, told) {
+        let (reserved, mut models, open) = match (ledger, told) {
             (Some(ledger), _) => (ledger.reserved(engine), ledger.models(), ledger.is_open()),
             (None, Some(told)) => (Ledger::adapter_space(engine), told.models(), told.open),
             (None, None) => {
@@ -319,6 +319,11 @@
             (None, Some(told)) => &told.holdings,
             (None, None) => &backend.holdings,
         };
+        let asked = self.asked.get(&backend.id);
+        if let Some((_, job)) = asked {
+            models.retain(|model| !job.evict.contains(model));
+            models.insert(job.load.clone());
+        }
         let coming = models.iter().filter(|model| !held.contains_key(*model));
         Worker {
             coming: coming.cloned().collect(),
@@ -328,7 +333,7 @@
             reserved,
             models,
             copies: backend.copies.clone(),
-            open: open && !self.asked.contains_key(&backend.id),
+            open: open && asked.is_none(),
         }
     }
 }
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -47,6 +47,10 @@
 const PREFERENCE: Duration = Duration::from_millis(150);
 /// Span over which the instances of a site take turns at an open shard.
 const TURNS: Duration = Duration::from_millis(600);
+/// After a start, others are listened for this long, and the turns are longer: all instances may
+/// have started together.
+const START: Duration = Duration::from_millis(600);
+const FIRST_TURNS: Duration = Duration::from_secs(2);
 /// Longest time for a worker's answer to an order or a question.
 const ANSWER: Duration = Duration::from_millis(700);
 /// How often leases are told, and everything that workers hold is told again.
@@ -355,12 +359,16 @@
 
     /// How long this instance leaves the shard to others once it is open.
     fn patience(&self, instance: &id::Instance, held_count: u32) -> Duration {
-        let hash = xxh3_64(instance.as_str().as_bytes()) >> 32;
-        let turn = TURNS.mul_f64(f64::from(u32::try_from(hash).unwrap_or(0)) / f64::from(u32::MAX));
-        turn + LEAVE * held_count + PREFERENCE * self.shard.distance(instance)
+        turn(instance, TURNS) + LEAVE * held_count + PREFERENCE * self.shard.distance(instance)
     }
 }
 
+/// When the turn of an instance comes within a span.
+fn turn(instance: &id::Instance, span: Duration) -> Duration {
+    let hash = xxh3_64(instance.as_str().as_bytes()) >> 32;
+    span.mul_f64(f64::from(u32::try_from(hash).unwrap_or(0)) / f64::from(u32::MAX))
+}
+
 fn step_lease(placer: &Shared, index: usize, calls: &flume::Sender<Call>) {
     let mut this = placer.borrow_mut();
     let now = this.clock.now();
@@ -371,7 +379,9 @@
     let takes_another = open.any(|part| part.in_call);
     let part = &mut this.parts[index];
     let is_open = now >= part.heard + HEARD + part.patience(&instance, held_count);
-    let is_first = part.heard == Duration::ZERO && now >= part.patience(&instance, held_count);
+    let first_turn = START + turn(&instance, FIRST_TURNS);
+    let is_first = part.heard == Duration::ZERO
+        && now >= first_turn + part.patience(&instance, held_count);
     let looks = (is_open || is_first) && !takes_another && now >= part.looked_at + LOOK;
     if part.in_call || is_stopping || !(part.was_holder || looks) {
         return;
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -22,11 +22,11 @@
 use tokio::time::{sleep, timeout};
 
 /// Longest time that the store keeps a call for changes waiting.
-const WAIT: Duration = Duration::from_secs(20);
+const WAIT: Duration = Duration::from_secs(28);
 /// Longest time for any other answer of the store; it may be slow.
 const ANSWER: Duration = Duration::from_millis(1_200);
 /// Changes that come close together are fetched together.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(300);
 /// Pause after a failed call.
 const AGAIN: Duration = Duration::from_millis(300);
 /// Entries that vanish this soon after a failed call may be those that lapsed meanwhile.
@@ -35,11 +35,7 @@
 const MEMBERS: &str = "instance.";
 /// Pauses between reads of the list of instances. Those that start together don't see each other
 /// at first; later ones announce themselves to all they read.
-const MEMBERS_AGAIN: [Duration; 3] = [
-    Duration::from_millis(700),
-    Duration::from_secs(3),
-    Duration::from_mins(1),
-];
+const MEMBERS_AGAIN: [Duration; 2] = [Duration::from_millis(900), Duration::from_mins(2)];
 
 /// What the tasks of this duty share.
 struct Store {
@@ -296,7 +292,6 @@
     let key = format!("{MEMBERS}{}", deployment.instance);
     let row = json!({"address": deployment.peers, "data_centre": deployment.data_centre});
     let mut is_written = false;
-    let mut pauses = MEMBERS_AGAIN.into_iter();
     loop {
         let page = store.read(rows::OWN, MEMBERS).await;
         let Ok(page) = page else {
@@ -309,7 +304,7 @@
         store.tell(News::Members(members(&page))).await;
         if is_written {
             let last = MEMBERS_AGAIN[MEMBERS_AGAIN.len() - 1];
-            sleep(pauses.next().unwrap_or(last)).await;
+            sleep(last).await;
         } else {
             let txn = Txn::default().put(key.clone(), version, row.clone());
             is_written = commit(&store, &txn).await.is_ok();
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -50,6 +50,16 @@
     assert_eq!(fleet.plan(ms(1_400)).len(), 0);
 }
 
+#[test]
+fn a_job_asked_of_another_holder_counts_as_begun() {
+    let mut fleet = fleet();
+    fleet.appetite.on_asked(ms(1_000), target("m2"), 100);
+    fleet.appetite.tick(ms(1_001));
+    assert_eq!(fleet.plan(ms(1_100)).len(), 1);
+    assert_eq!(fleet.plan(ms(1_400)).len(), 0);
+    assert_eq!(fleet.plan(ms(1_800)).len(), 1);
+}
+
 #[test]
 fn a_storm_of_demand_stays_below_the_rate_of_the_store() {
     let mut fleet = fleet();
