Ask feeds anew once the store is back, or when peers know more

Ruled out: keep-alive (the connection lives). A test with a silent stand-in waits 29 s without the change, 3 s with it.

--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -41,6 +41,8 @@
     pub known: u64,
     /// Newest version that is heard of.
     pub heard: u64,
+    /// Rises each time that peers know more than the feeds told for a while: they may hang.
+    pub doubts: u64,
 }
 
 /// What the placer hears.
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -380,8 +380,8 @@
     let part = &mut this.parts[index];
     let is_open = now >= part.heard + HEARD + part.patience(&instance, held_count);
     let first_turn = START + turn(&instance, FIRST_TURNS);
-    let is_first = part.heard == Duration::ZERO
-        && now >= first_turn + part.patience(&instance, held_count);
+    let is_first =
+        part.heard == Duration::ZERO && now >= first_turn + part.patience(&instance, held_count);
     let looks = (is_open || is_first) && !takes_another && now >= part.looked_at + LOOK;
     if part.in_call || is_stopping || !(part.was_holder || looks) {
         return;
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -18,7 +18,7 @@
 use rows::Page;
 use std::cell::Cell;
 use std::rc::Rc;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout};
 
 /// Longest time that the store keeps a call for changes waiting.
@@ -44,6 +44,8 @@
     news: flume::Sender<News>,
     failed_at: Cell<Option<Duration>>,
     is_up: Cell<bool>,
+    /// Wakes feeds that wait: their calls may hang since an outage.
+    regained: Notify,
 }
 
 /// Runs the duty until the ring of calls closes.
@@ -60,8 +62,9 @@
         news,
         failed_at: Cell::new(None),
         is_up: Cell::new(true),
+        regained: Notify::new(),
     });
-    tokio::task::spawn_local(follow_site(Rc::clone(&store)));
+    tokio::task::spawn_local(follow_site(Rc::clone(&store), interest.clone()));
     tokio::task::spawn_local(follow_servers(Rc::clone(&store), interest));
     tokio::task::spawn_local(register(Rc::clone(&store), deployment));
     while let Ok(call) = calls.recv_async().await {
@@ -82,6 +85,9 @@
             self.failed_at.set(Some(self.clock.now()));
         }
         if self.is_up.replace(up) != up {
+            if up {
+                self.regained.notify_waiters();
+            }
             self.tell(News::Store { up }).await;
         }
     }
@@ -142,6 +148,7 @@
     /// Newest version seen; 0 before the first read.
     after: u64,
     channel: Option<Channel>,
+    interest: watch::Receiver<Interest>,
 }
 
 /// What a feed brought.
@@ -152,12 +159,13 @@
 }
 
 impl Feed {
-    fn new(store: Rc<Store>, table: &'static str) -> Self {
+    fn new(store: Rc<Store>, table: &'static str, interest: watch::Receiver<Interest>) -> Self {
         Self {
             store,
             table,
             after: 0,
             channel: None,
+            interest,
         }
     }
 
@@ -202,7 +210,20 @@
         let Some(channel) = &mut self.channel else {
             return Ok(None);
         };
-        let call = timeout(WAIT + ANSWER, channel.call(request)).await;
+        let doubts = self.interest.borrow().doubts;
+        let call = tokio::select! {
+            call = timeout(WAIT + ANSWER, channel.call(request)) => Some(call),
+            () = self.store.regained.notified() => None,
+            _ = self.interest.wait_for(|interest| interest.doubts != doubts) => None,
+        };
+        let Some(call) = call else {
+            log::info!(
+                "the feed of {} is asked anew: its call may hang",
+                self.table
+            );
+            self.channel = None;
+            return Ok(None);
+        };
         let reply = call.map_err(|error| lost(&error))??;
         if reply.status == 410 {
             log::info!(
@@ -232,8 +253,8 @@
     }
 }
 
-async fn follow_site(store: Rc<Store>) {
-    let mut feed = Feed::new(Rc::clone(&store), config::TABLE);
+async fn follow_site(store: Rc<Store>, interest: watch::Receiver<Interest>) {
+    let mut feed = Feed::new(Rc::clone(&store), config::TABLE, interest);
     let mut newest = Version::default();
     loop {
         let (Change::All(rows) | Change::Some(rows)) = feed.next().await;
@@ -254,7 +275,7 @@
 /// Follows the list of servers while that is of interest; else only catches up where peers know
 /// more.
 async fn follow_servers(store: Rc<Store>, mut interest: watch::Receiver<Interest>) {
-    let mut feed = Feed::new(Rc::clone(&store), worker::TABLE);
+    let mut feed = Feed::new(Rc::clone(&store), worker::TABLE, interest.clone());
     loop {
         let now = *interest.borrow_and_update();
         feed.after = feed.after.max(now.known);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -65,8 +65,11 @@
     roster: RefCell<Roster>,
     /// Newest version of the list that a peer knows, and when one was last heard.
     heard_version: Cell<(u64, Duration)>,
-    /// Since when peers know more of the list than this instance.
+    /// Newest configuration that a peer has in force.
+    heard_configuration: Cell<u64>,
+    /// Since when peers know more than this instance.
     behind_since: Cell<Option<Duration>>,
+    doubts: Cell<u64>,
     is_holder: Cell<bool>,
     interest: watch::Sender<Interest>,
     /// Tokens that this instance's callers asked for.
@@ -146,7 +149,9 @@
             topology,
             roster: RefCell::default(),
             heard_version: Cell::default(),
+            heard_configuration: Cell::new(0),
             behind_since: Cell::new(None),
+            doubts: Cell::new(0),
             is_holder: Cell::new(false),
             interest,
             demands: RefCell::default(),
@@ -253,20 +258,31 @@
         self.balance.borrow_mut().on_listed(backend);
     }
 
+    /// Version of the configuration in force, 0 before the first.
+    fn configuration(&self) -> u64 {
+        let site = self.site.borrow();
+        site.as_ref().map_or(0, |site| site.version.0)
+    }
+
     /// Tells the store duty whether to follow the list of servers or to catch up.
     fn set_interest(&self, now: Duration) {
         let known = self.roster.borrow().version();
         let (heard, heard_at) = self.heard_version.get();
-        let is_behind = heard > known;
+        let is_behind = heard > known || self.heard_configuration.get() > self.configuration();
         let since = self.behind_since.get().filter(|_| is_behind);
         let since = since.or(is_behind.then_some(now));
         self.behind_since.set(since);
         let waited = since.is_some_and(|since| now >= since + CATCH_UP);
+        if waited {
+            self.doubts.set(self.doubts.get() + 1);
+            self.behind_since.set(Some(now));
+        }
         let alone = now >= heard_at + ALONE;
         let interest = Interest {
             follow: self.is_holder.get() || alone,
             known,
             heard: if waited { heard } else { 0 },
+            doubts: self.doubts.get(),
         };
         self.interest.send_if_modified(|old| {
             let changed = *old != interest;
@@ -435,6 +451,8 @@
         let at = if gossip.leads.is_empty() { at } else { now };
         self.heard_version
             .set((heard.max(gossip.servers_version), at));
+        let heard = self.heard_configuration.get().max(gossip.configuration);
+        self.heard_configuration.set(heard);
         self.on_leads(now, &gossip.leads, Some(sender.address));
         self.on_holdings(&gossip.holdings);
         if let Some(batch) = &gossip.batch {
@@ -536,6 +554,7 @@
             data_centre: self.deployment.data_centre.to_string(),
             address: self.deployment.peers.to_string(),
             servers_version: self.roster.borrow().version(),
+            configuration: self.configuration(),
             ..Gossip::default()
         }
     }
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -47,6 +47,9 @@
     /// Instances that a sum is over.
     #[prost(uint32, tag = "16")]
     pub instances: u32,
+    /// Version of the operator's configuration that the sender has in force.
+    #[prost(uint64, tag = "17")]
+    pub configuration: u64,
 }
 /// Rows of the list of servers that changed after one version and up to another.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -23,7 +23,7 @@
 const OPERATOR: &str = "op";
 const SERVERS: &str = "servers";
 /// How long a feed is kept waiting at most.
-const LONGEST_WAIT: Duration = Duration::from_secs(5);
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
 #[derive(Debug, Clone)]
 struct Row {
@@ -39,6 +39,8 @@
     rows: BTreeMap<(String, String), Row>,
     version: u64,
     is_down: bool,
+    /// Calls hang for good, also after this is cleared.
+    is_silent: bool,
 }
 
 impl Store {
@@ -170,6 +172,12 @@
         self.store().is_down = is_down;
     }
 
+    /// Has the store hang on every call, those that wait included, or answer new ones again.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.store().is_silent = is_silent;
+        self.changed.notify_waiters();
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<&Value>) {
         let mut store = self.store();
         store.version += 1;
@@ -232,6 +240,9 @@
     let body = request.into_body().collect().await.ok()?.to_bytes();
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let lock = || store.lock().unwrap_or_else(PoisonError::into_inner);
+    if lock().is_silent {
+        std::future::pending::<()>().await;
+    }
     let (status, body) = match path.as_str() {
         _ if lock().is_down => (503, json!({})),
         "/v1/rows-tx" => {
@@ -256,6 +267,9 @@
             let longest = tokio::time::sleep(LONGEST_WAIT);
             let mut longest = std::pin::pin!(longest);
             loop {
+                if lock().is_silent {
+                    std::future::pending::<()>().await;
+                }
                 let woken = changed.notified();
                 let (rows, version) = {
                     let store = lock();
--- a/tests/gateway_processes.rs
+++ b/tests/gateway_processes.rs
@@ -240,6 +240,19 @@
     assert_eq!(status(&site.ask("/issue/x", "r1", "")), 200);
 }
 
+#[test]
+fn a_configuration_of_a_silent_outage_is_in_force_soon_after() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    site.platform.set_silent(true);
+    std::thread::sleep(Duration::from_secs(3));
+    site.platform.configure(&config(5_001));
+    site.platform.set_silent(false);
+    wait_for("the configuration", || {
+        site.state(0)["version"] == json!(5_001)
+    });
+}
+
 #[test]
 fn a_request_that_may_run_once_is_not_sent_again_when_its_answer_is_lost() {
     let site = Site::start(1);
