--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,10 +84,11 @@
     mod admin;
     mod body;
     mod channel;
+    pub mod command;
     mod event;
     mod forward;
     #[allow(clippy::module_inception)]
-    pub mod gateway;
+    mod gateway;
     mod gossip;
     mod ingress;
     mod journal;
--- a/tests/gateway_processes.rs
+++ b/tests/gateway_processes.rs
@@ -373,6 +373,32 @@
     assert_eq!(status(&site.ask("/issue/x", "r1", "")), 200);
 }
 
+#[test]
+fn settings_are_checked_before_anything_starts() {
+    let program = standins::process::programs().join("poplarseam-gateway");
+    let run = |argument: &str, settings: Option<&str>| {
+        let mut command = std::process::Command::new(&program);
+        command.arg(argument).env_remove("POPLARSEAM_SETTINGS");
+        if let Some(path) = settings {
+            command.env("POPLARSEAM_SETTINGS", path);
+        }
+        let output = command.output().unwrap();
+        let error = String::from_utf8(output.stderr).unwrap();
+        (output.status.code(), error)
+    };
+    let (code, error) = run("--check", None);
+    assert_eq!(code, Some(2));
+    assert!(error.contains("POPLARSEAM_SETTINGS is not set"), "{error}");
+    let (code, error) = run("--check", Some("/nowhere"));
+    assert_eq!(code, Some(2));
+    assert!(error.contains("/nowhere"), "{error}");
+    let (code, error) = run("--frobnicate", None);
+    assert_eq!(code, Some(2));
+    assert!(error.contains("--help"), "{error}");
+    assert_eq!(run("--version", None).0, Some(0));
+    assert_eq!(run("--help", None).0, Some(0));
+}
+
 #[test]
 fn bad_requests_get_one_clear_answer() {
     let site = Site::start(1);
