Pass a server's failure on where no other is left, and hold only while the caller waits

Cause: a repeatable request that failed at one server and found no other got 502 in place of the failure it had; a stream without its adapter was held for 3 s, longer than its caller stays; adapters were asked of workers that were loading a model.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,8 +19,12 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Callers leave a stream that has not begun after this time, or after this multiple of the target
+/// if that is longer; the platform's page says so.
+const STREAM_PATIENCE: Duration = Duration::from_secs(2);
+const STREAM_TARGETS: u32 = 4;
 /// Longest wait for an adapter, as a part of the time that is left.
-const ADAPTER_SHARE: f64 = 0.2;
+const ADAPTER_SHARE: f64 = 0.3;
 /// Longest wait for a model that is being loaded, as a part of the time that is left.
 const MODEL_SHARE: f64 = 0.5;
 /// A model that nobody loads is waited for this long: the placer decides within it.
@@ -156,6 +160,7 @@
     /// Brings the request to a server, or says why not.
     pub async fn dispatch(self: &Rc<Self>, last_event: Option<&str>) -> End {
         let mut tried: Vec<id::Worker> = Vec::new();
+        let mut failed: Option<Response<Body>> = None;
         let mut runs = 0;
         let mut turns = 0;
         loop {
@@ -163,16 +168,18 @@
                 return if runs > 0 {
                     End::Late
                 } else {
-                    self.refused("late", COME_BACK)
+                    End::Refused {
+                        cause: "late",
+                        back: COME_BACK,
+                    }
                 };
             }
             let (worker, expected) = match self.place(&tried).await {
                 Ok(place) => place,
                 Err(end) if runs == 0 => return end,
                 Err(_) => {
-                    return End::Unknown {
-                        cause: "no other server",
-                    };
+                    let cause = "no other server";
+                    return failed.map_or(End::Unknown { cause }, End::Whole);
                 }
             };
             if tried.is_empty() {
@@ -191,7 +198,10 @@
                     if turns >= MOST_TURNS || !self.traffic.may_repeat(&self.need.service) {
                         let cause = "turned away";
                         return if runs == 0 {
-                            self.refused(cause, COME_BACK)
+                            End::Refused {
+                                cause,
+                                back: COME_BACK,
+                            }
                         } else {
                             End::Unknown { cause }
                         };
@@ -202,6 +212,7 @@
                     if !may_go_on || !self.traffic.may_repeat(&self.need.service) {
                         return End::Whole(response);
                     }
+                    failed = Some(response);
                 }
                 Attempt::Unknown(cause) => {
                     runs += 1;
@@ -230,15 +241,10 @@
         );
     }
 
-    #[allow(clippy::unused_self)]
-    fn refused(&self, cause: &'static str, back: Duration) -> End {
-        End::Refused { cause, back }
-    }
-
     /// A server for the request; waits a while for one that holds what it needs.
     async fn place(&self, tried: &[id::Worker]) -> Result<(id::Worker, f64), End> {
         let began = self.now();
-        let left = self.left();
+        let left = self.left_to_begin(began);
         loop {
             let now = self.now();
             let choice = self.traffic.balance.borrow().choose(now, &self.need, tried);
@@ -257,12 +263,23 @@
                 Choice::NoModel => (UNDECIDED, "no model", COME_BACK_LOADED),
             };
             if now >= began + longest {
-                return Err(self.refused(cause, back));
+                return Err(End::Refused { cause, back });
             }
             let _ = timeout(LOOK, self.traffic.changed.notified()).await;
         }
     }
 
+    /// Time that is left until the caller leaves, if nothing of its answer came by then.
+    fn left_to_begin(&self, now: Duration) -> Duration {
+        let useful = STREAM_PATIENCE.max(self.route.target * STREAM_TARGETS);
+        if self.route.repeat.is_stream() {
+            let left = (self.arrived + useful).saturating_sub(now);
+            left.min(self.left())
+        } else {
+            self.left()
+        }
+    }
+
     fn is_coming(&self) -> bool {
         let generation = self.need.generation.as_ref();
         generation.is_some_and(|generation| self.traffic.is_coming(&generation.target.model))
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -356,9 +356,14 @@
     pub fn want(&self, need: &Need, target: &Target) {
         let now = self.clock.now();
         let holders = self.holders.borrow();
+        let held = self.held.borrow();
         let is_held = |worker: &id::Worker| is_heard(now, &holders, worker);
-        let worker = self.balance.borrow().place_for(now, need, is_held);
-        drop(holders);
+        let is_open =
+            |worker: &id::Worker| is_held(worker) && held.get(worker).is_none_or(|told| told.open);
+        let balance = self.balance.borrow();
+        let worker = balance.place_for(now, need, is_open);
+        let worker = worker.or_else(|| balance.place_for(now, need, is_held));
+        drop((holders, held, balance));
         let Some(worker) = worker else {
             return;
         };
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -35,6 +35,8 @@
     pub cut_after: Option<u32>,
     /// Requests run without end.
     pub hang: bool,
+    /// Requests run and fail.
+    pub fail: bool,
 }
 
 /// A worker; it is hosted by [`platform::Platform`].
@@ -197,6 +199,10 @@
     if faults.lose_answers {
         return None;
     }
+    if faults.fail {
+        let headers = [("x-request-id", id.as_str())];
+        return plain(500, &headers, "the server's own failure");
+    }
     let signed = [("x-request-id", id.as_str()), ("x-response-signature", "s")];
     if target.is_empty() {
         let _gone = Watch(Arc::clone(worker), id.clone(), !faults.hang);
--- a/tests/gateway_processes.rs
+++ b/tests/gateway_processes.rs
@@ -270,6 +270,25 @@
     assert_eq!(site.ran("r2"), 2);
 }
 
+#[test]
+fn a_servers_failure_is_passed_on_where_no_other_server_is_left() {
+    let site = Site::start(1);
+    site.wait_until_ready();
+    site.platform.list(site.platform.worker("p"), "draining");
+    let fail = Faults {
+        fail: true,
+        ..Faults::default()
+    };
+    site.platform.worker("q").set(fail);
+    wait_for("the news", || {
+        let answer = site.ask("/check/x", "r1", "");
+        status(&answer) == 500 && answer.contains("the server's own failure")
+    });
+    let answer = site.ask("/check/x", "r2", "");
+    assert_eq!(status(&answer), 500, "{answer}");
+    assert!(answer.contains("the server's own failure"), "{answer}");
+}
+
 #[test]
 fn a_stream_that_may_be_resumed_goes_on_at_another_worker() {
     let site = Site::start(1);
