--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -8,8 +8,9 @@
 use crate::world::id;
 use crate::world::unit::Bytes;
 
-/// Gain that a load from a worker's own copies has over one from the weight store.
-const NEAR: f64 = 0.01;
+/// Part of its gain that a load from a worker's own copies has over one from the weight store,
+/// which takes several times as long.
+const NEAR: f64 = 0.5;
 
 /// A worker that may hold models.
 #[derive(Debug, Clone)]
@@ -149,7 +150,7 @@
         } else {
             self.relief(index, model, wanted.work, copies, freed)
         };
-        let near = if has_copy { NEAR } else { 0.0 };
+        let near = if has_copy { gain.max(0.0) * NEAR } else { 0.0 };
         let job = Job {
             worker: worker.id.clone(),
             load: model.clone(),
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -41,8 +41,9 @@
     pub known: u64,
     /// Newest version that is heard of.
     pub heard: u64,
-    /// Rises each time that peers know more than the feeds told for a while: they may hang.
-    pub doubts: u64,
+    /// Rise each time that peers know more than a feed told for a while: it may hang.
+    pub site_doubts: u64,
+    pub server_doubts: u64,
 }
 
 /// What the placer hears.
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -149,6 +149,7 @@
     after: u64,
     channel: Option<Channel>,
     interest: watch::Receiver<Interest>,
+    doubts_of: fn(&Interest) -> u64,
 }
 
 /// What a feed brought.
@@ -159,13 +160,19 @@
 }
 
 impl Feed {
-    fn new(store: Rc<Store>, table: &'static str, interest: watch::Receiver<Interest>) -> Self {
+    fn new(
+        store: Rc<Store>,
+        table: &'static str,
+        interest: watch::Receiver<Interest>,
+        doubts_of: fn(&Interest) -> u64,
+    ) -> Self {
         Self {
             store,
             table,
             after: 0,
             channel: None,
             interest,
+            doubts_of,
         }
     }
 
@@ -210,11 +217,12 @@
         let Some(channel) = &mut self.channel else {
             return Ok(None);
         };
-        let doubts = self.interest.borrow().doubts;
+        let doubts_of = self.doubts_of;
+        let doubts = doubts_of(&self.interest.borrow());
         let call = tokio::select! {
             call = timeout(WAIT + ANSWER, channel.call(request)) => Some(call),
             () = self.store.regained.notified() => None,
-            _ = self.interest.wait_for(|interest| interest.doubts != doubts) => None,
+            _ = self.interest.wait_for(|interest| doubts_of(interest) != doubts) => None,
         };
         let Some(call) = call else {
             log::info!(
@@ -254,7 +262,9 @@
 }
 
 async fn follow_site(store: Rc<Store>, interest: watch::Receiver<Interest>) {
-    let mut feed = Feed::new(Rc::clone(&store), config::TABLE, interest);
+    let mut feed = Feed::new(Rc::clone(&store), config::TABLE, interest, |interest| {
+        interest.site_doubts
+    });
     let mut newest = Version::default();
     loop {
         let (Change::All(rows) | Change::Some(rows)) = feed.next().await;
@@ -275,7 +285,12 @@
 /// Follows the list of servers while that is of interest; else only catches up where peers know
 /// more.
 async fn follow_servers(store: Rc<Store>, mut interest: watch::Receiver<Interest>) {
-    let mut feed = Feed::new(Rc::clone(&store), worker::TABLE, interest.clone());
+    let mut feed = Feed::new(
+        Rc::clone(&store),
+        worker::TABLE,
+        interest.clone(),
+        |interest| interest.server_doubts,
+    );
     loop {
         let now = *interest.borrow_and_update();
         feed.after = feed.after.max(now.known);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -8,6 +8,7 @@
 use crate::common::*;
 use crate::decide::balance::{Balance, Need, Running, SUM};
 use crate::decide::fleet::Told;
+use crate::decide::lag::Lag;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
 use crate::decide::tally::{Source, Tally};
@@ -67,9 +68,7 @@
     heard_version: Cell<(u64, Duration)>,
     /// Newest configuration that a peer has in force.
     heard_configuration: Cell<u64>,
-    /// Since when peers know more than this instance.
-    behind_since: Cell<Option<Duration>>,
-    doubts: Cell<u64>,
+    lags: RefCell<Lags>,
     is_holder: Cell<bool>,
     interest: watch::Sender<Interest>,
     /// Tokens that this instance's callers asked for.
@@ -105,6 +104,13 @@
     told: [u64; 3],
 }
 
+/// How far this instance is behind its peers.
+#[derive(Debug, Default)]
+struct Lags {
+    servers: Lag,
+    site: Lag,
+}
+
 /// The holder of a shard.
 #[derive(Debug, Clone, Copy)]
 struct Holder {
@@ -150,8 +156,7 @@
             roster: RefCell::default(),
             heard_version: Cell::default(),
             heard_configuration: Cell::new(0),
-            behind_since: Cell::new(None),
-            doubts: Cell::new(0),
+            lags: RefCell::default(),
             is_holder: Cell::new(false),
             interest,
             demands: RefCell::default(),
@@ -268,21 +273,18 @@
     fn set_interest(&self, now: Duration) {
         let known = self.roster.borrow().version();
         let (heard, heard_at) = self.heard_version.get();
-        let is_behind = heard > known || self.heard_configuration.get() > self.configuration();
-        let since = self.behind_since.get().filter(|_| is_behind);
-        let since = since.or(is_behind.then_some(now));
-        self.behind_since.set(since);
-        let waited = since.is_some_and(|since| now >= since + CATCH_UP);
-        if waited {
-            self.doubts.set(self.doubts.get() + 1);
-            self.behind_since.set(Some(now));
-        }
-        let alone = now >= heard_at + ALONE;
+        let mut lags = self.lags.borrow_mut();
+        let misses_servers = lags.servers.is_late(now, known, heard, CATCH_UP);
+        let (in_force, newest) = (self.configuration(), self.heard_configuration.get());
+        let misses_site = lags.site.is_late(now, in_force, newest, CATCH_UP);
+        drop(lags);
+        let old = *self.interest.borrow();
         let interest = Interest {
-            follow: self.is_holder.get() || alone,
+            follow: self.is_holder.get() || now >= heard_at + ALONE,
             known,
-            heard: if waited { heard } else { 0 },
-            doubts: self.doubts.get(),
+            heard: if misses_servers { heard } else { old.heard },
+            site_doubts: old.site_doubts + u64::from(misses_site),
+            server_doubts: old.server_doubts + u64::from(misses_servers),
         };
         self.interest.send_if_modified(|old| {
             let changed = *old != interest;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
     pub mod demand;
     pub mod dispatch;
     pub mod fleet;
+    pub mod lag;
     pub mod lease;
     pub mod ledger;
     pub mod member;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod balance;
 mod build;
 mod fleet;
+mod lag;
 mod lease;
 mod names;
 mod orders;
