--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -10,7 +10,7 @@
 
 /// Part of its gain that a load from a worker's own copies has over one from the weight store,
 /// which takes several times as long.
-const NEAR: f64 = 0.5;
+const NEAR: f64 = 0.1;
 
 /// A worker that may hold models.
 #[derive(Debug, Clone)]
