--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -6,16 +6,16 @@
 use super::channel;
 use super::event::{Call, Heard, Word};
 use super::journal::Journal;
+use super::words;
 use crate::common::*;
 use crate::decide::arrange;
-use crate::decide::fleet::{Fleet, Task, Told};
+use crate::decide::fleet::{Fleet, Task};
 use crate::decide::lease::{Action, Lease, Timing};
-use crate::decide::orders::Ledger;
 use crate::decide::roster::Change;
 use crate::decide::tally::Source;
 use crate::node::clock::Clock;
 use crate::platform::{request, worker};
-use crate::wire::generated_gossip::{Gossip, Held, Holding, Job, Lead};
+use crate::wire::generated_gossip::{Gossip, Holding, Lead};
 use crate::world::backend::Report;
 use crate::world::deployment::Deployment;
 use crate::world::id;
@@ -225,11 +225,11 @@
             }
         }
         for holding in &gossip.holdings {
-            if let Some((worker, told)) = decode_holding(holding) {
+            if let Some((worker, told)) = words::decode_holding(holding) {
                 self.fleet.on_told(now, worker, told);
             }
         }
-        for job in gossip.jobs.iter().filter_map(decode_job) {
+        for job in gossip.jobs.iter().filter_map(words::decode_job) {
             let begun = self.fleet.on_job(now, &job);
             let values = json!({"job": job, "planner": instance, "begun": begun});
             self.journal.note("job", &values);
@@ -326,7 +326,7 @@
         let word = Word {
             leads: leads.collect(),
             holdings,
-            jobs: jobs.iter().map(encode_job).collect(),
+            jobs: jobs.iter().map(words::encode_job).collect(),
         };
         let is_empty = word.leads.is_empty() && word.holdings.is_empty() && word.jobs.is_empty();
         (!is_empty).then_some(word)
@@ -343,7 +343,7 @@
             };
             if told.get(worker) != Some(&ledger.revision) {
                 told.insert(worker.clone(), ledger.revision);
-                holdings.push(encode_holding(worker, ledger, fence));
+                holdings.push(words::encode_holding(worker, ledger, fence));
             }
         }
         self.told = told;
@@ -540,67 +540,3 @@
     let now = this.clock.now();
     this.fleet.on_report(now, &id, report);
 }
-
-fn encode_holding(worker: &id::Worker, ledger: &Ledger, fence: Fence) -> Holding {
-    let held = ledger.holdings().iter().map(|(model, adapters)| Held {
-        model: model.to_string(),
-        adapters: adapters.iter().map(ToString::to_string).collect(),
-    });
-    let closing = ledger.closing();
-    let coming = ledger.models();
-    let coming = coming
-        .iter()
-        .filter(|model| !ledger.holdings().contains_key(*model));
-    Holding {
-        worker: worker.to_string(),
-        boot: ledger.backend.boot.0,
-        fence: fence.0,
-        revision: ledger.revision,
-        held: held.collect(),
-        closing: closing.iter().map(ToString::to_string).collect(),
-        coming: coming.map(ToString::to_string).collect(),
-        open: ledger.is_open(),
-        from_store: ledger.loads_from_store(),
-    }
-}
-
-/// Reads what a holder told of a worker.
-pub(crate) fn decode_holding(holding: &Holding) -> Option<(id::Worker, Told)> {
-    let held = holding
-        .held
-        .iter()
-        .filter_map(|held| Some((held.model.parse().ok()?, names(&held.adapters).collect())));
-    let told = Told {
-        boot: Incarnation(holding.boot),
-        fence: Fence(holding.fence),
-        revision: holding.revision,
-        holdings: held.collect(),
-        closing: names(&holding.closing).collect(),
-        coming: names(&holding.coming).collect(),
-        open: holding.open,
-        from_store: holding.from_store,
-    };
-    Some((holding.worker.parse().ok()?, told))
-}
-
-fn names<T: FromStr>(texts: &[String]) -> impl Iterator<Item = T> {
-    texts.iter().filter_map(|text| text.parse().ok())
-}
-
-fn encode_job(job: &arrange::Job) -> Job {
-    Job {
-        worker: job.worker.to_string(),
-        load: job.load.to_string(),
-        evict: job.evict.iter().map(ToString::to_string).collect(),
-        from_store: job.from_store,
-    }
-}
-
-fn decode_job(job: &Job) -> Option<arrange::Job> {
-    Some(arrange::Job {
-        worker: job.worker.parse().ok()?,
-        load: job.load.parse().ok()?,
-        evict: names(&job.evict).collect(),
-        from_store: job.from_store,
-    })
-}
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,23 +1,20 @@
 //! What the duty "traffic" knows: routes, servers, channels, budgets, and what it tells peers.
 
-use super::event::{self, Heard, Interest, News, RING, Word};
+use super::event::{self, Heard, Interest, News, RING};
 use super::journal::Journal;
 use super::metrics::Metrics;
-use super::placer;
 use super::pool::Pool;
 use crate::common::*;
-use crate::decide::balance::{Balance, Need, Running, SUM};
+use crate::decide::balance::{Balance, Need};
 use crate::decide::fleet::Told;
 use crate::decide::lag::Lag;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
-use crate::decide::tally::{Source, Tally};
-use crate::decide::topology::{Sender, Standing, Topology};
+use crate::decide::tally::Tally;
+use crate::decide::topology::Topology;
 use crate::node::clock::Clock;
 use crate::platform::worker;
-use crate::wire::generated_gossip::{
-    Batch, Demand, Entry, Gossip, Holding, Lead, Load, Loads, Want,
-};
+use crate::wire::generated_gossip::{Batch, Entry};
 use crate::world::backend::Backend;
 use crate::world::deployment::Deployment;
 use crate::world::id;
@@ -37,10 +34,6 @@
 const CATCH_UP: Duration = Duration::from_millis(500);
 /// An instance that hears no holder for this long follows the list of servers itself.
 const ALONE: Duration = Duration::from_millis(1_500);
-/// Demand is told anew in whole after this time, for a holder that has just begun.
-const DEMAND_AGAIN: Duration = Duration::from_secs(2);
-/// Instances of each other data centre that are told what a holder tells, should one be lost.
-const RELAYS: usize = 2;
 /// The word of a holder counts for this long.
 const HOLDER_MEMORY: Duration = Duration::from_millis(1_100);
 
@@ -61,32 +54,32 @@
     pub changed: Notify,
     /// Wakes the task that tells peers.
     pub to_tell: Notify,
-    budgets: RefCell<BTreeMap<id::Service, Budget>>,
-    topology: RefCell<Topology>,
-    roster: RefCell<Roster>,
+    pub(super) budgets: RefCell<BTreeMap<id::Service, Budget>>,
+    pub(super) topology: RefCell<Topology>,
+    pub(super) roster: RefCell<Roster>,
     /// Newest version of the list that a peer knows, and when one was last heard.
-    heard_version: Cell<(u64, Duration)>,
+    pub(super) heard_version: Cell<(u64, Duration)>,
     /// Newest configuration that a peer has in force.
-    heard_configuration: Cell<u64>,
-    lags: RefCell<Lags>,
-    is_holder: Cell<bool>,
-    interest: watch::Sender<Interest>,
+    pub(super) heard_configuration: Cell<u64>,
+    pub(super) lags: RefCell<Lags>,
+    pub(super) is_holder: Cell<bool>,
+    pub(super) interest: watch::Sender<Interest>,
     /// Tokens that this instance's callers asked for.
-    demands: RefCell<BTreeMap<Target, Asked>>,
+    pub(super) demands: RefCell<BTreeMap<Target, Asked>>,
     /// Tokens that callers of the whole data centre asked for.
-    sums: RefCell<BTreeMap<Target, Asked>>,
-    tally: RefCell<Tally>,
+    pub(super) sums: RefCell<BTreeMap<Target, Asked>>,
+    pub(super) tally: RefCell<Tally>,
     /// Adapters that requests wait for, where, and when the holder was told.
-    wants: RefCell<BTreeMap<(id::Worker, Target), Duration>>,
-    held: RefCell<BTreeMap<id::Worker, Told>>,
-    new_wants: RefCell<Vec<(id::Worker, Target)>>,
-    holders: RefCell<BTreeMap<Shard, Holder>>,
+    pub(super) wants: RefCell<BTreeMap<(id::Worker, Target), Duration>>,
+    pub(super) held: RefCell<BTreeMap<id::Worker, Told>>,
+    pub(super) new_wants: RefCell<Vec<(id::Worker, Target)>>,
+    pub(super) holders: RefCell<BTreeMap<Shard, Holder>>,
     /// When demand was told in whole to each tier.
-    demand_told_at: Cell<[Duration; 3]>,
-    sequence: Cell<u64>,
+    pub(super) demand_told_at: Cell<[Duration; 3]>,
+    pub(super) sequence: Cell<u64>,
     /// Changes of the list of servers that peers are to hear.
     pub batches: RefCell<Vec<Batch>>,
-    placer: flume::Sender<Heard>,
+    pub(super) placer: flume::Sender<Heard>,
 }
 
 /// How far a data centre is; the farther, the less often it is told.
@@ -98,29 +91,29 @@
 }
 
 #[derive(Debug, Clone, Copy, Default)]
-struct Asked {
-    tokens: u64,
+pub(super) struct Asked {
+    pub tokens: u64,
     /// Tokens that were told to each tier.
-    told: [u64; 3],
+    pub told: [u64; 3],
 }
 
 /// How far this instance is behind its peers.
 #[derive(Debug, Default)]
-struct Lags {
+pub(super) struct Lags {
     servers: Lag,
     site: Lag,
 }
 
 /// The holder of a shard.
 #[derive(Debug, Clone, Copy)]
-struct Holder {
-    heard: Duration,
+pub(super) struct Holder {
+    pub heard: Duration,
     /// None where it is this instance.
-    address: Option<SocketAddr>,
+    pub address: Option<SocketAddr>,
 }
 
 impl Holder {
-    fn is_heard(&self, now: Duration) -> bool {
+    pub fn is_heard(&self, now: Duration) -> bool {
         now < self.heard + HOLDER_MEMORY
     }
 }
@@ -203,7 +196,7 @@
     }
 
     /// Takes changes of the list of servers, from the store or from a peer.
-    fn on_batch(&self, batch: &Batch) {
+    pub(super) fn on_batch(&self, batch: &Batch) {
         let entries = batch.entries.iter().filter_map(|entry| self.decode(entry));
         let batch = roster::Batch {
             from: batch.from,
@@ -236,7 +229,7 @@
         })
     }
 
-    fn on_changes(&self, changes: Vec<Change>) {
+    pub(super) fn on_changes(&self, changes: Vec<Change>) {
         for change in changes {
             match &change {
                 Change::Listed(backend) => self.on_listed(backend.clone()),
@@ -264,13 +257,13 @@
     }
 
     /// Version of the configuration in force, 0 before the first.
-    fn configuration(&self) -> u64 {
+    pub(super) fn configuration(&self) -> u64 {
         let site = self.site.borrow();
         site.as_ref().map_or(0, |site| site.version.0)
     }
 
     /// Tells the store duty whether to follow the list of servers or to catch up.
-    fn set_interest(&self, now: Duration) {
+    pub(super) fn set_interest(&self, now: Duration) {
         let known = self.roster.borrow().version();
         let (heard, heard_at) = self.heard_version.get();
         let mut lags = self.lags.borrow_mut();
@@ -314,7 +307,7 @@
     }
 
     /// How far a data centre is.
-    fn tier(&self, data_centre: &id::DataCentre) -> Tier {
+    pub(super) fn tier(&self, data_centre: &id::DataCentre) -> Tier {
         let regions = &self.deployment.regions;
         let here = &self.deployment.data_centre;
         if data_centre == here {
@@ -339,7 +332,7 @@
         self.pool.tick(now);
     }
 
-    fn hand(&self, heard: Heard) {
+    pub(super) fn hand(&self, heard: Heard) {
         if self.placer.try_send(heard).is_err() {
             self.journal
                 .note("ring_full", &json!({"ring": "placer", "size": RING}));
@@ -418,283 +411,9 @@
             budget.on_first();
         }
     }
-
-    /// Takes a peer's datagram.
-    pub fn on_gossip(&self, gossip: Gossip) {
-        let now = self.clock.now();
-        let Some(sender) = sender(&gossip) else {
-            return;
-        };
-        let (standing, was_silent) = self.topology.borrow_mut().on_heard(now, &sender);
-        if standing == Standing::Outdated {
-            return;
-        }
-        if was_silent {
-            self.demand_told_at.set([Duration::ZERO; 3]);
-            let values = json!({"instance": sender.instance, "heard": true});
-            self.journal.note("peer", &values);
-        }
-        let is_far = sender.data_centre != self.deployment.data_centre;
-        if gossip.is_sum && is_far {
-            let mut topology = self.topology.borrow_mut();
-            topology.on_summary(now, &sender, gossip.instances);
-        }
-        let running = gossip.running.as_ref();
-        if let Some(running) = running.filter(|_| standing == Standing::Newest) {
-            let loads = running.loads.iter().filter_map(decode_load).collect();
-            let source = if gossip.is_sum {
-                format!("{SUM}{}", sender.data_centre)
-                    .parse()
-                    .unwrap_or_default()
-            } else {
-                sender.instance.clone()
-            };
-            self.balance.borrow_mut().on_peer(now, &source, &loads);
-        }
-        if !is_far && !gossip.is_sum {
-            self.add_to_sum(&sender, &gossip);
-        }
-        let (heard, at) = self.heard_version.get();
-        let at = if gossip.leads.is_empty() { at } else { now };
-        self.heard_version
-            .set((heard.max(gossip.servers_version), at));
-        let heard = self.heard_configuration.get().max(gossip.configuration);
-        self.heard_configuration.set(heard);
-        self.on_leads(now, &gossip.leads, Some(sender.address));
-        self.on_holdings(&gossip.holdings);
-        if let Some(batch) = &gossip.batch {
-            self.on_batch(batch);
-        }
-        if concerns_placer(&gossip) {
-            self.hand(Heard::Gossip(Box::new(gossip)));
-        }
-    }
-
-    /// Adds what a peer's callers asked for to the sum of this data centre.
-    fn add_to_sum(&self, sender: &Sender, gossip: &Gossip) {
-        let source = Source {
-            instance: sender.instance.clone(),
-            is_sum: false,
-        };
-        let incarnation = Incarnation(sender.incarnation);
-        let mut tally = self.tally.borrow_mut();
-        let mut sums = self.sums.borrow_mut();
-        for demand in &gossip.demands {
-            if let Ok(target) = demand.target.parse::<Target>() {
-                let added = tally.on_told(&source, incarnation, &target, demand.tokens);
-                sums.entry(target).or_default().tokens += added;
-            }
-        }
-    }
-
-    fn on_leads(&self, now: Duration, leads: &[Lead], address: Option<SocketAddr>) {
-        let holder = Holder {
-            heard: now,
-            address,
-        };
-        let mut holders = self.holders.borrow_mut();
-        holders.extend(leads.iter().map(|lead| (Shard(lead.shard), holder)));
-    }
-
-    fn on_holdings(&self, holdings: &[Holding]) {
-        for (worker, told) in holdings.iter().filter_map(placer::decode_holding) {
-            let mut held = self.held.borrow_mut();
-            let known = held.get(&worker);
-            let order = (told.fence, told.revision);
-            let is_old = known.is_some_and(|known| order <= (known.fence, known.revision));
-            let mut balance = self.balance.borrow_mut();
-            let boot = balance.view(&worker).map(|view| view.backend.boot);
-            if is_old || boot.is_some_and(|boot| boot > told.boot) {
-                continue;
-            }
-            balance.on_holdings(&worker, told.holdings.clone(), told.closing.clone());
-            held.insert(worker, told);
-        }
-        if !holdings.is_empty() {
-            self.changed.notify_waiters();
-        }
-    }
-
-    /// Takes the word of this instance's own placer.
-    pub fn on_word(&self, word: &Word) {
-        let now = self.clock.now();
-        self.is_holder.set(!word.leads.is_empty());
-        self.set_interest(now);
-        self.on_leads(now, &word.leads, None);
-        self.on_holdings(&word.holdings);
-    }
-
-    /// What to tell peers of a tier now: what runs here, or in the whole data centre.
-    pub fn gossip(&self, tier: Tier) -> Gossip {
-        let now = self.clock.now();
-        let is_sum = tier != Tier::DataCentre;
-        let loads = if is_sum {
-            self.balance.borrow().near(now)
-        } else {
-            self.balance.borrow().own()
-        };
-        let loads = loads.into_iter().map(|(worker, running)| Load {
-            worker: worker.to_string(),
-            requests: running.requests,
-            unread: running.unread,
-            kept: running.kept,
-        });
-        Gossip {
-            running: Some(Loads {
-                loads: loads.collect(),
-            }),
-            demands: self.take_demands(now, tier),
-            is_sum,
-            pass_on: is_sum,
-            instances: self.topology.borrow().near_count(now),
-            ..self.envelope()
-        }
-    }
-
-    /// A datagram with nothing but its sender.
-    pub fn envelope(&self) -> Gossip {
-        self.sequence.set(self.sequence.get() + 1);
-        Gossip {
-            instance: self.deployment.instance.to_string(),
-            incarnation: self.incarnation.0,
-            sequence: self.sequence.get(),
-            data_centre: self.deployment.data_centre.to_string(),
-            address: self.deployment.peers.to_string(),
-            servers_version: self.roster.borrow().version(),
-            configuration: self.configuration(),
-            ..Gossip::default()
-        }
-    }
-
-    fn take_demands(&self, now: Duration, tier: Tier) -> Vec<Demand> {
-        let mut told_at = self.demand_told_at.get();
-        let all = now >= told_at[tier as usize] + DEMAND_AGAIN;
-        if all {
-            told_at[tier as usize] = now;
-            self.demand_told_at.set(told_at);
-        }
-        let demands = match tier {
-            Tier::DataCentre => &self.demands,
-            Tier::Region | Tier::Far => &self.sums,
-        };
-        let mut demands = demands.borrow_mut();
-        let told = demands.iter_mut();
-        let told = told.filter(|(_, asked)| all || asked.tokens > asked.told[tier as usize]);
-        let told = told.map(|(target, asked)| {
-            asked.told[tier as usize] = asked.tokens;
-            Demand {
-                target: target.to_string(),
-                tokens: asked.tokens,
-            }
-        });
-        told.collect()
-    }
-
-    /// Adapters that requests wait for, of workers held here; those held elsewhere are returned
-    /// with the addresses of their holders.
-    pub fn take_wants(&self) -> Vec<(SocketAddr, Want)> {
-        let now = self.clock.now();
-        let wants = std::mem::take(&mut *self.new_wants.borrow_mut());
-        let holders = self.holders.borrow();
-        let mut own = self.envelope();
-        let mut others = Vec::new();
-        for (worker, target) in wants {
-            let want = Want {
-                target: target.to_string(),
-                worker: worker.to_string(),
-            };
-            match holders.get(&Shard::of(&worker)) {
-                Some(holder) if holder.is_heard(now) => match holder.address {
-                    Some(address) => others.push((address, want)),
-                    None => own.wants.push(want),
-                },
-                _ => {}
-            }
-        }
-        if !own.wants.is_empty() {
-            self.hand(Heard::Gossip(Box::new(own)));
-        }
-        others
-    }
-
-    /// Has the own placer hear what this instance's callers ask for.
-    pub fn tell_placer(&self, gossip: &Gossip) {
-        if !gossip.demands.is_empty() {
-            self.hand(Heard::Gossip(Box::new(gossip.clone())));
-        }
-    }
-
-    /// Whether this instance holds the first of the shards that are held, and so plans.
-    #[must_use]
-    pub fn is_planner(&self) -> bool {
-        let now = self.clock.now();
-        let holders = self.holders.borrow();
-        let mut held = holders.values();
-        let first = held.find(|holder| holder.is_heard(now));
-        first.is_some_and(|holder| holder.address.is_none())
-    }
-
-    /// Addresses of all peers in this data centre.
-    #[must_use]
-    pub fn near(&self) -> Vec<SocketAddr> {
-        self.topology.borrow().near()
-    }
-
-    /// Addresses in the data centres of a tier that are told the sum for this one; none where
-    /// another instance speaks for it.
-    #[must_use]
-    pub fn told_of_sums(&self, tier: Tier) -> Vec<SocketAddr> {
-        let now = self.clock.now();
-        let mut topology = self.topology.borrow_mut();
-        if !topology.is_speaker(now) {
-            return Vec::new();
-        }
-        topology.relays(now, 1, |data_centre| self.tier(data_centre) == tier)
-    }
-
-    /// Addresses in all other data centres that pass on what a holder tells.
-    #[must_use]
-    pub fn relays(&self) -> Vec<SocketAddr> {
-        let now = self.clock.now();
-        self.topology.borrow_mut().relays(now, RELAYS, |_| true)
-    }
-
-    /// The address of the holder of a worker, where that is another instance.
-    #[must_use]
-    pub fn holder_address(&self, worker: &id::Worker) -> Option<SocketAddr> {
-        self.holders.borrow().get(&Shard::of(worker))?.address
-    }
-}
-
-fn sender(gossip: &Gossip) -> Option<Sender> {
-    Some(Sender {
-        instance: gossip.instance.parse().ok()?,
-        address: gossip.address.parse().ok()?,
-        data_centre: gossip.data_centre.parse().ok()?,
-        incarnation: gossip.incarnation,
-        sequence: gossip.sequence,
-    })
 }
 
 fn is_heard(now: Duration, holders: &BTreeMap<Shard, Holder>, worker: &id::Worker) -> bool {
     let holder = holders.get(&Shard::of(worker));
     holder.is_some_and(|holder| holder.is_heard(now))
 }
-
-fn decode_load(load: &Load) -> Option<(id::Worker, Running)> {
-    let running = Running {
-        requests: load.requests,
-        unread: load.unread,
-        kept: load.kept,
-    };
-    Some((load.worker.parse().ok()?, running))
-}
-
-fn concerns_placer(gossip: &Gossip) -> bool {
-    let says_nothing = gossip.leads.is_empty()
-        && gossip.demands.is_empty()
-        && gossip.wants.is_empty()
-        && gossip.holdings.is_empty()
-        && gossip.jobs.is_empty();
-    !says_nothing
-}
--- /dev/null
+++ b/src/gateway/words.rs
@@ -0,0 +1,73 @@
+//! What holders and the planner say, as messages between instances.
+
+use crate::common::*;
+use crate::decide::arrange;
+use crate::decide::fleet::Told;
+use crate::decide::orders::Ledger;
+use crate::wire::generated_gossip::{Held, Holding, Job};
+use crate::world::id;
+use crate::world::unit::{Fence, Incarnation};
+
+pub(crate) fn encode_holding(worker: &id::Worker, ledger: &Ledger, fence: Fence) -> Holding {
+    let held = ledger.holdings().iter().map(|(model, adapters)| Held {
+        model: model.to_string(),
+        adapters: adapters.iter().map(ToString::to_string).collect(),
+    });
+    let closing = ledger.closing();
+    let coming = ledger.models();
+    let coming = coming
+        .iter()
+        .filter(|model| !ledger.holdings().contains_key(*model));
+    Holding {
+        worker: worker.to_string(),
+        boot: ledger.backend.boot.0,
+        fence: fence.0,
+        revision: ledger.revision,
+        held: held.collect(),
+        closing: closing.iter().map(ToString::to_string).collect(),
+        coming: coming.map(ToString::to_string).collect(),
+        open: ledger.is_open(),
+        from_store: ledger.loads_from_store(),
+    }
+}
+
+/// Reads what a holder told of a worker.
+pub(crate) fn decode_holding(holding: &Holding) -> Option<(id::Worker, Told)> {
+    let held = holding
+        .held
+        .iter()
+        .filter_map(|held| Some((held.model.parse().ok()?, names(&held.adapters).collect())));
+    let told = Told {
+        boot: Incarnation(holding.boot),
+        fence: Fence(holding.fence),
+        revision: holding.revision,
+        holdings: held.collect(),
+        closing: names(&holding.closing).collect(),
+        coming: names(&holding.coming).collect(),
+        open: holding.open,
+        from_store: holding.from_store,
+    };
+    Some((holding.worker.parse().ok()?, told))
+}
+
+fn names<T: FromStr>(texts: &[String]) -> impl Iterator<Item = T> {
+    texts.iter().filter_map(|text| text.parse().ok())
+}
+
+pub(crate) fn encode_job(job: &arrange::Job) -> Job {
+    Job {
+        worker: job.worker.to_string(),
+        load: job.load.to_string(),
+        evict: job.evict.iter().map(ToString::to_string).collect(),
+        from_store: job.from_store,
+    }
+}
+
+pub(crate) fn decode_job(job: &Job) -> Option<arrange::Job> {
+    Some(arrange::Job {
+        worker: job.worker.parse().ok()?,
+        load: job.load.parse().ok()?,
+        evict: names(&job.evict).collect(),
+        from_store: job.from_store,
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -87,6 +87,7 @@
     mod channel;
     pub mod command;
     mod event;
+    mod exchange;
     mod forward;
     #[allow(clippy::module_inception)]
     mod gateway;
@@ -99,6 +100,7 @@
     mod relay;
     mod store;
     mod traffic;
+    mod words;
 }
 
 /// Threads that feed the decisions and carry them out.
