--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -15,10 +15,14 @@
 }
 
 fn parts(site: &Site) -> Vec<f64> {
+    parts_of(site, "red")
+}
+
+fn parts_of(site: &Site, team: &str) -> Vec<f64> {
     let entries = (0..site.entries.len()).filter(|at| site.is_ready(Role::Entry, *at));
     let shares = entries.map(|at| {
         let dump = site.dump(Role::Entry, at);
-        dump["state"]["dispatcher"]["shares"]["red"]
+        dump["state"]["dispatcher"]["shares"][team]
             .as_f64()
             .unwrap_or(0.0)
     });
@@ -104,7 +108,8 @@
         scope.spawn(|| admitted(&site, &[0, 0, 0, 0, 1, 1, 2, 2], Duration::from_secs(3)));
         for _ in 0..20 {
             let answer = site.call_service(0, "blue", "read", "", "{}").unwrap();
-            assert_eq!(answer.status, 200, "{}", answer.body);
+            let part = parts_of(&site, "blue")[0];
+            assert_eq!(answer.status, 200, "{} with a part of {part}", answer.body);
             std::thread::sleep(Duration::from_millis(100));
         }
     });
