Read the change once more: dead state, rules that stood twice, one entry that was dropped unsaid

The planner's regions were never used; whether word of a worker is newer stood in two places; flags were parsed alike in two programs; five tests broke servers alike; pauses of the registration were an array read by index. An entry of the list whose key is no id was dropped without a line in the log; it has one now.

--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -16,7 +16,6 @@
 #[derive(Debug, Clone)]
 pub struct Worker {
     pub id: id::Worker,
-    pub region: Option<id::Region>,
     pub memory: Bytes,
     /// Memory that adapters and unaccounted orders may take.
     pub reserved: Bytes,
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -53,7 +53,6 @@
 /// All workers with engines, and what callers want of them.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    regions: BTreeMap<id::DataCentre, id::Region>,
     load_window: Duration,
     engines: BTreeMap<id::Service, Engine>,
     backends: BTreeMap<id::Worker, Backend>,
@@ -73,7 +72,6 @@
     #[must_use]
     pub fn new(deployment: &Deployment) -> Self {
         Self {
-            regions: deployment.regions.clone(),
             load_window: deployment.bounds.load_window,
             ..Self::default()
         }
@@ -128,8 +126,7 @@
     /// Takes what another holder told of a worker.
     pub fn on_told(&mut self, now: Duration, worker: id::Worker, told: Told) {
         let known = self.told.get(&worker);
-        let order = (told.fence, told.revision);
-        if known.is_some_and(|known| order <= (known.fence, known.revision)) {
+        if !told.is_newer_than(known) {
             return;
         }
         let coming = known.map(|known| &known.coming);
@@ -328,7 +325,6 @@
         Worker {
             coming: coming.cloned().collect(),
             id: backend.id.clone(),
-            region: self.regions.get(&backend.data_centre).cloned(),
             memory: engine.memory,
             reserved,
             models,
@@ -339,6 +335,13 @@
 }
 
 impl Told {
+    /// Whether this is later word of the same worker than what is known.
+    #[must_use]
+    pub fn is_newer_than(&self, known: Option<&Self>) -> bool {
+        let order = |told: &Self| (told.fence, told.revision);
+        known.is_none_or(|known| order(self) > order(known))
+    }
+
     /// Models that the worker holds or is about to hold, those about to go left out.
     fn models(&self) -> BTreeSet<id::Model> {
         let held = self.holdings.keys();
--- a/src/gateway/command.rs
+++ b/src/gateway/command.rs
@@ -3,13 +3,11 @@
 use super::gateway;
 use crate::common::*;
 use crate::node::logs;
-use crate::program;
+use crate::program::{self, WRONG};
 use gumdrop::Options;
 use std::process::ExitCode;
 
 const NAME: &str = "poplarseam-gateway";
-/// Exit code for wrong flags or settings.
-const WRONG: u8 = 2;
 /// Variable for the level of the log of libraries and rare faults.
 const LOG_LEVEL: &str = "POPLARSEAM_LOG_LEVEL";
 
@@ -32,13 +30,9 @@
 /// Runs the program with the arguments and the environment of this process.
 #[must_use]
 pub fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let flags = match Flags::parse_args_default(&arguments) {
+    let flags: Flags = match program::flags(NAME) {
         Ok(flags) => flags,
-        Err(error) => {
-            eprintln!("{NAME}: {error}; {NAME} --help lists the flags");
-            return ExitCode::from(WRONG);
-        }
+        Err(code) => return code,
     };
     if flags.help {
         println!("{NAME}: serves callers of the users' platform on one instance.\n");
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -99,9 +99,7 @@
     fn on_holdings(&self, holdings: &[Holding]) {
         for (worker, told) in holdings.iter().filter_map(words::decode_holding) {
             let mut held = self.held.borrow_mut();
-            let known = held.get(&worker);
-            let order = (told.fence, told.revision);
-            let is_old = known.is_some_and(|known| order <= (known.fence, known.revision));
+            let is_old = !told.is_newer_than(held.get(&worker));
             let mut balance = self.balance.borrow_mut();
             let boot = balance.view(&worker).map(|view| view.backend.boot);
             if is_old || boot.is_some_and(|boot| boot > told.boot) {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -33,9 +33,11 @@
 const DISTURBED: Duration = Duration::from_millis(2_500);
 /// Prefix of the rows in which instances register.
 const MEMBERS: &str = "instance.";
-/// Pauses between reads of the list of instances. Those that start together don't see each other
-/// at first; later ones announce themselves to all they read.
-const MEMBERS_AGAIN: [Duration; 2] = [Duration::from_millis(900), Duration::from_mins(2)];
+/// Pause before the list of instances is read again after this one's row was written: those that
+/// start together don't see each other at first. Later ones announce themselves to all they read.
+const MEMBERS_SOON: Duration = Duration::from_millis(900);
+/// Pause between later reads of that list.
+const MEMBERS_AGAIN: Duration = Duration::from_mins(2);
 
 /// What the tasks of this duty share.
 struct Store {
@@ -339,12 +341,11 @@
         is_written |= mine.is_some_and(|mine| mine.value == Some(row.to_string().into_bytes()));
         store.tell(News::Members(members(&page))).await;
         if is_written {
-            let last = MEMBERS_AGAIN[MEMBERS_AGAIN.len() - 1];
-            sleep(last).await;
+            sleep(MEMBERS_AGAIN).await;
         } else {
             let txn = Txn::default().put(key.clone(), version, row.clone());
             is_written = commit(&store, &txn).await.is_ok();
-            sleep(if is_written { MEMBERS_AGAIN[0] } else { AGAIN }).await;
+            sleep(if is_written { MEMBERS_SOON } else { AGAIN }).await;
         }
     }
 }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -211,17 +211,14 @@
     }
 
     fn decode(&self, entry: &Entry) -> Option<roster::Entry> {
-        let worker: id::Worker = entry.worker.parse().ok()?;
+        let bad = |error: &Error| {
+            let values = json!({"server": entry.worker, "error": error.to_string()});
+            self.journal.note("bad_entry", &values);
+        };
+        let worker: id::Worker = entry.worker.parse().inspect_err(bad).ok()?;
         let backend =
             (!entry.value.is_empty()).then(|| worker::decode(&entry.worker, &entry.value));
-        let backend = backend.and_then(|backend| {
-            backend
-                .inspect_err(|error| {
-                    let values = json!({"server": worker, "error": error.to_string()});
-                    self.journal.note("bad_entry", &values);
-                })
-                .ok()
-        });
+        let backend = backend.and_then(|backend| backend.inspect_err(bad).ok());
         Some(roster::Entry {
             worker,
             version: entry.version,
--- a/src/program.rs
+++ b/src/program.rs
@@ -7,17 +7,22 @@
 use std::process::ExitCode;
 
 /// Exit code for wrong settings.
-const WRONG: u8 = 2;
+pub(crate) const WRONG: u8 = 2;
+
+/// Flags of this process, or the exit code after what is wrong with them was shown.
+pub(crate) fn flags<F: Options>(name: &str) -> Result<F, ExitCode> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    F::parse_args_default(&arguments).map_err(|error| {
+        eprintln!("{name}: {error}; {name} --help lists the flags");
+        ExitCode::from(WRONG)
+    })
+}
 
 /// Runs one of the processes with the flags and the environment of this one.
 pub fn run(name: &str, about: &str, start: impl FnOnce(Settings) -> Result<()>) -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let flags = match Flags::parse_args_default(&arguments) {
+    let flags: Flags = match flags(name) {
         Ok(flags) => flags,
-        Err(error) => {
-            eprintln!("{name}: {error}; {name} --help lists the flags");
-            return ExitCode::from(WRONG);
-        }
+        Err(code) => return code,
     };
     if flags.help {
         println!(
--- a/tests/gateway/arrange.rs
+++ b/tests/gateway/arrange.rs
@@ -14,7 +14,6 @@
     let held = held.iter().enumerate();
     let workers = held.map(|(index, held)| Worker {
         id: worker(&format!("w{index}")),
-        region: None,
         memory: Bytes(100),
         reserved: Bytes(10),
         models: models(held),
--- a/tests/gateway_processes.rs
+++ b/tests/gateway_processes.rs
@@ -127,6 +127,12 @@
         answer.unwrap_or_default()
     }
 
+    fn set(&self, workers: &[&str], faults: Faults) {
+        for worker in workers {
+            self.platform.worker(worker).set(faults);
+        }
+    }
+
     fn ran(&self, id: &str) -> usize {
         let workers = ["a", "b", "p", "q"].map(|worker| self.platform.worker(worker).ran());
         workers.iter().flatten().filter(|ran| *ran == id).count()
@@ -257,13 +263,11 @@
 fn a_request_that_may_run_once_is_not_sent_again_when_its_answer_is_lost() {
     let site = Site::start(1);
     site.wait_until_ready();
-    for server in ["p", "q"] {
-        let lost = Faults {
-            lose_answers: true,
-            ..Faults::default()
-        };
-        site.platform.worker(server).set(lost);
-    }
+    let faults = Faults {
+        lose_answers: true,
+        ..Faults::default()
+    };
+    site.set(&["p", "q"], faults);
     assert_eq!(status(&site.ask("/issue/x", "r1", "")), 502);
     assert_eq!(site.ran("r1"), 1);
     assert_eq!(status(&site.ask("/check/x", "r2", "")), 502);
@@ -293,13 +297,11 @@
 fn a_stream_that_may_be_resumed_goes_on_at_another_worker() {
     let site = Site::start(1);
     site.wait_until_ready();
-    for worker in ["a", "b"] {
-        let cut = Faults {
-            cut_after: Some(4),
-            ..Faults::default()
-        };
-        site.platform.worker(worker).set(cut);
-    }
+    let faults = Faults {
+        cut_after: Some(4),
+        ..Faults::default()
+    };
+    site.set(&["a", "b"], faults);
     let answer = site.ask("/long/x", "r1", "m1");
     for event in 1..=10 {
         let count = answer.matches(&format!("data: piece {event}\n")).count();
@@ -311,13 +313,11 @@
 fn a_stream_that_breaks_off_does_not_look_complete() {
     let site = Site::start(1);
     site.wait_until_ready();
-    for worker in ["a", "b"] {
-        let cut = Faults {
-            cut_after: Some(4),
-            ..Faults::default()
-        };
-        site.platform.worker(worker).set(cut);
-    }
+    let faults = Faults {
+        cut_after: Some(4),
+        ..Faults::default()
+    };
+    site.set(&["a", "b"], faults);
     let answer = site.ask("/draft/x", "r1", "m1");
     assert!(answer.contains("piece 4"), "{answer}");
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
@@ -327,13 +327,11 @@
 fn a_caller_that_leaves_ends_the_run() {
     let site = Site::start(1);
     site.wait_until_ready();
-    for server in ["p", "q"] {
-        let hang = Faults {
-            hang: true,
-            ..Faults::default()
-        };
-        site.platform.worker(server).set(hang);
-    }
+    let faults = Faults {
+        hang: true,
+        ..Faults::default()
+    };
+    site.set(&["p", "q"], faults);
     let mut caller = TcpStream::connect(site.callers(0)).unwrap();
     caller
         .write_all(request("/issue/x", "r1", "").as_bytes())
@@ -352,13 +350,11 @@
     let site = Site::start(1);
     site.wait_until_ready();
     site.platform.configure(&config(5_001));
-    for server in ["p", "q"] {
-        let hang = Faults {
-            hang: true,
-            ..Faults::default()
-        };
-        site.platform.worker(server).set(hang);
-    }
+    let faults = Faults {
+        hang: true,
+        ..Faults::default()
+    };
+    site.set(&["p", "q"], faults);
     assert_eq!(status(&site.ask("/issue/x", "r1", "")), 504);
 }
 
