Learn how fast engines read for each model, and plan with it

Cause: one reading speed for all models of a service, and 16,000 tokens a second as what a worker bears, whatever it reads. Sizes don't tell the speed (of two models of 65 GB one is read 2.7 times as fast). Ruled out: a prior by size alone. Change: decide/speed learns a speed for each model out of the time of its answers beside the expected one; what runs at a worker is told in microseconds of reading instead of tokens; a server's own slowness goes back to the average so that what all servers share becomes the model's; the plan counts work in workers kept busy, 0.7 of their time at most.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -3,13 +3,14 @@
 //! What runs where is known exactly for requests of this instance, and as last told for those of
 //! its peers. How fast a server works is learned from the answers it gives.
 
+use super::speed::Speeds;
 use crate::common::*;
 use crate::world::backend::{Backend, Holdings};
 use crate::world::deployment::Deployment;
 use crate::world::id;
 use crate::world::message::{Generation, Load, Target};
 use crate::world::site::{Service, Site};
-use crate::world::unit::float;
+use crate::world::unit::{Tokens, float};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time to a server and back, within a region and to another one; both sites' sheets.
@@ -17,12 +18,12 @@
 const REGION_ROUND_TRIP: f64 = 0.025;
 /// Seconds that a request should gain before it takes the paid link between regions.
 const PAID_LINK: f64 = 0.04;
-/// Prompt tokens that an engine reads in a second, until answers tell better.
-const FIRST_RATE: f64 = 20_000.0;
 /// Seconds that a plain request takes, until answers tell better.
 const FIRST_SERVICE: f64 = 0.03;
 /// Weight of the newest answer in averages.
 const SMOOTHING: f64 = 0.1;
+/// How fast a server's slowness goes back to that of the average, with each answer.
+const FORGETTING: f64 = 0.02;
 /// Bounds of a server's learned slowness, against the average server.
 const SLOWEST: f64 = 8.0;
 const FASTEST: f64 = 0.5;
@@ -74,8 +75,8 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize)]
 pub struct Running {
     pub requests: u32,
-    /// Prompt tokens that are not read yet.
-    pub unread: u64,
+    /// Time that reading their prompts still takes, in microseconds.
+    pub reading_us: u64,
     /// Tokens that running requests may keep in memory.
     pub kept: u64,
 }
@@ -84,7 +85,7 @@
     fn plus(self, other: Self) -> Self {
         Self {
             requests: self.requests + other.requests,
-            unread: self.unread + other.unread,
+            reading_us: self.reading_us + other.reading_us,
             kept: self.kept + other.kept,
         }
     }
@@ -156,8 +157,7 @@
     regions: BTreeMap<id::DataCentre, id::Region>,
     views: BTreeMap<id::Worker, View>,
     services: BTreeMap<id::Service, Service>,
-    /// Prompt tokens that engines read in a second.
-    rates: BTreeMap<id::Service, f64>,
+    speeds: Speeds,
 }
 
 impl Balance {
@@ -174,6 +174,10 @@
     /// Takes the operator's services.
     pub fn on_site(&mut self, site: &Site) {
         self.services = site.services.clone();
+        let engines = site.services.values();
+        for engine in engines.filter_map(|service| service.engine.as_ref()) {
+            self.speeds.on_engine(engine);
+        }
     }
 
     /// Takes a server's entry in the platform's list.
@@ -249,13 +253,15 @@
         let Some(view) = self.views.get_mut(worker) else {
             return Running::default();
         };
+        let generation = need.generation.as_ref();
+        let reading = generation.map(|it| reading(&self.speeds, view, it));
         let added = Running {
             requests: 1,
-            unread: need.generation.as_ref().map_or(0, |it| unread(view, it)),
+            reading_us: microseconds(reading.unwrap_or_default()),
             kept: need.generation.as_ref().map_or(0, kept),
         };
         view.own.requests += added.requests;
-        view.own.unread += added.unread;
+        view.own.reading_us += added.reading_us;
         view.own.kept += added.kept;
         if let Some(generation) = &need.generation {
             remember(view, generation);
@@ -266,22 +272,22 @@
     /// Notes that the first byte of an answer came.
     pub fn on_first(&mut self, worker: &id::Worker, added: &mut Running) {
         if let Some(view) = self.views.get_mut(worker) {
-            view.own.unread = view.own.unread.saturating_sub(added.unread);
+            view.own.reading_us = view.own.reading_us.saturating_sub(added.reading_us);
         }
-        added.unread = 0;
+        added.reading_us = 0;
     }
 
     /// Notes that a request ended there.
     pub fn on_ended(&mut self, worker: &id::Worker, added: Running) {
         if let Some(view) = self.views.get_mut(worker) {
             view.own.requests = view.own.requests.saturating_sub(added.requests);
-            view.own.unread = view.own.unread.saturating_sub(added.unread);
+            view.own.reading_us = view.own.reading_us.saturating_sub(added.reading_us);
             view.own.kept = view.own.kept.saturating_sub(added.kept);
         }
     }
 
     /// Learns from the time to the first byte, beside the time that was expected.
-    pub fn on_served(&mut self, worker: &id::Worker, expected: f64, took: Duration) {
+    pub fn on_served(&mut self, worker: &id::Worker, need: &Need, expected: f64, took: Duration) {
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
@@ -291,24 +297,18 @@
         view.rests_until = Duration::ZERO;
         view.service_time += SMOOTHING * (took - view.service_time);
         let ratio = (took / expected.max(0.001)).clamp(0.2, 5.0);
-        let slowness = view.slowness * (1.0 - SMOOTHING + SMOOTHING * ratio);
+        let average = view.slowness.powf(1.0 - FORGETTING);
+        let slowness = average * (1.0 - SMOOTHING + SMOOTHING * ratio);
         view.slowness = slowness.clamp(FASTEST, SLOWEST);
-        let mean = self.mean_slowness(worker);
-        if let (Some(mean), Some(view)) = (mean, self.views.get(worker)) {
-            let service = view.backend.service.clone();
-            let rate = self.rates.entry(service).or_insert(FIRST_RATE);
-            *rate = (*rate * (1.0 - 0.02 * (mean - 1.0))).clamp(2_000.0, 200_000.0);
+        if let Some(generation) = &need.generation {
+            self.speeds.on_answer(&generation.target.model, ratio);
         }
     }
 
-    fn mean_slowness(&self, worker: &id::Worker) -> Option<f64> {
-        let service = &self.views.get(worker)?.backend.service;
-        let peers = self.views.values();
-        let peers = peers.filter(|view| view.backend.service == *service);
-        let (sum, count) = peers.fold((0.0, 0.0), |(sum, count), view| {
-            (sum + view.slowness, count + 1.0)
-        });
-        Some(sum / count)
+    /// How fast engines read.
+    #[must_use]
+    pub fn speeds(&self) -> &Speeds {
+        &self.speeds
     }
 
     /// Takes the load that a server told in an answer.
@@ -458,9 +458,8 @@
             let queue = (taken + 1.0 / places - 1.0).max(0.0) + taken.powi(3) * 0.5;
             return link + (1.0 + queue) * view.service_time;
         };
-        let rate = self.rates.get(&need.service).copied();
-        let tokens = float(running.unread + unread(view, generation));
-        let read = tokens / rate.unwrap_or(FIRST_RATE);
+        let own = reading(&self.speeds, view, generation);
+        let read = (Duration::from_micros(running.reading_us) + own).as_secs_f64();
         let steps = STEP_SHARE * f64::from(running.requests);
         let memory = self.memory_wait(need, running, generation);
         link + (read + steps + memory) * view.slowness
@@ -515,6 +514,14 @@
     generation.prompt.0.saturating_sub(kept)
 }
 
+fn reading(speeds: &Speeds, view: &View, generation: &Generation) -> Duration {
+    speeds.reading(&generation.target.model, Tokens(unread(view, generation)))
+}
+
+fn microseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn kept(generation: &Generation) -> u64 {
     generation.prompt.0 + generation.output.0
 }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -7,6 +7,7 @@
 use super::appetite::Appetite;
 use super::arrange::{Job, Planner, Policy, Wanted, Worker};
 use super::orders::{Ledger, Step};
+use super::speed::Speeds;
 use crate::common::*;
 use crate::world::backend::{Backend, Holdings, Report};
 use crate::world::deployment::Deployment;
@@ -17,8 +18,8 @@
 use crate::world::site::{Engine, Site};
 use crate::world::unit::{Fence, Incarnation, float};
 
-/// Prompt tokens that a worker reads in a second and still answers in time.
-const COMFORT: f64 = 16_000.0;
+/// Part of its time that a worker may read prompts in and still answer in time.
+const COMFORT: f64 = 0.7;
 /// How often placement is looked at.
 const LOOK: Duration = Duration::from_millis(200);
 /// A job that its holder does not begin is planned anew after this time.
@@ -60,6 +61,8 @@
     ledgers: BTreeMap<id::Worker, Ledger>,
     told: BTreeMap<id::Worker, Told>,
     pub appetite: Appetite,
+    /// How fast engines read, as this instance's requests show.
+    pub speeds: Speeds,
     /// When loads from the weight store began, on all workers.
     loads: VecDeque<Duration>,
     /// Jobs that were asked of other holders.
@@ -83,6 +86,9 @@
         let engines =
             engines.filter_map(|(id, service)| Some((id.clone(), service.engine.clone()?)));
         self.engines = engines.collect();
+        for engine in self.engines.values() {
+            self.speeds.on_engine(engine);
+        }
     }
 
     /// Takes a worker's entry; `held` says whether this instance holds its shard.
@@ -283,7 +289,7 @@
         let wanted = models.map(|(id, model)| {
             let wanted = Wanted {
                 size: model.size,
-                work: self.appetite.of_model(id) / COMFORT,
+                work: self.work(id),
                 asked: self.appetite.is_asked(now, id),
             };
             (id.clone(), wanted)
@@ -291,6 +297,12 @@
         wanted.collect()
     }
 
+    /// Work asked for, in workers that would be busy as much as they may be.
+    fn work(&self, model: &id::Model) -> f64 {
+        let asked = self.appetite.of_model(model);
+        self.speeds.busy(model, asked) / COMFORT
+    }
+
     fn workers(&self, service: &id::Service, engine: &Engine) -> Vec<Worker> {
         let backends = self.backends.values();
         let backends = backends.filter(|backend| backend.service == *service && !backend.leaving);
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -2,6 +2,7 @@
 
 use crate::common::*;
 use crate::decide::roster::Change;
+use crate::decide::speed::Speeds;
 use crate::wire::generated_gossip::{Batch, Gossip, Holding, Job, Lead};
 use crate::world::id;
 use crate::world::site::Site;
@@ -53,6 +54,8 @@
     Server(Change),
     /// From a peer, or from this instance itself.
     Gossip(Box<Gossip>),
+    /// How fast engines read, as this instance's requests show.
+    Speeds(Speeds),
     /// The process stops: give the lease up.
     Stop,
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -134,7 +134,7 @@
         let loads = loads.into_iter().map(|(worker, running)| Load {
             worker: worker.to_string(),
             requests: running.requests,
-            unread: running.unread,
+            reading_us: running.reading_us,
             kept: running.kept,
         });
         Gossip {
@@ -277,7 +277,7 @@
 fn decode_load(load: &Load) -> Option<(id::Worker, Running)> {
     let running = Running {
         requests: load.requests,
-        unread: load.unread,
+        reading_us: load.reading_us,
         kept: load.kept,
     };
     Some((load.worker.parse().ok()?, running))
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -101,6 +101,7 @@
     pub worker: id::Worker,
     added: Running,
     sent: Duration,
+    need: Need,
     expected: f64,
     first_seen: bool,
 }
@@ -114,6 +115,7 @@
             traffic,
             worker: worker.clone(),
             added,
+            need: case.need.clone(),
             expected,
             first_seen: false,
         }
@@ -129,7 +131,7 @@
         self.traffic.metrics.first_byte.observe(took.as_secs_f64());
         let mut balance = self.traffic.balance.borrow_mut();
         balance.on_first(&self.worker, &mut self.added);
-        balance.on_served(&self.worker, self.expected, took);
+        balance.on_served(&self.worker, &self.need, self.expected, took);
     }
 }
 
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -127,6 +127,7 @@
         Heard::Site(site) => this.fleet.on_site(&site),
         Heard::Server(change) => this.on_server(change),
         Heard::Gossip(gossip) => this.on_gossip(&gossip),
+        Heard::Speeds(speeds) => this.fleet.speeds = speeds,
         Heard::Stop => {
             this.is_stopping = true;
             let resigned = this.parts.iter_mut().filter_map(|part| part.lease.resign());
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -327,6 +327,10 @@
         }
         self.set_interest(now);
         self.pool.tick(now);
+        if self.is_holder.get() {
+            let speeds = self.balance.borrow().speeds().clone();
+            self.hand(Heard::Speeds(speeds));
+        }
     }
 
     pub(super) fn hand(&self, heard: Heard) {
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -85,8 +85,9 @@
     pub worker: ::prost::alloc::string::String,
     #[prost(uint32, tag = "2")]
     pub requests: u32,
+    /// Time that reading their prompts still takes, in microseconds.
     #[prost(uint64, tag = "3")]
-    pub unread: u64,
+    pub reading_us: u64,
     #[prost(uint64, tag = "4")]
     pub kept: u64,
 }
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -48,7 +48,7 @@
     ]);
     let running = Running {
         requests: 4,
-        unread: 8_000,
+        reading_us: 400_000,
         kept: 8_000,
     };
     let loads = BTreeMap::from([(worker("a"), running)]);
@@ -123,8 +123,8 @@
         backend("b", "north-2", "m1"),
     ]);
     for _ in 0..50 {
-        balance.on_served(&worker("a"), 0.1, ms(400));
-        balance.on_served(&worker("b"), 0.1, ms(100));
+        balance.on_served(&worker("a"), &need("m1"), 0.1, ms(400));
+        balance.on_served(&worker("b"), &need("m1"), 0.1, ms(100));
     }
     assert_eq!(chosen(&balance, "m1"), "b");
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,3 +11,4 @@
 mod orders;
 mod platform;
 mod roster;
+mod speed;
--- /dev/null
+++ b/tests/gateway/speed.rs
@@ -0,0 +1,51 @@
+//! How fast engines read, as answers tell.
+
+use super::build::{engine, model};
+use poplarseam::decide::speed::Speeds;
+use poplarseam::world::unit::{Bytes, Tokens};
+
+fn speeds() -> Speeds {
+    let mut engine = engine();
+    let small = engine.models.get_mut(&model("m2")).unwrap();
+    small.size = Bytes(20);
+    let mut speeds = Speeds::default();
+    speeds.on_engine(&engine);
+    speeds
+}
+
+#[test]
+fn a_smaller_model_is_first_taken_to_be_faster() {
+    let speeds = speeds();
+    let large = speeds.reading(&model("m1"), Tokens(2_000));
+    let small = speeds.reading(&model("m2"), Tokens(2_000));
+    assert_eq!(small * 2, large);
+}
+
+/// Load: two popular models of one size, one of which engines read three times as fast.
+#[test]
+fn two_models_of_one_size_are_told_apart() {
+    let mut speeds = speeds();
+    let first = speeds.busy(&model("m1"), 20_000.0);
+    for _ in 0..60 {
+        speeds.on_answer(&model("m1"), 0.6);
+    }
+    assert!(speeds.busy(&model("m1"), 20_000.0) < first * 0.4);
+    assert!((speeds.busy(&model("m3"), 20_000.0) - first).abs() < 1e-9);
+}
+
+#[test]
+fn one_answer_that_is_far_off_changes_little() {
+    let mut speeds = speeds();
+    let first = speeds.busy(&model("m1"), 20_000.0);
+    speeds.on_answer(&model("m1"), 1_000.0);
+    assert!(speeds.busy(&model("m1"), 20_000.0) < first * 1.1);
+}
+
+#[test]
+fn new_settings_keep_what_was_learned() {
+    let mut speeds = speeds();
+    speeds.on_answer(&model("m1"), 0.5);
+    let learned = speeds.reading(&model("m1"), Tokens(2_000));
+    speeds.on_engine(&engine());
+    assert_eq!(speeds.reading(&model("m1"), Tokens(2_000)), learned);
+}
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -114,7 +114,10 @@
             let answer = site.call_service(0, "blue", "read", "", "{}").unwrap();
             let part = parts_of(&site, "blue")[0];
             let text = answer.body;
-            assert_eq!(answer.status, 200, "call {call}: {text} with a part of {part}");
+            assert_eq!(
+                answer.status, 200,
+                "call {call}: {text} with a part of {part}"
+            );
         }
     });
 }
