Let two instances of each data centre read the configuration for all

Ruled out: a hanging feed (all versions came in one go, in order), a slow decode (median 0.02 s). Change: the first two instances by name that are heard in a data centre and that the store answers follow the configuration; the others learn its version from them and get it over HTTP from a peer, at once, or from the store where that fails. Versions that come within 0.3 s are fetched together. Calls to a store that fails back off to 1.2 s; looks at lapsed leases to 3.2 s; a holder whose renewal fails tries again after 0.12 s and not after 0.01 s. Six tests of decide/topology.

--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -7,12 +7,17 @@
 use crate::common::*;
 use crate::world::deployment::Deployment;
 use crate::world::id;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A peer that is silent this long does not speak for its data centre.
 const SILENT: Duration = Duration::from_millis(1_500);
 /// A peer that is silent this long has no share of what all instances may do together.
 const GONE: Duration = Duration::from_secs(3);
 
+/// Instances of a data centre that read the configuration from the store; the others get it from
+/// them.
+const READERS: usize = 2;
+
 /// One instance.
 #[derive(Debug, Clone)]
 struct Member {
@@ -21,6 +26,8 @@
     incarnation: u64,
     sequence: u64,
     heard: Option<Duration>,
+    reaches_store: bool,
+    configuration: u64,
 }
 
 /// A datagram's sender, as it describes itself.
@@ -31,6 +38,10 @@
     pub data_centre: id::DataCentre,
     pub incarnation: u64,
     pub sequence: u64,
+    /// Whether the store answers it.
+    pub reaches_store: bool,
+    /// Version of the configuration that it has in force.
+    pub configuration: u64,
 }
 
 /// What to do with a datagram.
@@ -90,6 +101,8 @@
             incarnation: 0,
             sequence: 0,
             heard: None,
+            reaches_store: true,
+            configuration: 0,
         });
         if member.heard.is_none() {
             member.address = address;
@@ -106,6 +119,8 @@
             incarnation: 0,
             sequence: 0,
             heard: None,
+            reaches_store: true,
+            configuration: 0,
         });
         if sender.incarnation < member.incarnation {
             return (Standing::Outdated, false);
@@ -119,6 +134,8 @@
             return (Standing::Overtaken, was_silent);
         }
         (member.incarnation, member.sequence) = order;
+        member.reaches_store = sender.reaches_store;
+        member.configuration = sender.configuration;
         (Standing::Newest, was_silent)
     }
 
@@ -140,6 +157,32 @@
         near.all(|(_, member)| !is_within(now, member.heard, SILENT))
     }
 
+    /// Whether this instance reads the configuration from the store: it is among the first by name
+    /// of those that are heard here and that the store answers.
+    #[must_use]
+    pub fn is_reader(&self, now: Duration) -> bool {
+        let before = self.members.range(..self.me.clone());
+        let near = before.filter(|(_, member)| member.data_centre == self.here);
+        let able =
+            near.filter(|(_, member)| member.reaches_store && is_within(now, member.heard, SILENT));
+        able.count() < READERS
+    }
+
+    /// A peer of this data centre that has this configuration in force; instances that ask at the
+    /// same time get different ones where there are several.
+    #[must_use]
+    pub fn has_configuration(&self, now: Duration, version: u64) -> Option<SocketAddr> {
+        let near = self.members.iter();
+        let able = near.filter(|(_, member)| {
+            member.data_centre == self.here
+                && member.configuration >= version
+                && is_within(now, member.heard, SILENT)
+        });
+        let rank = |peer: &id::Instance| xxh3_64(format!("{} {peer}", self.me).as_bytes());
+        let best = able.min_by_key(|(peer, _)| rank(peer));
+        best.map(|(_, member)| member.address)
+    }
+
     /// Instances of this data centre that are heard, this one included.
     #[must_use]
     pub fn near_count(&self, now: Duration) -> u32 {
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -13,6 +13,8 @@
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
+/// Where peers read the configuration.
+pub const CONFIGURATION_PATH: &str = "/configuration";
 /// Longest time for the head of a question.
 const HEAD: Duration = Duration::from_secs(10);
 
@@ -47,13 +49,27 @@
         settings::READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         "/metrics" => (StatusCode::OK, traffic.metrics.text()),
         "/state" => (StatusCode::OK, dump(traffic).to_string()),
-        _ => (StatusCode::NOT_FOUND, "use /metrics or /state\n".into()),
+        CONFIGURATION_PATH => return configuration(traffic),
+        _ => (
+            StatusCode::NOT_FOUND,
+            "use /metrics, /state or /configuration\n".into(),
+        ),
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
     *response.status_mut() = status;
     response
 }
 
+/// The configuration in force, for peers that don't read the store.
+fn configuration(traffic: &Traffic) -> Response<Full<Bytes>> {
+    let written = traffic.written_site.borrow().clone();
+    let mut response = Response::new(Full::new(written));
+    if traffic.site.borrow().is_none() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
 fn dump(traffic: &Traffic) -> Value {
     let site = traffic.site.borrow();
     let balance = traffic.balance.borrow();
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -7,6 +7,7 @@
 use crate::world::id;
 use crate::world::site::Site;
 use crate::world::table::{Commit, Failure, Row, Txn};
+use bytes::Bytes;
 
 /// Messages that a ring between duties holds.
 pub const RING: usize = 4096;
@@ -14,15 +15,14 @@
 /// News from the store's feeds.
 #[derive(Debug, Clone)]
 pub enum News {
-    Site(Arc<Site>),
+    /// A configuration, as it was read and as it was written.
+    Site(Arc<Site>, Bytes),
     /// Changed rows of the list of servers.
     Servers(Batch),
     /// Instances that registered.
     Members(Vec<Member>),
     /// The store answers, or does not.
-    Store {
-        up: bool,
-    },
+    Store { up: bool },
 }
 
 /// An instance that registered.
@@ -36,6 +36,11 @@
 /// What the store duty is to follow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Interest {
+    /// Whether to follow the configuration at the store, and not to ask peers for it.
+    pub reads_site: bool,
+    /// Newest configuration that is heard of, and a peer that has it.
+    pub site_heard: u64,
+    pub site_peer: Option<SocketAddr>,
     /// Whether to follow the list of servers, and not only to catch up.
     pub follow: bool,
     /// Version up to which nothing is missing.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -59,7 +59,9 @@
         self.heard_version
             .set((heard.max(gossip.servers_version), at));
         let heard = self.heard_configuration.get().max(gossip.configuration);
-        self.heard_configuration.set(heard);
+        if heard > self.heard_configuration.replace(heard) {
+            self.set_interest(now);
+        }
         self.on_leads(now, &gossip.leads, Some(sender.address));
         self.on_holdings(&gossip.holdings);
         if let Some(batch) = &gossip.batch {
@@ -160,6 +162,7 @@
             address: self.deployment.peers.to_string(),
             servers_version: self.roster.borrow().version(),
             configuration: self.configuration(),
+            reaches_store: self.reaches_store.get() && !self.is_stopping.get(),
             ..Gossip::default()
         }
     }
@@ -271,6 +274,8 @@
         data_centre: gossip.data_centre.parse().ok()?,
         incarnation: gossip.incarnation,
         sequence: gossip.sequence,
+        reaches_store: gossip.reaches_store,
+        configuration: gossip.configuration,
     })
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -84,7 +84,8 @@
     }
 }
 
-/// Tells at once what can't wait: wants to holders, changes of the list of servers to all.
+/// Tells at once what can't wait: wants to holders, new configurations to the data centre, changes
+/// of the list of servers to all.
 pub async fn hurry(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
     loop {
         traffic.to_tell.notified().await;
@@ -94,6 +95,9 @@
             gossip.wants.push(want);
             send(&socket, &gossip, &[holder]).await;
         }
+        if traffic.is_site_news.take() {
+            send(&socket, &traffic.envelope(), &traffic.near()).await;
+        }
         let batches = std::mem::take(&mut *traffic.batches.borrow_mut());
         for batch in batches.into_iter().filter(|_| traffic.is_planner()) {
             let mut gossip = traffic.envelope();
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -41,6 +41,10 @@
 const HEARD: Duration = Duration::from_millis(1_100);
 /// Time between looks at the row while nobody is heard to hold it.
 const LOOK: Duration = Duration::from_millis(400);
+/// That time is doubled with each look that fails, so often at most.
+const MOST_DOUBLED: u32 = 3;
+/// Time between a holder's tries to renew its lease.
+const RENEW_AGAIN: Duration = Duration::from_millis(120);
 /// An instance that holds a shard leaves an open one to others for this long; one that prefers
 /// other shards does so for each step of its preference.
 const LEAVE: Duration = Duration::from_millis(600);
@@ -67,6 +71,8 @@
     /// When another holder was last heard of, or the time from which one was missed.
     heard: Duration,
     looked_at: Duration,
+    /// Looks that failed one after the other.
+    failed_looks: u32,
     in_call: bool,
 }
 
@@ -162,6 +168,7 @@
                 was_holder: false,
                 heard: Duration::ZERO,
                 looked_at: Duration::ZERO,
+                failed_looks: 0,
                 in_call: false,
             }
         });
@@ -358,6 +365,11 @@
         (now >= self.orders_from && !is_stopping).then_some(fence)
     }
 
+    /// Time between looks at the row.
+    fn pause(&self) -> Duration {
+        LOOK * (1 << self.failed_looks.min(MOST_DOUBLED))
+    }
+
     /// How long this instance leaves the shard to others once it is open.
     fn patience(&self, instance: &id::Instance, held_count: u32) -> Duration {
         turn(instance, TURNS) + LEAVE * held_count + PREFERENCE * self.shard.distance(instance)
@@ -383,8 +395,9 @@
     let first_turn = START + turn(&instance, FIRST_TURNS);
     let is_first =
         part.heard == Duration::ZERO && now >= first_turn + part.patience(&instance, held_count);
-    let looks = (is_open || is_first) && !takes_another && now >= part.looked_at + LOOK;
-    if part.in_call || is_stopping || !(part.was_holder || looks) {
+    let looks = (is_open || is_first) && !takes_another && now >= part.looked_at + part.pause();
+    let renews = part.was_holder && now >= part.looked_at + RENEW_AGAIN;
+    if part.in_call || is_stopping || !(renews || looks) {
         return;
     }
     part.looked_at = now;
@@ -416,7 +429,9 @@
     let now = this.clock.now();
     let part = &mut this.parts[index];
     part.in_call = false;
+    part.failed_looks += 1;
     if let Ok(Ok(row)) = answer {
+        part.failed_looks = 0;
         part.lease.on_read(now, row.as_ref());
         if row.is_none() {
             part.looked_at = Duration::ZERO;
@@ -434,8 +449,13 @@
     let now = this.clock.now();
     let part = &mut this.parts[index];
     part.in_call = false;
-    part.lease
-        .on_commit(now, answer.unwrap_or(Err(Failure::Lost)));
+    let answer = answer.unwrap_or(Err(Failure::Lost));
+    part.failed_looks = if answer.is_ok() {
+        0
+    } else {
+        part.failed_looks + 1
+    };
+    part.lease.on_commit(now, answer);
     this.check_holder(index);
 }
 
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -4,6 +4,7 @@
 //! Feeds are followed, not polled. Where the store lost its history, the table is read anew; an
 //! answer older than what was seen already is not taken, for the store may answer from the past.
 
+use super::admin::CONFIGURATION_PATH;
 use super::channel::{self, Channel, Reply};
 use super::event::{Call, Interest, Member, News};
 use crate::common::*;
@@ -27,8 +28,11 @@
 const ANSWER: Duration = Duration::from_millis(1_200);
 /// Changes that come close together are fetched together.
 const GATHER: Duration = Duration::from_millis(300);
-/// Pause after a failed call.
+/// Pause after a failed call; twice as long after each further one, up to the longest.
 const AGAIN: Duration = Duration::from_millis(300);
+const LONGEST_AGAIN: Duration = Duration::from_millis(1_200);
+/// Longest time for a peer's answer that has the configuration.
+const PEER_ANSWER: Duration = Duration::from_millis(400);
 /// Entries that vanish this soon after a failed call may be those that lapsed meanwhile.
 const DISTURBED: Duration = Duration::from_millis(2_500);
 /// Prefix of the rows in which instances register.
@@ -66,7 +70,12 @@
         is_up: Cell::new(true),
         regained: Notify::new(),
     });
-    tokio::task::spawn_local(follow_site(Rc::clone(&store), interest.clone()));
+    let site = follow_site(
+        Rc::clone(&store),
+        interest.clone(),
+        deployment.metrics.port(),
+    );
+    tokio::task::spawn_local(site);
     tokio::task::spawn_local(follow_servers(Rc::clone(&store), interest));
     tokio::task::spawn_local(register(Rc::clone(&store), deployment));
     while let Ok(call) = calls.recv_async().await {
@@ -152,10 +161,15 @@
     channel: Option<Channel>,
     interest: watch::Receiver<Interest>,
     doubts_of: fn(&Interest) -> u64,
+    is_wanted: fn(&Interest) -> bool,
+    /// Calls that failed one after the other.
+    failures: u32,
 }
 
 /// What a feed brought.
 enum Change {
+    /// Nothing: the call failed, or is not wanted any more.
+    Nothing,
     /// The whole table.
     All(Vec<rows::Row>),
     Some(Vec<rows::Row>),
@@ -167,6 +181,7 @@
         table: &'static str,
         interest: watch::Receiver<Interest>,
         doubts_of: fn(&Interest) -> u64,
+        is_wanted: fn(&Interest) -> bool,
     ) -> Self {
         Self {
             store,
@@ -175,10 +190,12 @@
             channel: None,
             interest,
             doubts_of,
+            is_wanted,
+            failures: 0,
         }
     }
 
-    /// Waits for the next change, through all failures.
+    /// Waits for the next change or failure.
     async fn next(&mut self) -> Change {
         loop {
             let change = if self.after == 0 {
@@ -187,18 +204,31 @@
                 self.wait().await
             };
             match change {
-                Ok(Some(change)) => return change,
+                Ok(Some(change)) => {
+                    self.failures = 0;
+                    return change;
+                }
+                Ok(None) if !(self.is_wanted)(&self.interest.borrow()) => return Change::Nothing,
                 Ok(None) => {}
                 Err(error) => {
                     log::info!("feed of {} failed: {error}", self.table);
                     self.channel = None;
                     self.store.note(false).await;
-                    sleep(AGAIN).await;
+                    let longer = AGAIN * (1 << self.failures.min(8));
+                    sleep(longer.min(LONGEST_AGAIN)).await;
+                    self.failures += 1;
+                    return Change::Nothing;
                 }
             }
         }
     }
 
+    /// Reads the whole table now, or waits a while where that fails.
+    async fn read_change(&mut self) -> Change {
+        self.after = 0;
+        self.next().await
+    }
+
     async fn read_all(&mut self) -> Result<Option<Change>> {
         let page = self.store.read(self.table, "").await?;
         self.after = page.version;
@@ -219,16 +249,18 @@
         let Some(channel) = &mut self.channel else {
             return Ok(None);
         };
-        let doubts_of = self.doubts_of;
+        let (doubts_of, is_wanted) = (self.doubts_of, self.is_wanted);
         let doubts = doubts_of(&self.interest.borrow());
         let call = tokio::select! {
             call = timeout(WAIT + ANSWER, channel.call(request)) => Some(call),
             () = self.store.regained.notified() => None,
-            _ = self.interest.wait_for(|interest| doubts_of(interest) != doubts) => None,
+            _ = self.interest.wait_for(|interest| {
+                doubts_of(interest) != doubts || !is_wanted(interest)
+            }) => None,
         };
         let Some(call) = call else {
             log::info!(
-                "the feed of {} is asked anew: its call may hang",
+                "the call for changes of {} is given up: it may hang, or is not wanted",
                 self.table
             );
             self.channel = None;
@@ -263,27 +295,78 @@
     }
 }
 
-async fn follow_site(store: Rc<Store>, interest: watch::Receiver<Interest>) {
-    let mut feed = Feed::new(Rc::clone(&store), config::TABLE, interest, |interest| {
-        interest.site_doubts
-    });
+/// Follows the configuration at the store, or asks a peer that has a newer one.
+async fn follow_site(store: Rc<Store>, mut interest: watch::Receiver<Interest>, peers_port: u16) {
+    let mut feed = Feed::new(
+        Rc::clone(&store),
+        config::TABLE,
+        interest.clone(),
+        |interest| interest.site_doubts,
+        |interest| interest.reads_site,
+    );
     let mut newest = Version::default();
     loop {
-        let (Change::All(rows) | Change::Some(rows)) = feed.next().await;
-        let rows = rows.into_iter().filter(|row| row.key == config::KEY);
-        for value in rows.filter_map(|row| row.value) {
-            match config::decode(&value) {
-                Ok(site) if site.version > newest => {
-                    newest = site.version;
-                    store.tell(News::Site(Arc::new(site))).await;
-                }
-                Ok(site) => log::info!("configuration {} is not newer", site.version),
-                Err(error) => log::error!("{error}"),
+        let now = *interest.borrow_and_update();
+        let is_behind = now.site_heard > newest.0;
+        let reads = now.reads_site || feed.after == 0;
+        if is_behind && (!reads || !store.is_up.get()) {
+            let written = from_peer(now.site_peer, peers_port).await;
+            let fetched = match written {
+                Some(written) => take_site(&store, &mut newest, &written).await,
+                None => false,
+            };
+            if !fetched {
+                take_rows(&store, &mut newest, feed.read_change().await).await;
             }
+        } else if reads {
+            take_rows(&store, &mut newest, feed.next().await).await;
+            sleep(GATHER).await;
+        } else if interest.changed().await.is_err() {
+            return;
         }
     }
 }
 
+async fn take_rows(store: &Store, newest: &mut Version, change: Change) {
+    let (Change::All(rows) | Change::Some(rows)) = change else {
+        return;
+    };
+    let rows = rows.into_iter().filter(|row| row.key == config::KEY);
+    for value in rows.filter_map(|row| row.value) {
+        take_site(store, newest, &Bytes::from(value)).await;
+    }
+}
+
+/// Puts a configuration in force if it is newer than the one before.
+async fn take_site(store: &Store, newest: &mut Version, written: &Bytes) -> bool {
+    match config::decode(written) {
+        Ok(site) if site.version > *newest => {
+            *newest = site.version;
+            store
+                .tell(News::Site(Arc::new(site), written.clone()))
+                .await;
+            true
+        }
+        Ok(site) => {
+            log::info!("configuration {} is not newer", site.version);
+            false
+        }
+        Err(error) => {
+            log::error!("{error}");
+            false
+        }
+    }
+}
+
+/// The configuration as a peer has it.
+async fn from_peer(peer: Option<SocketAddr>, port: u16) -> Option<Bytes> {
+    let address = SocketAddr::new(peer?.ip(), port);
+    let call = channel::request(Method::GET, address, CONFIGURATION_PATH, Vec::new());
+    let reply = channel::once(address, call, PEER_ANSWER).await;
+    let reply = reply.inspect_err(|error| log::info!("no configuration from a peer: {error}"));
+    Some(reply.ok().filter(|reply| reply.status == 200)?.body)
+}
+
 /// Follows the list of servers while that is of interest; else only catches up where peers know
 /// more.
 async fn follow_servers(store: Rc<Store>, mut interest: watch::Receiver<Interest>) {
@@ -292,6 +375,7 @@
         worker::TABLE,
         interest.clone(),
         |interest| interest.server_doubts,
+        |_| true,
     );
     loop {
         let now = *interest.borrow_and_update();
@@ -308,6 +392,7 @@
         let (from, rows) = match feed.next().await {
             Change::All(rows) => (0, rows),
             Change::Some(rows) => (from, rows),
+            Change::Nothing => continue,
         };
         let entries = rows.into_iter().map(|row| Entry {
             worker: row.key,
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -22,6 +22,7 @@
 use crate::world::shard::Shard;
 use crate::world::site::Site;
 use crate::world::unit::Incarnation;
+use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
@@ -43,6 +44,8 @@
     pub clock: Clock,
     pub incarnation: Incarnation,
     pub site: RefCell<Option<Arc<Site>>>,
+    /// The configuration as the operator wrote it, for peers that ask.
+    pub written_site: RefCell<Bytes>,
     pub balance: RefCell<Balance>,
     pub pool: Pool,
     pub metrics: Metrics,
@@ -62,6 +65,10 @@
     /// Newest configuration that a peer has in force.
     pub(super) heard_configuration: Cell<u64>,
     pub(super) lags: RefCell<Lags>,
+    /// Whether the store answered the last call.
+    pub(super) reaches_store: Cell<bool>,
+    /// Whether peers are to hear at once of a configuration that was read from the store.
+    pub(super) is_site_news: Cell<bool>,
     pub(super) is_holder: Cell<bool>,
     pub(super) interest: watch::Sender<Interest>,
     /// Tokens that this instance's callers asked for.
@@ -136,6 +143,9 @@
             clock,
             incarnation,
             site: RefCell::new(None),
+            written_site: RefCell::default(),
+            reaches_store: Cell::new(true),
+            is_site_news: Cell::new(false),
             balance: RefCell::new(balance),
             pool: Pool::default(),
             metrics: Metrics::default(),
@@ -182,7 +192,7 @@
     /// Takes news from the store.
     pub fn on_news(&self, news: News) {
         match news {
-            News::Site(site) => self.on_site(site),
+            News::Site(site, written) => self.on_site(site, written),
             News::Servers(batch) => {
                 if self.is_holder.get() {
                     self.batches.borrow_mut().push(batch.clone());
@@ -191,7 +201,10 @@
                 self.on_batch(&batch);
             }
             News::Members(members) => self.on_members(members),
-            News::Store { up } => self.journal.note("store", &json!({"up": up})),
+            News::Store { up } => {
+                self.reaches_store.set(up);
+                self.journal.note("store", &json!({"up": up}));
+            }
         }
     }
 
@@ -269,7 +282,11 @@
         let misses_site = lags.site.is_late(now, in_force, newest, CATCH_UP);
         drop(lags);
         let old = *self.interest.borrow();
+        let topology = self.topology.borrow();
         let interest = Interest {
+            reads_site: topology.is_reader(now),
+            site_heard: newest,
+            site_peer: topology.has_configuration(now, newest),
             follow: self.is_holder.get() || now >= heard_at + ALONE,
             known,
             heard: if misses_servers { heard } else { old.heard },
@@ -283,7 +300,7 @@
         });
     }
 
-    fn on_site(&self, site: Arc<Site>) {
+    fn on_site(&self, site: Arc<Site>, written: Bytes) {
         self.journal.note(
             "configuration",
             &json!({"version": site.version, "routes": site.routes.len()}),
@@ -291,6 +308,11 @@
         self.balance.borrow_mut().on_site(&site);
         self.hand(Heard::Site(Arc::clone(&site)));
         *self.site.borrow_mut() = Some(site);
+        *self.written_site.borrow_mut() = written;
+        if self.interest.borrow().reads_site {
+            self.is_site_news.set(true);
+            self.to_tell.notify_one();
+        }
     }
 
     fn on_members(&self, listed: Vec<event::Member>) {
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -50,6 +50,9 @@
     /// Version of the operator's configuration that the sender has in force.
     #[prost(uint64, tag = "17")]
     pub configuration: u64,
+    /// Whether the store answers the sender.
+    #[prost(bool, tag = "18")]
+    pub reaches_store: bool,
 }
 /// Rows of the list of servers that changed after one version and up to another.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,3 +12,4 @@
 mod platform;
 mod roster;
 mod speed;
+mod topology;
--- /dev/null
+++ b/tests/gateway/topology.rs
@@ -0,0 +1,81 @@
+//! Who reads the configuration from the store, and whom the others ask for it.
+
+use super::build::{deployment, ms};
+use poplarseam::decide::topology::{Sender, Topology};
+use std::net::SocketAddr;
+
+fn address(number: u16) -> SocketAddr {
+    ([127, 0, 0, 1], number).into()
+}
+
+fn sender(name: &str, number: u16) -> Sender {
+    Sender {
+        instance: name.parse().unwrap(),
+        address: address(number),
+        data_centre: "north-1".parse().unwrap(),
+        incarnation: 1,
+        sequence: 1,
+        reaches_store: true,
+        configuration: 5,
+    }
+}
+
+/// A view of instance "one" that heard these at time 0.
+fn hearing(senders: &[Sender]) -> Topology {
+    let mut topology = Topology::new(&deployment("north-1"));
+    for sender in senders {
+        topology.on_heard(ms(0), sender);
+    }
+    topology
+}
+
+#[test]
+fn an_instance_that_hears_nobody_reads_for_itself() {
+    assert!(hearing(&[]).is_reader(ms(0)));
+}
+
+/// Load: a storm of configurations, of which 80 instances need not each read every one.
+#[test]
+fn two_instances_of_a_data_centre_read_for_all() {
+    let one_before = hearing(&[sender("a", 1)]);
+    let two_before = hearing(&[sender("a", 1), sender("b", 2)]);
+    assert!(one_before.is_reader(ms(0)));
+    assert!(!two_before.is_reader(ms(0)));
+}
+
+#[test]
+fn a_silent_reader_is_replaced() {
+    let topology = hearing(&[sender("a", 1), sender("b", 2)]);
+    assert!(!topology.is_reader(ms(1_400)));
+    assert!(topology.is_reader(ms(1_600)));
+}
+
+#[test]
+fn a_reader_that_the_store_turns_away_is_replaced() {
+    let refused = Sender {
+        reaches_store: false,
+        ..sender("b", 2)
+    };
+    assert!(hearing(&[sender("a", 1), refused]).is_reader(ms(0)));
+}
+
+#[test]
+fn instances_of_other_data_centres_read_for_their_own() {
+    let far = |name| Sender {
+        data_centre: "north-2".parse().unwrap(),
+        ..sender(name, 1)
+    };
+    assert!(hearing(&[far("a"), far("b")]).is_reader(ms(0)));
+}
+
+#[test]
+fn a_configuration_is_asked_of_a_peer_that_has_it_and_is_heard() {
+    let older = Sender {
+        configuration: 4,
+        ..sender("a", 1)
+    };
+    let topology = hearing(&[older, sender("z", 2)]);
+    assert_eq!(topology.has_configuration(ms(0), 5), Some(address(2)));
+    assert_eq!(topology.has_configuration(ms(0), 6), None);
+    assert_eq!(topology.has_configuration(ms(1_600), 5), None);
+}
