Take leases back after a restart

A new start waited to see the rows unchanged for a term, and then until the holder before could have acted. Where the holder before was the same instance, neither is needed: its earlier start has ended, and orders of both come from one instance. Ruled out: a shorter term (a suspended holder), the time of the store in the row (more to prove; left for the loss of one instance). Change: the first read of the list of instances brings the rows of the leases along; where the own row of the list stands already as it would be written (same address), rows that name this instance are free at once. The commit is conditional as ever, so a lease that another took meanwhile stays. Three tests of decide/lease.

--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -73,6 +73,8 @@
     took_from: Option<(id::Instance, Duration)>,
     /// Version of the row that its holder told, and when.
     heard: Option<(u64, Duration)>,
+    /// Whether a row of an earlier start of this instance is free: that start has ended.
+    reclaims: bool,
     resigned: bool,
 }
 
@@ -101,10 +103,21 @@
             held_since: None,
             took_from: None,
             heard: None,
+            reclaims: false,
             resigned: false,
         }
     }
 
+    /// Takes a row in which an earlier start of this instance may be the holder. That start has
+    /// ended, and its orders and this one's come from one instance: the row is free at once.
+    pub fn reclaim(&mut self, now: Duration, row: &Row) -> bool {
+        self.on_read(now, Some(row));
+        let seen = self.seen.as_ref();
+        let holder = seen.and_then(|seen| seen.holder.as_ref());
+        self.reclaims = holder.is_some_and(|holder| self.was_me(holder));
+        self.reclaims
+    }
+
     /// The fencing number while the lease may be acted on.
     #[must_use]
     pub fn fence(&self, now: Duration) -> Option<Fence> {
@@ -161,7 +174,10 @@
             .holder
             .as_ref()
             .is_some_and(|holder| self.is_me(holder) && !holder.released);
-        let free = seen.holder.as_ref().is_none_or(|holder| holder.released);
+        let free = seen
+            .holder
+            .as_ref()
+            .is_none_or(|holder| holder.released || (self.reclaims && self.was_me(holder)));
         let lapsed = now >= seen.since + self.timing.term;
         if !(mine || free || lapsed) {
             return Action::Read;
@@ -259,6 +275,10 @@
         self.held_since = Some(sent);
     }
 
+    fn was_me(&self, holder: &Holder) -> bool {
+        holder.instance == self.me.instance && holder.incarnation != self.me.incarnation
+    }
+
     fn is_me(&self, holder: &Holder) -> bool {
         holder.instance == self.me.instance && holder.incarnation == self.me.incarnation
     }
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -12,6 +12,9 @@
 /// Messages that a ring between duties holds.
 pub const RING: usize = 4096;
 
+/// Rows of the leases, one a shard.
+pub const LEASE: &str = "lease.shard.";
+
 /// News from the store's feeds.
 #[derive(Debug, Clone)]
 pub enum News {
@@ -21,6 +24,8 @@
     Servers(Batch),
     /// Instances that registered.
     Members(Vec<Member>),
+    /// Rows of leases, of which this instance may have held some before it started anew.
+    Former(Vec<Row>),
     /// The store answers, or does not.
     Store { up: bool },
 }
@@ -61,6 +66,8 @@
     Gossip(Box<Gossip>),
     /// How fast engines read, as this instance's requests show.
     Speeds(Speeds),
+    /// Rows of leases, of which this instance may have held some before it started anew.
+    Former(Vec<Row>),
     /// The process stops: give the lease up.
     Stop,
 }
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -4,7 +4,7 @@
 //! another instance waits until no order of that one can come any more.
 
 use super::channel;
-use super::event::{Call, Heard, Word};
+use super::event::{Call, Heard, LEASE, Word};
 use super::journal::Journal;
 use super::words;
 use crate::common::*;
@@ -29,8 +29,6 @@
 use tokio::time::{MissedTickBehavior, interval};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Rows of the leases, one a shard.
-const LEASE: &str = "lease.shard.";
 /// Others may take a lease over that stood unchanged this long.
 const TERM: Duration = Duration::from_secs(2);
 /// The holder stops this much before the end of its term.
@@ -71,6 +69,8 @@
     /// When another holder was last heard of, or the time from which one was missed.
     heard: Duration,
     looked_at: Duration,
+    /// Whether to take the lease back that an earlier start of this instance held.
+    reclaims: bool,
     /// Looks that failed one after the other.
     failed_looks: u32,
     in_call: bool,
@@ -134,6 +134,7 @@
         Heard::Server(change) => this.on_server(change),
         Heard::Gossip(gossip) => this.on_gossip(&gossip),
         Heard::Speeds(speeds) => this.fleet.speeds = speeds,
+        Heard::Former(rows) => this.on_former(&rows),
         Heard::Stop => {
             this.is_stopping = true;
             let resigned = this.parts.iter_mut().filter_map(|part| part.lease.resign());
@@ -168,6 +169,7 @@
                 was_holder: false,
                 heard: Duration::ZERO,
                 looked_at: Duration::ZERO,
+                reclaims: false,
                 failed_looks: 0,
                 in_call: false,
             }
@@ -196,6 +198,16 @@
         }
     }
 
+    fn on_former(&mut self, rows: &[Row]) {
+        let now = self.clock.now();
+        for part in &mut self.parts {
+            let key = format!("{LEASE}{}", part.shard);
+            if let Some(row) = rows.iter().find(|row| row.key == key) {
+                part.reclaims = part.lease.reclaim(now, row);
+            }
+        }
+    }
+
     fn part(&self, worker: &id::Worker) -> Option<&Part> {
         let shard = Shard::of(worker);
         self.parts.iter().find(|part| part.shard == shard)
@@ -395,12 +407,14 @@
     let first_turn = START + turn(&instance, FIRST_TURNS);
     let is_first =
         part.heard == Duration::ZERO && now >= first_turn + part.patience(&instance, held_count);
-    let looks = (is_open || is_first) && !takes_another && now >= part.looked_at + part.pause();
+    let is_turn = (is_open || is_first) && !takes_another;
+    let looks = part.reclaims || (is_turn && now >= part.looked_at + part.pause());
     let renews = part.was_holder && now >= part.looked_at + RENEW_AGAIN;
     if part.in_call || is_stopping || !(renews || looks) {
         return;
     }
     part.looked_at = now;
+    part.reclaims = false;
     match part.lease.tick(now) {
         Action::Wait => {}
         Action::Read => {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -6,7 +6,7 @@
 
 use super::admin::CONFIGURATION_PATH;
 use super::channel::{self, Channel, Reply};
-use super::event::{Call, Interest, Member, News};
+use super::event::{Call, Interest, LEASE, Member, News};
 use crate::common::*;
 use crate::platform::{config, rows, worker};
 use crate::wire::generated_gossip::{Batch, Entry};
@@ -410,11 +410,14 @@
     }
 }
 
-/// Writes this instance's row and reads those of the others.
+/// Writes this instance's row and reads those of the others. The rows of the leases come along: a
+/// row that stands already as this instance would write it is that of an earlier start here, whose
+/// leases this one may go on with.
 async fn register(store: Rc<Store>, deployment: Arc<Deployment>) {
     let key = format!("{MEMBERS}{}", deployment.instance);
     let row = json!({"address": deployment.peers, "data_centre": deployment.data_centre});
     let mut is_written = false;
+    let mut is_first = true;
     loop {
         let page = store.read(rows::OWN, MEMBERS).await;
         let Ok(page) = page else {
@@ -424,6 +427,10 @@
         let mine = page.rows.iter().find(|row| row.key == key);
         let version = mine.map_or(0, |row| row.version);
         is_written |= mine.is_some_and(|mine| mine.value == Some(row.to_string().into_bytes()));
+        if is_first && is_written {
+            store.tell(News::Former(leases(&page))).await;
+        }
+        is_first = false;
         store.tell(News::Members(members(&page))).await;
         if is_written {
             sleep(MEMBERS_AGAIN).await;
@@ -449,6 +456,20 @@
     members.collect()
 }
 
+fn leases(page: &Page) -> Vec<Row> {
+    let rows = page.rows.iter();
+    let rows = rows.filter(|row| row.key.starts_with(LEASE));
+    rows.filter_map(decode_row).collect()
+}
+
+fn decode_row(row: &rows::Row) -> Option<Row> {
+    Some(Row {
+        key: row.key.clone(),
+        version: row.version,
+        value: serde_json::from_slice(row.value.as_ref()?).ok()?,
+    })
+}
+
 async fn answer(store: Rc<Store>, call: Call) {
     let sent = match call {
         Call::Read(key, reply) => reply.send(read_row(&store, &key).await).is_ok(),
@@ -467,15 +488,8 @@
         log::info!("row {key} was not read: {error}");
         Failure::Refused
     })?;
-    let row = page.rows.into_iter().find(|row| row.key == key);
-    Ok(row.and_then(|row| {
-        let value = serde_json::from_slice(row.value.as_ref()?).ok()?;
-        Some(Row {
-            key: row.key,
-            version: row.version,
-            value,
-        })
-    }))
+    let row = page.rows.iter().find(|row| row.key == key);
+    Ok(row.and_then(decode_row))
 }
 
 async fn commit(store: &Store, txn: &Txn) -> Result<Commit, Failure> {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -200,6 +200,7 @@
                 }
                 self.on_batch(&batch);
             }
+            News::Former(rows) => self.hand(Heard::Former(rows)),
             News::Members(members) => self.on_members(members),
             News::Store { up } => {
                 self.reaches_store.set(up);
--- a/tests/gateway/lease.rs
+++ b/tests/gateway/lease.rs
@@ -97,3 +97,43 @@
     commit(&mut again, 2_100, 2);
     assert_eq!(again.taken_from(), None);
 }
+
+/// Load: all instances are killed at once, and requests wait for models and adapters meanwhile.
+#[test]
+fn a_restarted_instance_takes_its_own_lease_back_at_once() {
+    let (_, row) = held_by_one();
+    let mut again = Lease::new(
+        "lease".into(),
+        "one".parse().unwrap(),
+        Incarnation(2),
+        TIMING,
+    );
+    assert!(again.reclaim(ms(100), &row));
+    commit(&mut again, 110, 2);
+    assert!(again.fence(ms(110)).is_some());
+    assert_eq!(again.taken_from(), None);
+}
+
+#[test]
+fn the_lease_of_another_instance_is_not_taken_back() {
+    let (_, row) = held_by_one();
+    let mut two = lease("two");
+    assert!(!two.reclaim(ms(100), &row));
+    assert_eq!(two.tick(ms(110)), Action::Read);
+}
+
+#[test]
+fn a_row_that_changed_since_is_not_taken_back() {
+    let (_, row) = held_by_one();
+    let mut again = Lease::new(
+        "lease".into(),
+        "one".parse().unwrap(),
+        Incarnation(2),
+        TIMING,
+    );
+    assert!(again.reclaim(ms(100), &row));
+    assert!(matches!(again.tick(ms(110)), Action::Commit(_)));
+    again.on_commit(ms(115), Ok(Commit::Conflict(Vec::new())));
+    assert!(again.fence(ms(120)).is_none());
+    assert_eq!(again.tick(ms(120)), Action::Read);
+}
