Expect a rise to go on for as long as a load takes

The planner's view is now in a log line (demand: work, copies, copies that serve), from which this was read. Ruled out: the weight store's rate (3 of 10 loads used by then) and its places. Change: what is expected of a model goes on with its rise over the time of its load; the lag of both averages is taken from their weights in place of one factor.

--- a/src/decide/appetite.rs
+++ b/src/decide/appetite.rs
@@ -16,8 +16,11 @@
 /// Weight of the newest span in the fast average and in the slow one.
 const FAST: f64 = 0.25;
 const SLOW: f64 = 0.08;
-/// Part of the difference between both by which a rise is expected to go on.
-const AHEAD: f64 = 0.7;
+/// By how much the fast average and the slow one lag behind a steady rise; from their weights.
+const FAST_LAG: Duration = Duration::from_millis(1_750);
+const SLOW_LAG: Duration = Duration::from_millis(6_000);
+/// From the decision for a load to its order.
+const UNTIL_ORDER: Duration = Duration::from_millis(300);
 /// A model counts as asked for this long after the last request.
 const ASKED: Duration = Duration::from_secs(10);
 /// Rates below this many tokens a second count as none.
@@ -32,9 +35,11 @@
 }
 
 impl Rate {
-    fn expected(&self) -> f64 {
+    /// The rate that is expected after some time, if a rise goes on.
+    fn expected(&self, ahead: Duration) -> f64 {
         let rise = (self.fast - self.slow).max(0.0);
-        self.fast.max(self.slow) + AHEAD * rise
+        let apart = (SLOW_LAG - FAST_LAG).as_secs_f64();
+        self.fast.max(self.slow) + rise * (FAST_LAG + ahead).as_secs_f64() / apart
     }
 }
 
@@ -85,12 +90,13 @@
             }
         }
         self.rates
-            .retain(|_, rate| rate.expected() >= LEAST || is_recent(now, rate));
+            .retain(|_, rate| rate.expected(Duration::ZERO) >= LEAST || is_recent(now, rate));
     }
 
-    /// Tokens a second expected of a model, its adapters included.
+    /// Tokens a second expected of a model, its adapters included, once a load that takes this long
+    /// has ended.
     #[must_use]
-    pub fn of_model(&self, model: &id::Model) -> f64 {
+    pub fn of_model(&self, model: &id::Model, load: Duration) -> f64 {
         let rates = self.rates.iter();
         let rates = rates.filter(|(target, _)| target.model == *model);
         let sum = rates.fold(Rate::default(), |sum, (_, rate)| Rate {
@@ -98,7 +104,7 @@
             slow: sum.slow + rate.slow,
             ..sum
         });
-        sum.expected()
+        sum.expected(UNTIL_ORDER + load)
     }
 
     /// Whether anybody asked for a model lately.
@@ -111,7 +117,8 @@
     /// Tokens a second expected of one target.
     #[must_use]
     pub fn of(&self, target: &Target) -> f64 {
-        self.rates.get(target).map_or(0.0, Rate::expected)
+        let rate = self.rates.get(target);
+        rate.map_or(0.0, |rate| rate.expected(Duration::ZERO))
     }
 }
 
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -51,6 +51,18 @@
     pub from_store: bool,
 }
 
+/// What the planner sees of one model.
+#[derive(Debug, Clone, Serialize)]
+pub struct Standing {
+    pub model: id::Model,
+    /// Work asked for, in workers.
+    pub work: f64,
+    /// Workers that hold it or are to load it.
+    pub copies: usize,
+    /// Those of them that serve it now.
+    pub serving: usize,
+}
+
 /// All workers with engines, and what callers want of them.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -254,6 +266,28 @@
         jobs
     }
 
+    /// The models with the most work, as the planner sees them.
+    #[must_use]
+    pub fn standings(&self, most: usize) -> Vec<Standing> {
+        let mut standings = Vec::new();
+        for (service, engine) in &self.engines {
+            let workers = self.workers(service, engine);
+            standings.extend(engine.models.iter().map(|(model, sheet)| {
+                let copies = workers.iter().filter(|it| it.models.contains(model));
+                let serving = copies.clone().filter(|it| !it.coming.contains(model));
+                Standing {
+                    model: model.clone(),
+                    work: self.work(model, sheet.load),
+                    copies: copies.count(),
+                    serving: serving.count(),
+                }
+            }));
+        }
+        standings.sort_by(|a, b| b.work.total_cmp(&a.work));
+        standings.truncate(most);
+        standings
+    }
+
     fn next_job(&mut self, now: Duration, service: &id::Service) -> Option<Job> {
         let window = self.load_window;
         while self.loads.front().is_some_and(|at| now >= *at + window) {
@@ -289,7 +323,7 @@
         let wanted = models.map(|(id, model)| {
             let wanted = Wanted {
                 size: model.size,
-                work: self.work(id),
+                work: self.work(id, model.load),
                 asked: self.appetite.is_asked(now, id),
             };
             (id.clone(), wanted)
@@ -298,8 +332,8 @@
     }
 
     /// Work asked for, in workers that would be busy as much as they may be.
-    fn work(&self, model: &id::Model) -> f64 {
-        let asked = self.appetite.of_model(model);
+    fn work(&self, model: &id::Model, load: Duration) -> f64 {
+        let asked = self.appetite.of_model(model, load);
         self.speeds.busy(model, asked) / COMFORT
     }
 
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -55,6 +55,9 @@
 const FIRST_TURNS: Duration = Duration::from_secs(2);
 /// Longest time for a worker's answer to an order or a question.
 const ANSWER: Duration = Duration::from_millis(700);
+/// How often the planner notes what it sees, and of how many models.
+const NOTE: Duration = Duration::from_secs(2);
+const NOTED: usize = 6;
 /// How often leases are told, and everything that workers hold is told again.
 const TELL_LEADS: Duration = Duration::from_millis(400);
 const TELL_AGAIN: Duration = Duration::from_secs(2);
@@ -86,6 +89,7 @@
     told: BTreeMap<id::Worker, u64>,
     told_all_at: Duration,
     told_leads_at: Duration,
+    noted_at: Duration,
     is_stopping: bool,
 }
 
@@ -183,6 +187,7 @@
             told: BTreeMap::new(),
             told_all_at: Duration::ZERO,
             told_leads_at: Duration::ZERO,
+            noted_at: Duration::ZERO,
             is_stopping: false,
         }
     }
@@ -288,6 +293,15 @@
         self.journal.note("lease", &values);
     }
 
+    /// Notes what the planner sees, once in a while.
+    fn note_standings(&mut self, now: Duration) {
+        if now >= self.noted_at + NOTE {
+            self.noted_at = now;
+            let standings = self.fleet.standings(NOTED);
+            self.journal.note("demand", &json!(standings));
+        }
+    }
+
     fn held_count(&self) -> u32 {
         let held = self.parts.iter().filter(|part| part.was_holder);
         u32::try_from(held.count()).unwrap_or(u32::MAX)
@@ -480,6 +494,7 @@
     let now = this.clock.now();
     this.fleet.appetite.tick(now);
     let jobs = if this.is_planner(now) && !this.is_stopping {
+        this.note_standings(now);
         this.fleet.plan(now)
     } else {
         Vec::new()
