Make fewer calls to the store

Change: an instance writes its row before it reads the list, so one read is enough; it listens for 1.2 s before it follows anything; the planner and one other holder follow the servers. A conflict of the first write no longer counts as written (found on the way).

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -228,11 +228,26 @@
     /// Whether this instance holds the first of the shards that are held, and so plans.
     #[must_use]
     pub fn is_planner(&self) -> bool {
-        let now = self.clock.now();
+        self.is_among_holders(self.clock.now(), 1)
+    }
+
+    /// Whether this instance is to follow the list of servers: the planner, and one beside it
+    /// should that fall silent.
+    pub(super) fn follows_servers(&self, now: Duration) -> bool {
+        self.is_among_holders(now, 2)
+    }
+
+    /// Whether this instance is among the first holders, in the order of their shards.
+    fn is_among_holders(&self, now: Duration, first: usize) -> bool {
         let holders = self.holders.borrow();
-        let mut held = holders.values();
-        let first = held.find(|holder| holder.is_heard(now));
-        first.is_some_and(|holder| holder.address.is_none())
+        let heard = holders.values().filter(|holder| holder.is_heard(now));
+        let mut addresses: Vec<Option<SocketAddr>> = Vec::new();
+        for holder in heard {
+            if !addresses.contains(&holder.address) {
+                addresses.push(holder.address);
+            }
+        }
+        addresses.iter().take(first).any(Option::is_none)
     }
 
     /// Addresses of all peers in this data centre.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -49,10 +49,7 @@
     let (calls, calls_in) = flume::bounded::<Call>(RING);
     let (news, news_in) = flume::bounded::<News>(RING);
     let (heard, heard_in) = flume::bounded::<Heard>(RING);
-    let (interest, interest_in) = watch::channel(Interest {
-        follow: true,
-        ..Interest::default()
-    });
+    let (interest, interest_in) = watch::channel(Interest::default());
     let (words, words_in) = flume::bounded::<Word>(RING);
     let store_duty = {
         let deployment = Arc::clone(&deployment);
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -37,10 +37,7 @@
 const DISTURBED: Duration = Duration::from_millis(2_500);
 /// Prefix of the rows in which instances register.
 const MEMBERS: &str = "instance.";
-/// Pause before the list of instances is read again after this one's row was written: those that
-/// start together don't see each other at first. Later ones announce themselves to all they read.
-const MEMBERS_SOON: Duration = Duration::from_millis(900);
-/// Pause between later reads of that list.
+/// Pause between reads of the list of instances; later ones announce themselves to all they read.
 const MEMBERS_AGAIN: Duration = Duration::from_mins(2);
 
 /// What the tasks of this duty share.
@@ -214,8 +211,7 @@
                     log::info!("feed of {} failed: {error}", self.table);
                     self.channel = None;
                     self.store.note(false).await;
-                    let longer = AGAIN * (1 << self.failures.min(8));
-                    sleep(longer.min(LONGEST_AGAIN)).await;
+                    sleep(longer(AGAIN, self.failures)).await;
                     self.failures += 1;
                     return Change::Nothing;
                 }
@@ -410,38 +406,44 @@
     }
 }
 
-/// Writes this instance's row and reads those of the others. The rows of the leases come along: a
-/// row that stands already as this instance would write it is that of an earlier start here, whose
-/// leases this one may go on with.
+/// Writes this instance's row, then reads those of the others: of two that start together, one at
+/// least finds the other so, and announces itself to it. The rows of the leases come along: a row
+/// that stood already as this instance writes it is that of an earlier start here, whose leases
+/// this one may go on with.
 async fn register(store: Rc<Store>, deployment: Arc<Deployment>) {
     let key = format!("{MEMBERS}{}", deployment.instance);
     let row = json!({"address": deployment.peers, "data_centre": deployment.data_centre});
-    let mut is_written = false;
+    let written = row.to_string().into_bytes();
+    let (mut version, mut is_written, mut failures) = (0, false, 0);
     let mut is_first = true;
     loop {
-        let page = store.read(rows::OWN, MEMBERS).await;
-        let Ok(page) = page else {
-            sleep(AGAIN).await;
+        if !is_written {
+            let txn = Txn::default().put(key.clone(), version, row.clone());
+            is_written = matches!(commit(&store, &txn).await, Ok(Commit::Done(_)));
+        }
+        let Ok(page) = store.read(rows::OWN, MEMBERS).await else {
+            failures += 1;
+            sleep(longer(AGAIN, failures)).await;
             continue;
         };
         let mine = page.rows.iter().find(|row| row.key == key);
-        let version = mine.map_or(0, |row| row.version);
-        is_written |= mine.is_some_and(|mine| mine.value == Some(row.to_string().into_bytes()));
-        if is_first && is_written {
+        version = mine.map_or(0, |row| row.version);
+        let was_there = !is_written && mine.is_some_and(|mine| mine.value == Some(written.clone()));
+        if is_first && was_there {
             store.tell(News::Former(leases(&page))).await;
         }
         is_first = false;
+        is_written |= was_there;
         store.tell(News::Members(members(&page))).await;
-        if is_written {
-            sleep(MEMBERS_AGAIN).await;
-        } else {
-            let txn = Txn::default().put(key.clone(), version, row.clone());
-            is_written = commit(&store, &txn).await.is_ok();
-            sleep(if is_written { MEMBERS_SOON } else { AGAIN }).await;
-        }
+        sleep(if is_written { MEMBERS_AGAIN } else { AGAIN }).await;
     }
 }
 
+/// A pause, doubled for each failure up to the longest.
+fn longer(pause: Duration, failures: u32) -> Duration {
+    (pause * (1 << failures.min(8))).min(LONGEST_AGAIN)
+}
+
 fn members(page: &Page) -> Vec<Member> {
     let rows = page.rows.iter();
     let members = rows.filter_map(|row| {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -33,6 +33,8 @@
 const WANT_MEMORY: Duration = Duration::from_secs(2);
 /// An instance that misses changes of the list of servers for this long reads them itself.
 const CATCH_UP: Duration = Duration::from_millis(500);
+/// After its start an instance listens this long to peers before it follows the store itself.
+const LISTEN: Duration = Duration::from_millis(1_200);
 /// An instance that hears no holder for this long follows the list of servers itself.
 const ALONE: Duration = Duration::from_millis(1_500);
 /// The word of a holder counts for this long.
@@ -194,7 +196,7 @@
         match news {
             News::Site(site, written) => self.on_site(site, written),
             News::Servers(batch) => {
-                if self.is_holder.get() {
+                if self.follows_servers(self.clock.now()) {
                     self.batches.borrow_mut().push(batch.clone());
                     self.to_tell.notify_one();
                 }
@@ -285,10 +287,10 @@
         let old = *self.interest.borrow();
         let topology = self.topology.borrow();
         let interest = Interest {
-            reads_site: topology.is_reader(now),
+            reads_site: now >= LISTEN && topology.is_reader(now),
             site_heard: newest,
             site_peer: topology.has_configuration(now, newest),
-            follow: self.is_holder.get() || now >= heard_at + ALONE,
+            follow: self.follows_servers(now) || now >= heard_at.max(LISTEN) + ALONE,
             known,
             heard: if misses_servers { heard } else { old.heard },
             site_doubts: old.site_doubts + u64::from(misses_site),
