--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -58,9 +58,6 @@
     pub missing: f64,
     /// Worth of keeping the last copy of a model that nobody asked for lately.
     pub last_copy: f64,
-    /// Worth of not unloading a model from a worker that it keeps busy: the unload waits for the
-    /// runs there, and the worker serves neither model meanwhile.
-    pub busy_copy: f64,
 }
 
 impl Default for Policy {
@@ -69,7 +66,6 @@
             least_gain: 0.1,
             missing: 10.0,
             last_copy: 1.0,
-            busy_copy: 1.0,
         }
     }
 }
@@ -223,8 +219,7 @@
                     (load - before + after).powi(2) - load * load
                 })
                 .sum();
-            let busy = self.policy.busy_copy * before.min(1.0);
-            return rise * (copies - 1.0) / copies + busy;
+            return rise * (copies - 1.0) / copies;
         }
         if wanted.asked {
             return f64::INFINITY;
--- a/tests/gateway/arrange.rs
+++ b/tests/gateway/arrange.rs
@@ -99,13 +99,3 @@
     workers[1].open = false;
     assert_eq!(next(&work, &workers), None);
 }
-
-/// Load: demand moves from one popular model to another while long runs go on.
-#[test]
-fn an_idle_copy_goes_before_one_that_keeps_its_worker_busy() {
-    let work = [("m1", 3.0), ("m2", 0.6), ("m3", 0.0)];
-    let held = workers(&["m1 m2", "m2 m3", "m3 m2"]);
-    let job = next(&work, &held).unwrap();
-    assert_eq!(job.load, model("m1"));
-    assert_eq!(job.evict, [model("m3")]);
-}
