--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -42,8 +42,6 @@
 const CACHE_WAIT: f64 = 1.0;
 /// Seconds that count against a worker which would have to give up another adapter.
 const ADAPTER_SWAP: f64 = 0.1;
-/// Seconds that another copy of an adapter should gain.
-const ADAPTER_LOAD: f64 = 0.1;
 /// Share of failed answers beyond which a server is avoided, and what it then costs.
 const GREY: f64 = 0.3;
 const GREY_COST: f64 = 1.0;
@@ -404,35 +402,6 @@
         need: &Need,
         has_holder: impl Fn(&id::Worker) -> bool,
     ) -> Option<id::Worker> {
-        let best = self.cheapest(now, need, has_holder);
-        best.map(|(_, worker)| worker)
-    }
-
-    /// A worker that would serve the request well before the `expected` time if it had the adapter,
-    /// which others hold: callers of a popular adapter shall not all wait at those.
-    #[must_use]
-    pub fn place_beside(
-        &self,
-        now: Duration,
-        need: &Need,
-        expected: f64,
-        has_holder: impl Fn(&id::Worker) -> bool,
-    ) -> Option<id::Worker> {
-        let target = &need.generation.as_ref()?.target;
-        target.adapter.as_ref()?;
-        let (cost, worker) = self.cheapest(now, need, has_holder)?;
-        let gains = cost + ADAPTER_LOAD < expected && !self.views.get(&worker)?.holds(target);
-        gains.then_some(worker)
-    }
-
-    /// Of the workers that hold the model of a request, the one with the least cost once it has the
-    /// adapter.
-    fn cheapest(
-        &self,
-        now: Duration,
-        need: &Need,
-        has_holder: impl Fn(&id::Worker) -> bool,
-    ) -> Option<(f64, id::Worker)> {
         let target = &need.generation.as_ref()?.target;
         let service = self.services.get(&need.service)?;
         let places = service.engine.as_ref()?.adapter_places;
@@ -446,7 +415,7 @@
             (cost + full, &view.backend.id)
         });
         let best = costs.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        best.map(|(cost, worker)| (cost, worker.clone()))
+        best.map(|(_, worker)| worker.clone())
     }
 
     fn usable<'a>(
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -252,13 +252,7 @@
             let now = self.now();
             let choice = self.traffic.balance.borrow().choose(now, &self.need, tried);
             let (longest, cause, back) = match choice {
-                Choice::Send(worker, expected) => {
-                    if let Some(generation) = &self.need.generation {
-                        let target = &generation.target;
-                        self.traffic.want_beside(&self.need, target, expected);
-                    }
-                    return Ok((worker, expected));
-                }
+                Choice::Send(worker, expected) => return Ok((worker, expected)),
                 Choice::Nobody => (UNDECIDED, "no server", COME_BACK),
                 Choice::NoAdapter => {
                     if let Some(generation) = &self.need.generation {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -385,30 +385,9 @@
         let worker = balance.place_for(now, need, is_open);
         let worker = worker.or_else(|| balance.place_for(now, need, is_held));
         drop((holders, held, balance));
-        if let Some(worker) = worker {
-            self.ask_for(worker, target);
-        }
-    }
-
-    /// Has an adapter loaded at one more worker where those that hold it keep the request waiting.
-    pub fn want_beside(&self, need: &Need, target: &Target, expected: f64) {
-        let now = self.clock.now();
-        let holders = self.holders.borrow();
-        let held = self.held.borrow();
-        let is_open = |worker: &id::Worker| {
-            is_heard(now, &holders, worker) && held.get(worker).is_none_or(|told| told.open)
+        let Some(worker) = worker else {
+            return;
         };
-        let balance = self.balance.borrow();
-        let worker = balance.place_beside(now, need, expected, is_open);
-        drop((holders, held, balance));
-        if let Some(worker) = worker {
-            self.ask_for(worker, target);
-        }
-    }
-
-    /// Asks a worker's holder for an adapter, unless that was done a moment ago.
-    fn ask_for(&self, worker: id::Worker, target: &Target) {
-        let now = self.clock.now();
         let mut wants = self.wants.borrow_mut();
         let pending = wants.iter();
         let mut pending = pending.filter(|((_, wanted), _)| wanted == target);
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -152,24 +152,3 @@
     assert_eq!(place, Some(worker("a")));
     let _ = target("m1/a3");
 }
-
-/// Load: callers of one adapter of a popular model, which one of its workers holds.
-#[test]
-fn a_busy_adapter_is_wanted_at_another_worker_of_its_model() {
-    let mut balance = balance(vec![
-        backend("a", "north-1", "m1/a1"),
-        backend("b", "north-1", "m1"),
-    ]);
-    let wanted = |balance: &Balance| {
-        let Choice::Send(worker, expected) = balance.choose(ms(0), &need("m1/a1"), &[]) else {
-            panic!("nobody holds it");
-        };
-        assert_eq!(worker.as_str(), "a");
-        balance.place_beside(ms(0), &need("m1/a1"), expected, |_| true)
-    };
-    assert_eq!(wanted(&balance), None);
-    for _ in 0..4 {
-        balance.on_sent(&worker("a"), &need("m1/a1"));
-    }
-    assert_eq!(wanted(&balance), Some(worker("b")));
-}
