Refuse at once what would wait longer than its target, the least urgent first

Ruled out: spreading adapters (tried), dearer unloads (tried). Change: decide/shed refuses a new generation at once where the best server is expected to take longer than the route's target, or the longest target of a less urgent route to the same service, and says when the queue will be short enough. What runs, is resumed, or has been sent is left alone. Five tests that name their load.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,6 +6,7 @@
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::balance::{Choice, Need, Running};
+use crate::decide::shed;
 use crate::platform::request::{self, Stamp};
 use crate::world::id;
 use crate::world::message::{Answer, Outcome, Request};
@@ -177,7 +178,9 @@
                     }
                 };
             }
-            let (worker, expected) = match self.place(&tried).await {
+            let place = self.place(&tried).await;
+            let is_new = tried.is_empty() && last_event.is_none();
+            let (worker, expected) = match place.and_then(|place| self.let_in(place, is_new)) {
                 Ok(place) => place,
                 Err(end) if runs == 0 => return end,
                 Err(_) => {
@@ -272,6 +275,19 @@
         }
     }
 
+    /// Refuses a new request that the best server would let wait too long.
+    fn let_in(&self, place: (id::Worker, f64), is_new: bool) -> Result<(id::Worker, f64), End> {
+        let expected = Duration::from_secs_f64(place.1);
+        let back = shed::refuses(&self.site, &self.route, expected);
+        match back.filter(|_| is_new && self.need.generation.is_some()) {
+            Some(back) => Err(End::Refused {
+                cause: "busy",
+                back,
+            }),
+            None => Ok(place),
+        }
+    }
+
     /// Time that is left until the caller leaves, if nothing of its answer came by then.
     fn left_to_begin(&self, now: Duration) -> Duration {
         let useful = STREAM_PATIENCE.max(self.route.target * STREAM_TARGETS);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
     pub mod roster;
     pub mod route;
     pub mod share;
+    pub mod shed;
     pub mod speed;
     pub mod stream;
     pub mod suspect;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,5 +11,6 @@
 mod orders;
 mod platform;
 mod roster;
+mod shed;
 mod speed;
 mod topology;
