--- a/src/decide/shed.rs
+++ b/src/decide/shed.rs
@@ -8,8 +8,6 @@
 use crate::common::*;
 use crate::world::site::{Route, Site};
 
-/// Part of the limit up to which requests are let in: what is expected is a mean.
-const LET_IN: f64 = 1.0;
 /// Bounds of the time after which a refused caller should come back.
 const SOONEST: Duration = Duration::from_millis(300);
 const LATEST: Duration = Duration::from_secs(2);
@@ -17,10 +15,10 @@
 /// When to come back, for a request that would wait too long for the first byte of its answer.
 #[must_use]
 pub fn refuses(site: &Site, route: &Route, expected: Duration) -> Option<Duration> {
-    if expected <= route.target.mul_f64(LET_IN) {
+    if expected <= route.target {
         return None;
     }
-    let limit = limit(site, route).mul_f64(LET_IN);
+    let limit = limit(site, route);
     let over = expected.checked_sub(limit)?;
     Some(over.clamp(SOONEST, LATEST))
 }
