--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -167,8 +167,7 @@
             let worker = end.ticket.worker.clone();
             if end.reusable {
                 let traffic = &self.case.traffic;
-                let now = traffic.clock.now();
-                traffic.pool.put(now, &worker, end.channel);
+                traffic.keep_channel(&worker, end.channel);
             }
         }
         let rest = self.partial.split().freeze();
