--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -16,9 +16,6 @@
 /// Time to a server and back, within a region and to another one; both sites' sheets.
 const DATA_CENTRE_ROUND_TRIP: f64 = 0.002;
 const REGION_ROUND_TRIP: f64 = 0.025;
-/// Time to open a connection within a data centre; both sites' sheets. Elsewhere a round trip comes
-/// on top.
-const OPENING: f64 = 0.002;
 /// Seconds that a request should gain before it takes the paid link between regions.
 const PAID_LINK: f64 = 0.04;
 /// Seconds that a plain request takes, until answers tell better.
@@ -109,8 +106,6 @@
     failures: f64,
     rests_until: Duration,
     rests: u32,
-    /// Until when an idle connection to it is at hand.
-    connected_until: Duration,
     #[serde(skip)]
     parts: Map<u64, u64>,
     uses: u64,
@@ -129,7 +124,6 @@
             failures: 0.0,
             rests_until: Duration::ZERO,
             rests: 0,
-            connected_until: Duration::ZERO,
             parts: Map::default(),
             uses: 0,
         }
@@ -324,13 +318,6 @@
         }
     }
 
-    /// Notes until when an idle connection to a server is at hand; time 0 if none is left.
-    pub fn on_connection(&mut self, worker: &id::Worker, until: Duration) {
-        if let Some(view) = self.views.get_mut(worker) {
-            view.connected_until = until;
-        }
-    }
-
     /// Notes that a server failed while it ran a request.
     pub fn on_failed(&mut self, worker: &id::Worker) {
         if let Some(view) = self.views.get_mut(worker) {
@@ -464,7 +451,7 @@
     /// Expected seconds to the first byte.
     fn expected(&self, now: Duration, need: &Need, view: &View) -> f64 {
         let running = view.running(now);
-        let link = self.link(view) + self.opening(now, view);
+        let link = self.link(view);
         let Some(generation) = &need.generation else {
             let places = f64::from(view.backend.places.max(1));
             let taken = f64::from(running.requests) / places;
@@ -507,15 +494,6 @@
         paid + grey + jitter
     }
 
-    /// Seconds to open a connection, if none is at hand.
-    fn opening(&self, now: Duration, view: &View) -> f64 {
-        if now < view.connected_until {
-            0.0
-        } else {
-            OPENING + self.link(view)
-        }
-    }
-
     fn link(&self, view: &View) -> f64 {
         let there = &view.backend.data_centre;
         if *there == self.here {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -340,7 +340,7 @@
         let mut pooled = true;
         loop {
             let channel = if pooled {
-                self.traffic.take_channel(&worker)
+                self.traffic.pool.take(self.now(), &worker)
             } else {
                 None
             };
@@ -464,7 +464,7 @@
                 };
                 ticket.on_first();
                 if answer.framed && !answer.closes {
-                    traffic.keep_channel(&worker, channel);
+                    traffic.pool.put(self.now(), &worker, channel);
                 }
                 let response = passed_on(head, body.to_bytes());
                 if answer.outcome == Outcome::Failed {
@@ -490,7 +490,7 @@
     ) {
         let read = timeout(TAKES, Limited::new(body, 1 << 16).collect()).await;
         if matches!(read, Ok(Ok(_))) && answer.framed && !answer.closes {
-            self.traffic.keep_channel(worker, channel);
+            self.traffic.pool.put(self.now(), worker, channel);
         }
     }
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -6,7 +6,7 @@
 use std::cell::RefCell;
 
 /// Idle connections are closed after this time, before servers usually do.
-pub const IDLE: Duration = Duration::from_secs(4);
+const IDLE: Duration = Duration::from_secs(4);
 /// Rest of a connection before its next request: an answer too many shows itself meanwhile.
 const REST: Duration = Duration::from_millis(8);
 
@@ -42,12 +42,6 @@
         });
     }
 
-    /// Whether an idle connection to a server is left.
-    pub fn has(&self, worker: &id::Worker) -> bool {
-        let idle = self.idle.borrow();
-        idle.get(worker).is_some_and(|idle| !idle.is_empty())
-    }
-
     /// Closes all connections to a server.
     pub fn close(&self, worker: &id::Worker) {
         self.idle.borrow_mut().remove(worker);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -167,7 +167,8 @@
             let worker = end.ticket.worker.clone();
             if end.reusable {
                 let traffic = &self.case.traffic;
-                traffic.keep_channel(&worker, end.channel);
+                let now = traffic.clock.now();
+                traffic.pool.put(now, &worker, end.channel);
             }
         }
         let rest = self.partial.split().freeze();
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,10 +1,9 @@
 //! What the duty "traffic" knows: routes, servers, channels, budgets, and what it tells peers.
 
-use super::channel::Channel;
 use super::event::{self, Heard, Interest, News, RING};
 use super::journal::Journal;
 use super::metrics::Metrics;
-use super::pool::{IDLE, Pool};
+use super::pool::Pool;
 use crate::common::*;
 use crate::decide::balance::{Balance, Need};
 use crate::decide::fleet::Told;
@@ -179,24 +178,6 @@
         })
     }
 
-    /// An idle connection to a server.
-    pub fn take_channel(&self, worker: &id::Worker) -> Option<Channel> {
-        let channel = self.pool.take(self.clock.now(), worker);
-        if !self.pool.has(worker) {
-            let mut balance = self.balance.borrow_mut();
-            balance.on_connection(worker, Duration::ZERO);
-        }
-        channel
-    }
-
-    /// Keeps a connection to a server for later.
-    pub fn keep_channel(&self, worker: &id::Worker, channel: Channel) {
-        let now = self.clock.now();
-        self.pool.put(now, worker, channel);
-        let mut balance = self.balance.borrow_mut();
-        balance.on_connection(worker, now + IDLE);
-    }
-
     /// Address of a server.
     #[must_use]
     pub fn address(&self, worker: &id::Worker) -> Option<SocketAddr> {
