Keep idle connections as long as servers say that they do

Ruled out: the choice of servers (tried). Change: an idle connection is kept until 1.5 s before the time that its server states, 4 s where it states none; of what a server takes, half of an instance's part may be idle (110 over 9 instances: 6).

--- a/src/decide/appetite.rs
+++ b/src/decide/appetite.rs
@@ -18,7 +18,7 @@
 const SLOW: f64 = 0.08;
 /// By how much the fast average and the slow one lag behind a steady rise; from their weights.
 const FAST_LAG: Duration = Duration::from_millis(1_750);
-const SLOW_LAG: Duration = Duration::from_millis(6_000);
+const SLOW_LAG: Duration = Duration::from_secs(6);
 /// From the decision for a load to its order.
 const UNTIL_ORDER: Duration = Duration::from_millis(300);
 /// A model counts as asked for this long after the last request.
@@ -38,7 +38,7 @@
     /// The rate that is expected after some time, if a rise goes on.
     fn expected(&self, ahead: Duration) -> f64 {
         let rise = (self.fast - self.slow).max(0.0);
-        let apart = (SLOW_LAG - FAST_LAG).as_secs_f64();
+        let apart = SLOW_LAG.saturating_sub(FAST_LAG).as_secs_f64();
         self.fast.max(self.slow) + rise * (FAST_LAG + ahead).as_secs_f64() / apart
     }
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -108,7 +108,7 @@
     pub worker: id::Worker,
     added: Running,
     sent: Duration,
-    need: Need,
+    need: Box<Need>,
     expected: f64,
     first_seen: bool,
 }
@@ -122,7 +122,7 @@
             traffic,
             worker: worker.clone(),
             added,
-            need: case.need.clone(),
+            need: Box::new(case.need.clone()),
             expected,
             first_seen: false,
         }
@@ -187,7 +187,7 @@
             }
             let place = self.place(&tried).await;
             let is_new = tried.is_empty() && last_event.is_none();
-            let (worker, expected) = match place.and_then(|place| self.let_in(place, is_new)) {
+            let (worker, expected) = match place {
                 Ok(place) => place,
                 Err(end) if runs == 0 => return end,
                 Err(_) => {
@@ -195,6 +195,12 @@
                     return failed.map_or(End::Unknown { cause }, End::Whole);
                 }
             };
+            if let Some(back) = self.refuses(expected).filter(|_| is_new) {
+                return End::Refused {
+                    cause: "busy",
+                    back,
+                };
+            }
             if tried.is_empty() {
                 self.traffic.on_first_send(&self.need.service);
             }
@@ -284,17 +290,10 @@
         }
     }
 
-    /// Refuses a new request that the best server would let wait too long.
-    fn let_in(&self, place: (id::Worker, f64), is_new: bool) -> Result<(id::Worker, f64), End> {
-        let expected = Duration::from_secs_f64(place.1);
-        let back = shed::refuses(&self.site, &self.route, expected);
-        match back.filter(|_| is_new && self.need.generation.is_some()) {
-            Some(back) => Err(End::Refused {
-                cause: "busy",
-                back,
-            }),
-            None => Ok(place),
-        }
+    /// When to come back, where the best server would let a new request wait too long.
+    fn refuses(&self, expected: f64) -> Option<Duration> {
+        self.need.generation.as_ref()?;
+        shed::refuses(&self.site, &self.route, Duration::from_secs_f64(expected))
     }
 
     /// Time that is left until the caller leaves, if nothing of its answer came by then.
@@ -464,7 +463,7 @@
                 };
                 ticket.on_first();
                 if answer.framed && !answer.closes {
-                    traffic.pool.put(self.now(), &worker, channel);
+                    traffic.keep(&self.need.service, &worker, channel, answer.keeps);
                 }
                 let response = passed_on(head, body.to_bytes());
                 if answer.outcome == Outcome::Failed {
@@ -490,7 +489,8 @@
     ) {
         let read = timeout(TAKES, Limited::new(body, 1 << 16).collect()).await;
         if matches!(read, Ok(Ok(_))) && answer.framed && !answer.closes {
-            self.traffic.pool.put(self.now(), worker, channel);
+            let service = &self.need.service;
+            self.traffic.keep(service, worker, channel, answer.keeps);
         }
     }
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -5,8 +5,11 @@
 use crate::world::id;
 use std::cell::RefCell;
 
-/// Idle connections are closed after this time, before servers usually do.
+/// Idle connections are closed after this time, before servers usually do, where those don't say how
+/// long they keep them.
 const IDLE: Duration = Duration::from_secs(4);
+/// Connections are closed this much before the server would: what is sent must still arrive.
+const MARGIN: Duration = Duration::from_millis(1_500);
 /// Rest of a connection before its next request: an answer too many shows itself meanwhile.
 const REST: Duration = Duration::from_millis(8);
 
@@ -14,6 +17,7 @@
 struct Idle {
     channel: Channel,
     since: Duration,
+    until: Duration,
 }
 
 /// Idle connections, by server.
@@ -32,14 +36,26 @@
         Some(idle.remove(rested).channel)
     }
 
-    /// Keeps a connection for later.
-    pub fn put(&self, now: Duration, worker: &id::Worker, channel: Channel) {
+    /// Keeps a connection for later, and no more than `most` for one server; `keeps` is how long the
+    /// server says that it does.
+    pub fn put(
+        &self,
+        now: Duration,
+        worker: &id::Worker,
+        channel: Channel,
+        keeps: Option<Duration>,
+        most: usize,
+    ) {
+        let longest = keeps.map_or(IDLE, |keeps| keeps.saturating_sub(MARGIN));
         let mut idle = self.idle.borrow_mut();
         let idle = idle.entry(worker.clone()).or_default();
         idle.push(Idle {
             channel,
             since: now,
+            until: now + longest,
         });
+        let surplus = idle.len().saturating_sub(most);
+        idle.drain(..surplus);
     }
 
     /// Closes all connections to a server.
@@ -58,5 +74,5 @@
 }
 
 fn is_sound(now: Duration, idle: &Idle) -> bool {
-    now < idle.since + IDLE && !idle.channel.sender.is_closed()
+    now < idle.until && !idle.channel.sender.is_closed()
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -35,6 +35,7 @@
     channel: Channel,
     ticket: Ticket,
     reusable: bool,
+    keeps: Option<Duration>,
 }
 
 /// A stream that is passed on.
@@ -167,8 +168,8 @@
             let worker = end.ticket.worker.clone();
             if end.reusable {
                 let traffic = &self.case.traffic;
-                let now = traffic.clock.now();
-                traffic.pool.put(now, &worker, end.channel);
+                let service = &self.case.need.service;
+                traffic.keep(service, &worker, end.channel, end.keeps);
             }
         }
         let rest = self.partial.split().freeze();
@@ -194,6 +195,7 @@
             channel: live.channel,
             ticket: live.ticket,
             reusable,
+            keeps: live.answer.keeps,
         },
     }
 }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,5 +1,6 @@
 //! What the duty "traffic" knows: routes, servers, channels, budgets, and what it tells peers.
 
+use super::channel::Channel;
 use super::event::{self, Heard, Interest, News, RING};
 use super::journal::Journal;
 use super::metrics::Metrics;
@@ -178,6 +179,24 @@
         })
     }
 
+    /// Keeps an idle connection to a server; of those that the server takes, half of this
+    /// instance's part may be idle.
+    pub fn keep(
+        &self,
+        service: &id::Service,
+        worker: &id::Worker,
+        channel: Channel,
+        keeps: Option<Duration>,
+    ) {
+        let site = self.site.borrow();
+        let service = site.as_ref().and_then(|site| site.services.get(service));
+        let all = service.map_or(0, |service| service.most_connections);
+        let most = all / self.instances().max(1) / 2;
+        let most = usize::try_from(most.max(1)).unwrap_or(1);
+        let now = self.clock.now();
+        self.pool.put(now, worker, channel, keeps, most);
+    }
+
     /// Address of a server.
     #[must_use]
     pub fn address(&self, worker: &id::Worker) -> Option<SocketAddr> {
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -164,6 +164,7 @@
         load: text(headers, LOAD).and_then(load),
         framed,
         closes,
+        keeps: text(headers, "keep-alive").and_then(keeps),
     }
 }
 
@@ -183,6 +184,15 @@
     }
 }
 
+/// Whole seconds, as in `timeout=10, max=100`.
+fn keeps(text: &str) -> Option<Duration> {
+    let mut values = text
+        .split(',')
+        .filter_map(|value| value.trim().split_once('='));
+    let (_, seconds) = values.find(|(name, _)| name.trim() == "timeout")?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
 fn load(text: &str) -> Option<Load> {
     let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
     Some(Load {
--- a/src/world/message.rs
+++ b/src/world/message.rs
@@ -75,6 +75,8 @@
     pub framed: bool,
     /// Whether the server closes the connection after it.
     pub closes: bool,
+    /// How long the server keeps the connection open while it is idle, where it says so.
+    pub keeps: Option<Duration>,
 }
 
 /// Kind of an answer's head.
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -215,6 +215,18 @@
     assert_eq!(request::decode_answer("r1", &head).outcome, outcome);
 }
 
+#[rstest]
+#[case("timeout=10", Some(10))]
+#[case("timeout=7, max=100", Some(7))]
+#[case("max=100", None)]
+#[case("timeout=soon", None)]
+fn servers_say_how_long_they_keep_connections(#[case] text: &str, #[case] seconds: Option<u64>) {
+    let head = Response::builder().header("keep-alive", text);
+    let (head, ()) = head.body(()).unwrap().into_parts();
+    let keeps = request::decode_answer("r1", &head).keeps;
+    assert_eq!(keeps, seconds.map(|seconds| ms(seconds * 1_000)));
+}
+
 #[test]
 fn a_transaction_carries_its_conditions() {
     let txn = Txn::default()
