Take the doubled pause from decide/retry in all three places

Found in the reading: the store's pause after failures, the placer's time between looks and the rest of an unreachable server each doubled a time by hand beside decide::retry::backoff. All three call it now, with a jitter of 1, which is the whole pause: the same times as before (literal cases in tests/gateway/retry.rs, which it had no test for).

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -3,6 +3,7 @@
 //! What runs where is known exactly for requests of this instance, and as last told for those of
 //! its peers. How fast a server works is learned from the answers it gives.
 
+use super::retry::backoff;
 use super::speed::Speeds;
 use crate::common::*;
 use crate::world::backend::{Backend, Holdings};
@@ -328,8 +329,7 @@
     /// Notes that a server can't be reached or has no room.
     pub fn on_unreachable(&mut self, now: Duration, worker: &id::Worker) {
         if let Some(view) = self.views.get_mut(worker) {
-            let rest = (REST * (1 << view.rests.min(4))).min(LONGEST_REST);
-            view.rests_until = now + rest;
+            view.rests_until = now + backoff(REST, view.rests, LONGEST_REST, 1.0);
             view.rests += 1;
         }
     }
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -47,7 +47,8 @@
     }
 }
 
-/// Time to wait before asking again: `base` doubled for each try, spread by `jitter` in 0..1.
+/// Time to wait before asking again: `base` doubled for each try up to `most`, spread by `jitter` in
+/// 0..=1; the whole time where that is 1.
 #[must_use]
 pub fn backoff(base: Duration, tries: u32, most: Duration, jitter: f64) -> Duration {
     let doubled = base.saturating_mul(1 << tries.min(16));
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -11,6 +11,7 @@
 use crate::decide::arrange;
 use crate::decide::fleet::{Fleet, Task};
 use crate::decide::lease::{Action, Lease, Timing};
+use crate::decide::retry::backoff;
 use crate::decide::roster::Change;
 use crate::decide::tally::Source;
 use crate::node::clock::Clock;
@@ -39,8 +40,8 @@
 const HEARD: Duration = Duration::from_millis(1_100);
 /// Time between looks at the row while nobody is heard to hold it.
 const LOOK: Duration = Duration::from_millis(400);
-/// That time is doubled with each look that fails, so often at most.
-const MOST_DOUBLED: u32 = 3;
+/// The longest such time, after looks that failed.
+const LONGEST_LOOK: Duration = Duration::from_millis(3_200);
 /// Time between a holder's tries to renew its lease.
 const RENEW_AGAIN: Duration = Duration::from_millis(120);
 /// An instance that holds a shard leaves an open one to others for this long; one that prefers
@@ -393,7 +394,7 @@
 
     /// Time between looks at the row.
     fn pause(&self) -> Duration {
-        LOOK * (1 << self.failed_looks.min(MOST_DOUBLED))
+        backoff(LOOK, self.failed_looks, LONGEST_LOOK, 1.0)
     }
 
     /// How long this instance leaves the shard to others once it is open.
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -8,6 +8,7 @@
 use super::channel::{self, Channel, Reply};
 use super::event::{Call, Interest, LEASE, Member, News};
 use crate::common::*;
+use crate::decide::retry::backoff;
 use crate::platform::{config, rows, worker};
 use crate::wire::generated_gossip::{Batch, Entry};
 use crate::world::deployment::Deployment;
@@ -211,7 +212,7 @@
                     log::info!("feed of {} failed: {error}", self.table);
                     self.channel = None;
                     self.store.note(false).await;
-                    sleep(longer(AGAIN, self.failures)).await;
+                    sleep(backoff(AGAIN, self.failures, LONGEST_AGAIN, 1.0)).await;
                     self.failures += 1;
                     return Change::Nothing;
                 }
@@ -423,7 +424,7 @@
         }
         let Ok(page) = store.read(rows::OWN, MEMBERS).await else {
             failures += 1;
-            sleep(longer(AGAIN, failures)).await;
+            sleep(backoff(AGAIN, failures, LONGEST_AGAIN, 1.0)).await;
             continue;
         };
         let mine = page.rows.iter().find(|row| row.key == key);
@@ -439,11 +440,6 @@
     }
 }
 
-/// A pause, doubled for each failure up to the longest.
-fn longer(pause: Duration, failures: u32) -> Duration {
-    (pause * (1 << failures.min(8))).min(LONGEST_AGAIN)
-}
-
 fn members(page: &Page) -> Vec<Member> {
     let rows = page.rows.iter();
     let members = rows.filter_map(|row| {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod names;
 mod orders;
 mod platform;
+mod retry;
 mod roster;
 mod shed;
 mod speed;
