Keep only the model of a request in its ticket

Found in the reading: each sending copied the whole need, prompt parts and all, to the heap, for the one name that learning needs when the first byte comes. The ticket keeps that name. The place for a request is matched where it is awaited again, and whether it is new is worked out where it is used.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -288,7 +288,14 @@
     }
 
     /// Learns from the time to the first byte, beside the time that was expected.
-    pub fn on_served(&mut self, worker: &id::Worker, need: &Need, expected: f64, took: Duration) {
+    /// `model` is what was read there.
+    pub fn on_served(
+        &mut self,
+        worker: &id::Worker,
+        model: Option<&id::Model>,
+        expected: f64,
+        took: Duration,
+    ) {
         let Some(view) = self.views.get_mut(worker) else {
             return;
         };
@@ -301,8 +308,8 @@
         let average = view.slowness.powf(1.0 - FORGETTING);
         let slowness = average * (1.0 - SMOOTHING + SMOOTHING * ratio);
         view.slowness = slowness.clamp(FASTEST, SLOWEST);
-        if let Some(generation) = &need.generation {
-            self.speeds.on_answer(&generation.target.model, ratio);
+        if let Some(model) = model {
+            self.speeds.on_answer(model, ratio);
         }
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -108,7 +108,8 @@
     pub worker: id::Worker,
     added: Running,
     sent: Duration,
-    need: Box<Need>,
+    /// What is read there; none for plain calls.
+    model: Option<id::Model>,
     expected: f64,
     first_seen: bool,
 }
@@ -117,12 +118,13 @@
     fn new(case: &Case, worker: &id::Worker, expected: f64) -> Self {
         let traffic = Rc::clone(&case.traffic);
         let added = traffic.balance.borrow_mut().on_sent(worker, &case.need);
+        let generation = case.need.generation.as_ref();
         Self {
             sent: traffic.clock.now(),
             traffic,
             worker: worker.clone(),
             added,
-            need: Box::new(case.need.clone()),
+            model: generation.map(|generation| generation.target.model.clone()),
             expected,
             first_seen: false,
         }
@@ -138,7 +140,7 @@
         self.traffic.metrics.first_byte.observe(took.as_secs_f64());
         let mut balance = self.traffic.balance.borrow_mut();
         balance.on_first(&self.worker, &mut self.added);
-        balance.on_served(&self.worker, &self.need, self.expected, took);
+        balance.on_served(&self.worker, self.model.as_ref(), self.expected, took);
     }
 }
 
@@ -185,9 +187,7 @@
                     }
                 };
             }
-            let place = self.place(&tried).await;
-            let is_new = tried.is_empty() && last_event.is_none();
-            let (worker, expected) = match place {
+            let (worker, expected) = match self.place(&tried).await {
                 Ok(place) => place,
                 Err(end) if runs == 0 => return end,
                 Err(_) => {
@@ -195,6 +195,7 @@
                     return failed.map_or(End::Unknown { cause }, End::Whole);
                 }
             };
+            let is_new = tried.is_empty() && last_event.is_none();
             if let Some(back) = self.refuses(expected).filter(|_| is_new) {
                 return End::Refused {
                     cause: "busy",
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -1,6 +1,8 @@
 //! Routing: where requests go under which load.
 
-use super::build::{SERVICE, backend, deployment, generation, holdings, ms, site, target, worker};
+use super::build::{
+    SERVICE, backend, deployment, generation, holdings, model, ms, site, target, worker,
+};
 use poplarseam::decide::balance::{Balance, Choice, Need, Running};
 use poplarseam::world::backend::Backend;
 use std::collections::BTreeMap;
@@ -123,8 +125,8 @@
         backend("b", "north-2", "m1"),
     ]);
     for _ in 0..50 {
-        balance.on_served(&worker("a"), &need("m1"), 0.1, ms(400));
-        balance.on_served(&worker("b"), &need("m1"), 0.1, ms(100));
+        balance.on_served(&worker("a"), Some(&model("m1")), 0.1, ms(400));
+        balance.on_served(&worker("b"), Some(&model("m1")), 0.1, ms(100));
     }
     assert_eq!(chosen(&balance, "m1"), "b");
 }
