Work out the lags of the two averages from their weights

They stood as two constants, 1.75 and 6 s, beside the weights and the step that give just these; a change of a weight would have left them wrong.

--- a/src/decide/appetite.rs
+++ b/src/decide/appetite.rs
@@ -16,9 +16,6 @@
 /// Weight of the newest span in the fast average and in the slow one.
 const FAST: f64 = 0.25;
 const SLOW: f64 = 0.08;
-/// By how much the fast average and the slow one lag behind a steady rise; from their weights.
-const FAST_LAG: Duration = Duration::from_millis(1_750);
-const SLOW_LAG: Duration = Duration::from_secs(6);
 /// From the decision for a load to its order.
 const UNTIL_ORDER: Duration = Duration::from_millis(300);
 /// A model counts as asked for this long after the last request.
@@ -38,11 +35,16 @@
     /// The rate that is expected after some time, if a rise goes on.
     fn expected(&self, ahead: Duration) -> f64 {
         let rise = (self.fast - self.slow).max(0.0);
-        let apart = SLOW_LAG.saturating_sub(FAST_LAG).as_secs_f64();
-        self.fast.max(self.slow) + rise * (FAST_LAG + ahead).as_secs_f64() / apart
+        let apart = lag(SLOW) - lag(FAST);
+        self.fast.max(self.slow) + rise * (lag(FAST) + ahead.as_secs_f64()) / apart
     }
 }
 
+/// Seconds by which an average with this weight lags behind a steady rise.
+fn lag(weight: f64) -> f64 {
+    STEP.as_secs_f64() * (1.0 / weight - 0.5)
+}
+
 /// Demand for each target.
 #[derive(Debug, Clone, Default)]
 pub struct Appetite {
