Let tests of leases and processes share their set-up

Three tests wrote the second start of an instance out, two the workers that cut streams, thirteen the wait for one instance. Assertions are untouched.

--- a/tests/gateway/lease.rs
+++ b/tests/gateway/lease.rs
@@ -13,10 +13,15 @@
 };
 
 fn lease(name: &str) -> Lease {
+    started(name, 1)
+}
+
+/// The contest of one start of an instance.
+fn started(name: &str, incarnation: u64) -> Lease {
     Lease::new(
         "lease".into(),
         name.parse().unwrap(),
-        Incarnation(1),
+        Incarnation(incarnation),
         TIMING,
     )
 }
@@ -86,12 +91,7 @@
 #[test]
 fn a_restarted_instance_need_not_wait_for_itself() {
     let (_, row) = held_by_one();
-    let mut again = Lease::new(
-        "lease".into(),
-        "one".parse().unwrap(),
-        Incarnation(2),
-        TIMING,
-    );
+    let mut again = started("one", 2);
     again.tick(ms(100));
     again.on_read(ms(100), Some(&row));
     commit(&mut again, 2_100, 2);
@@ -102,12 +102,7 @@
 #[test]
 fn a_restarted_instance_takes_its_own_lease_back_at_once() {
     let (_, row) = held_by_one();
-    let mut again = Lease::new(
-        "lease".into(),
-        "one".parse().unwrap(),
-        Incarnation(2),
-        TIMING,
-    );
+    let mut again = started("one", 2);
     assert!(again.reclaim(ms(100), &row));
     commit(&mut again, 110, 2);
     assert!(again.fence(ms(110)).is_some());
@@ -125,12 +120,7 @@
 #[test]
 fn a_row_that_changed_since_is_not_taken_back() {
     let (_, row) = held_by_one();
-    let mut again = Lease::new(
-        "lease".into(),
-        "one".parse().unwrap(),
-        Incarnation(2),
-        TIMING,
-    );
+    let mut again = started("one", 2);
     assert!(again.reclaim(ms(100), &row));
     assert!(matches!(again.tick(ms(110)), Action::Commit(_)));
     again.on_commit(ms(115), Ok(Commit::Conflict(Vec::new())));
--- a/tests/gateway_processes.rs
+++ b/tests/gateway_processes.rs
@@ -51,6 +51,24 @@
         Self::start_when(instances, false)
     }
 
+    /// One instance that serves.
+    fn ready() -> Self {
+        let site = Self::start(1);
+        site.wait_until_ready();
+        site
+    }
+
+    /// One instance that serves, before workers that break a stream off after four events.
+    fn with_cut_streams() -> Self {
+        let site = Self::ready();
+        let faults = Faults {
+            cut_after: Some(4),
+            ..Faults::default()
+        };
+        site.set(&["a", "b"], faults);
+        site
+    }
+
     fn start_when(instances: u8, store_down: bool) -> Self {
         let workers = vec![
             Worker::new("a", "llm", &["m1"], 10, PAUSE),
@@ -187,8 +205,7 @@
 
 #[test]
 fn requests_are_served_and_adapters_loaded_on_demand() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     let answer = site.ask("/issue/x", "r1", "");
     assert_eq!(status(&answer), 200, "{answer}");
     assert!(answer.contains("x-response-signature: s"), "{answer}");
@@ -238,8 +255,7 @@
 
 #[test]
 fn a_node_that_lost_the_store_goes_on_serving() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     site.platform.set_down(true);
     std::thread::sleep(Duration::from_secs(1));
     assert_eq!(site.status(0, 8001, "/v1/readyz"), 200);
@@ -248,8 +264,7 @@
 
 #[test]
 fn a_configuration_of_a_silent_outage_is_in_force_soon_after() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     site.platform.set_silent(true);
     std::thread::sleep(Duration::from_secs(3));
     site.platform.configure(&config(5_001));
@@ -261,8 +276,7 @@
 
 #[test]
 fn a_request_that_may_run_once_is_not_sent_again_when_its_answer_is_lost() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     let faults = Faults {
         lose_answers: true,
         ..Faults::default()
@@ -277,8 +291,7 @@
 /// Load: most servers of a service crash at once, and their entries stand for a while.
 #[test]
 fn servers_that_cannot_be_reached_use_up_no_repeats() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     for number in 0..10 {
         let dead = Worker::new(&format!("dead-{number}"), "app", &[], 0, PAUSE).dead();
         site.platform.list(&dead, "ready");
@@ -294,8 +307,7 @@
 
 #[test]
 fn a_servers_failure_is_passed_on_where_no_other_server_is_left() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     site.platform.list(site.platform.worker("p"), "draining");
     let fail = Faults {
         fail: true,
@@ -313,13 +325,7 @@
 
 #[test]
 fn a_stream_that_may_be_resumed_goes_on_at_another_worker() {
-    let site = Site::start(1);
-    site.wait_until_ready();
-    let faults = Faults {
-        cut_after: Some(4),
-        ..Faults::default()
-    };
-    site.set(&["a", "b"], faults);
+    let site = Site::with_cut_streams();
     let answer = site.ask("/long/x", "r1", "m1");
     for event in 1..=10 {
         let count = answer.matches(&format!("data: piece {event}\n")).count();
@@ -329,13 +335,7 @@
 
 #[test]
 fn a_stream_that_breaks_off_does_not_look_complete() {
-    let site = Site::start(1);
-    site.wait_until_ready();
-    let faults = Faults {
-        cut_after: Some(4),
-        ..Faults::default()
-    };
-    site.set(&["a", "b"], faults);
+    let site = Site::with_cut_streams();
     let answer = site.ask("/draft/x", "r1", "m1");
     assert!(answer.contains("piece 4"), "{answer}");
     assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
@@ -343,8 +343,7 @@
 
 #[test]
 fn a_caller_that_leaves_ends_the_run() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     let faults = Faults {
         hang: true,
         ..Faults::default()
@@ -365,8 +364,7 @@
 
 #[test]
 fn a_request_gets_its_answer_at_the_time_out_of_its_route() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     site.platform.configure(&config(5_001));
     let faults = Faults {
         hang: true,
@@ -378,8 +376,7 @@
 
 #[test]
 fn a_leaving_server_gets_nothing_more() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     site.platform.list(site.platform.worker("p"), "draining");
     wait_for("the news", || {
         let state = site.state(0);
@@ -399,8 +396,7 @@
 
 #[test]
 fn a_hangup_signal_ends_nothing() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     site.instances[0].1.signal("HUP");
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(status(&site.ask("/issue/x", "r1", "")), 200);
@@ -434,8 +430,7 @@
 
 #[test]
 fn bad_requests_get_one_clear_answer() {
-    let site = Site::start(1);
-    site.wait_until_ready();
+    let site = Site::ready();
     let callers = site.callers(0);
     let without_id = exchange(callers, "POST /issue/x HTTP/1.1\r\nHost: h\r\n\r\n").unwrap();
     assert_eq!(status(&without_id), 400, "{without_id}");
