Split the store duty by job, and let no answer of a peer fail unsaid

store.rs held four jobs in 513 lines: calls, feeds, what follows them, registration. The check of an answer's status stood in the store and, without a log line, in the read from a peer: Reply::sound serves both, so a peer that answers 503 shows in the log. A datagram without a readable sender was dropped silently and is logged.

--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -81,6 +81,23 @@
     pub body: Bytes,
 }
 
+impl Reply {
+    /// The body, where the status is 200.
+    ///
+    /// # Errors
+    /// [`Error::Answer`] with any other status; `of` names what was asked.
+    pub fn sound(self, of: &str) -> Result<Bytes> {
+        if self.status == 200 {
+            return Ok(self.body);
+        }
+        Err(Error::Answer {
+            url: of.into(),
+            status: self.status,
+            text: "see the status".into(),
+        })
+    }
+}
+
 impl Channel {
     /// Makes a call and reads its whole answer.
     ///
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -23,6 +23,7 @@
     pub fn on_gossip(&self, gossip: Gossip) {
         let now = self.clock.now();
         let Some(sender) = sender(&gossip) else {
+            log::warn!("a datagram names no sender: it is not taken");
             return;
         };
         let (standing, was_silent) = self.topology.borrow_mut().on_heard(now, &sender);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,6 +90,8 @@
     pub mod command;
     mod event;
     mod exchange;
+    mod feed;
+    mod follow;
     mod forward;
     #[allow(clippy::module_inception)]
     mod gateway;
@@ -99,6 +101,7 @@
     mod metrics;
     mod placer;
     mod pool;
+    mod register;
     mod relay;
     mod store;
     mod traffic;
