--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -8,15 +8,16 @@
 use super::arrange::{Job, Planner, Policy, Wanted, Worker};
 use super::orders::{Ledger, Step};
 use super::speed::Speeds;
+use super::told::Told;
 use crate::common::*;
-use crate::world::backend::{Backend, Holdings, Report};
+use crate::world::backend::{Backend, Report};
 use crate::world::deployment::Deployment;
 use crate::world::id;
 use crate::world::message::Target;
 use crate::world::order::{Action, Reply};
 use crate::world::shard::Shard;
 use crate::world::site::{Engine, Site};
-use crate::world::unit::{Fence, Incarnation, float};
+use crate::world::unit::float;
 
 /// Part of its time that a worker may read prompts in and still answer in time.
 const COMFORT: f64 = 0.7;
@@ -38,19 +39,6 @@
     },
 }
 
-/// What another instance told of a worker that it holds.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Told {
-    pub boot: Incarnation,
-    pub fence: Fence,
-    pub revision: u64,
-    pub holdings: Holdings,
-    pub closing: BTreeSet<id::Model>,
-    pub coming: BTreeSet<id::Model>,
-    pub open: bool,
-    pub from_store: bool,
-}
-
 /// What the planner sees of one model.
 #[derive(Debug, Clone, Serialize)]
 pub struct Standing {
@@ -380,22 +368,6 @@
     }
 }
 
-impl Told {
-    /// Whether this is later word of the same worker than what is known.
-    #[must_use]
-    pub fn is_newer_than(&self, known: Option<&Self>) -> bool {
-        let order = |told: &Self| (told.fence, told.revision);
-        known.is_none_or(|known| order(self) > order(known))
-    }
-
-    /// Models that the worker holds or is about to hold, those about to go left out.
-    fn models(&self) -> BTreeSet<id::Model> {
-        let held = self.holdings.keys();
-        let held = held.filter(|model| !self.closing.contains(*model));
-        held.chain(&self.coming).cloned().collect()
-    }
-}
-
 /// The adapter at a worker that callers ask for least.
 fn least_asked(appetite: &Appetite, ledger: &Ledger, but: &Target) -> Option<Target> {
     let held = ledger.holdings().iter().flat_map(|(model, adapters)| {
--- a/src/gateway/words.rs
+++ b/src/gateway/words.rs
@@ -2,8 +2,8 @@
 
 use crate::common::*;
 use crate::decide::arrange;
-use crate::decide::fleet::Told;
 use crate::decide::orders::Ledger;
+use crate::decide::told::Told;
 use crate::wire::generated_gossip::{Held, Holding, Job};
 use crate::world::id;
 use crate::world::unit::{Fence, Incarnation};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
     pub mod stream;
     pub mod suspect;
     pub mod tally;
+    pub mod told;
     pub mod topology;
 }
 
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -2,7 +2,8 @@
 
 use super::build::{backend, deployment, model, ms, site, target, worker};
 use poplarseam::decide::arrange::Job;
-use poplarseam::decide::fleet::{Fleet, Told};
+use poplarseam::decide::fleet::Fleet;
+use poplarseam::decide::told::Told;
 use poplarseam::world::shard::Shard;
 use poplarseam::world::unit::{Fence, Incarnation};
 
