Refuse what still waits before a stopping process ends

The wait was bounded by the caller's time alone. Change: half a second before the end a stopping process refuses what was not sent yet, with when to come back: it has not run. Test a_stop_refuses_what_still_waits_before_the_end: no answer before, 503 with retry-after after.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -284,7 +284,8 @@
                 }
                 Choice::NoModel => (UNDECIDED, "no model", COME_BACK_LOADED),
             };
-            if now >= began + longest {
+            let last_call = self.traffic.last_call.get();
+            if now >= began + longest || last_call.is_some_and(|last| now >= last) {
                 return Err(End::Refused { cause, back });
             }
             let _ = timeout(LOOK, self.traffic.changed.notified()).await;
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -30,6 +30,8 @@
 const UNREADY: Duration = Duration::from_millis(2_300);
 /// Left of the grace time for the end itself.
 const LAST: Duration = Duration::from_millis(400);
+/// What still waits to be sent this long before the end is refused, so that its answer gets out.
+const LAST_CALL: Duration = Duration::from_millis(500);
 /// How often a stopping process looks whether connections are open.
 const LOOK: Duration = Duration::from_millis(25);
 
@@ -236,6 +238,8 @@
         .journal
         .note("stop", &json!({"open": traffic.open.get()}));
     traffic.is_stopping.set(true);
+    let last = began + traffic.deployment.bounds.grace.saturating_sub(LAST);
+    traffic.last_call.set(Some(last.saturating_sub(LAST_CALL)));
     if placer.try_send(Heard::Stop).is_err() {
         traffic
             .journal
@@ -243,7 +247,6 @@
     }
     sleep(UNREADY).await;
     close.send_replace(true);
-    let last = began + traffic.deployment.bounds.grace.saturating_sub(LAST);
     while traffic.open.get() > 0 && traffic.clock.now() < last {
         sleep(LOOK).await;
     }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -56,6 +56,8 @@
     /// Callers' connections that are open.
     pub open: Cell<usize>,
     pub is_stopping: Cell<bool>,
+    /// When a stopping process refuses what still waits to be sent.
+    pub last_call: Cell<Option<Duration>>,
     /// Wakes requests that wait for a model, an adapter or a place.
     pub changed: Notify,
     /// Wakes the task that tells peers.
@@ -155,6 +157,7 @@
             journal,
             open: Cell::new(0),
             is_stopping: Cell::new(false),
+            last_call: Cell::new(None),
             changed: Notify::new(),
             to_tell: Notify::new(),
             budgets: RefCell::default(),
--- a/tests/gateway_processes.rs
+++ b/tests/gateway_processes.rs
@@ -12,6 +12,11 @@
 
 /// Longest wait for something that happens soon.
 const SOON: Duration = Duration::from_secs(20);
+/// Seconds that a stop may take, and where a test waits for the end of it.
+const GRACE_S: u64 = 8;
+const SHORT_GRACE_S: u64 = 4;
+/// A lease that can't be renewed has lapsed after this time.
+const LEASE_LAPSES: Duration = Duration::from_millis(2_500);
 const PAUSE: Duration = Duration::from_millis(50);
 
 static SUBNET: AtomicU8 = AtomicU8::new(1);
@@ -48,7 +53,7 @@
 impl Site {
     /// Workers `a` and `b` with models, servers `p` and `q` of the plain service.
     fn start(instances: u8) -> Self {
-        Self::start_when(instances, false)
+        Self::start_when(instances, false, GRACE_S)
     }
 
     /// One instance that serves.
@@ -69,7 +74,7 @@
         site
     }
 
-    fn start_when(instances: u8, store_down: bool) -> Self {
+    fn start_when(instances: u8, store_down: bool, grace_s: u64) -> Self {
         let workers = vec![
             Worker::new("a", "llm", &["m1"], 10, PAUSE),
             Worker::new("b", "llm", &["m1", "m2"], 10, PAUSE),
@@ -90,20 +95,18 @@
         };
         let pid = std::process::id().to_le_bytes();
         for number in 1..=instances {
-            site.add(Ipv4Addr::new(
-                127,
-                16 + pid[0] % 100,
-                subnet + pid[1] % 100,
-                number,
-            ));
+            let ip = Ipv4Addr::new(127, 16 + pid[0] % 100, subnet + pid[1] % 100, number);
+            site.add(ip, grace_s);
         }
         site
     }
 
-    fn add(&mut self, ip: Ipv4Addr) {
+    fn add(&mut self, ip: Ipv4Addr, grace_s: u64) {
         let name = format!("edge-{}", ip.octets()[3]);
         let settings = self.folder.join(format!("{name}.json"));
-        std::fs::write(&settings, self.platform.settings(&name, ip).to_string()).unwrap();
+        let mut values = self.platform.settings(&name, ip);
+        values["Bounds"]["GraceS"] = json!(grace_s);
+        std::fs::write(&settings, values.to_string()).unwrap();
         let path = settings.to_string_lossy().into_owned();
         let environment = [("POPLARSEAM_SETTINGS".to_owned(), path)];
         let process = Process::start("poplarseam-gateway", &name, &environment, &self.folder);
@@ -241,9 +244,35 @@
     assert!(TcpStream::connect(callers).is_err());
 }
 
+/// Load: a request for what nobody has yet comes to an instance that is being stopped.
+#[test]
+fn a_stop_refuses_what_still_waits_before_the_end() {
+    let mut site = Site::start_when(1, false, SHORT_GRACE_S);
+    site.wait_until_ready();
+    let mut patient = config(30_000);
+    patient["Routes"][0]["TargetLatencyMs"] = json!(10_000);
+    site.platform.configure(&patient);
+    wait_for("the new configuration", || {
+        site.state(0)["version"] == 30_000
+    });
+    site.platform.set_down(true);
+    std::thread::sleep(LEASE_LAPSES);
+    let callers = site.callers(0);
+    let waiting = request("/draft/x", "r1", "m1/a3").replace("-Ms: 4000", "-Ms: 30000");
+    let answer = std::thread::spawn(move || exchange(callers, &waiting));
+    std::thread::sleep(PAUSE);
+    site.instances[0].1.signal("TERM");
+    let ended = site.instances[0].1.wait(Duration::from_secs(SHORT_GRACE_S));
+    assert!(ended.is_some_and(|status| status.success()));
+    let answer = answer.join().unwrap().unwrap();
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+    assert_eq!(site.ran("r1"), 0);
+}
+
 #[test]
 fn without_a_store_it_is_not_ready_and_says_when_to_come_back() {
-    let site = Site::start_when(1, true);
+    let site = Site::start_when(1, true, GRACE_S);
     wait_for("an answer", || site.status(0, 8001, "/v1/readyz") == 503);
     let answer = site.ask("/issue/x", "r1", "");
     assert_eq!(status(&answer), 503, "{answer}");
