--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -8,7 +8,7 @@
 const MOST: f64 = 20.0;
 
 /// Retries that are left.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize)]
 pub struct Budget {
     ratio: f64,
     most: f64,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -216,7 +216,7 @@
                 Attempt::Unreached if unreached < MOST_UNREACHED => unreached += 1,
                 Attempt::NotRun | Attempt::Unreached => {
                     turns += 1;
-                    if turns >= MOST_TURNS || !self.traffic.may_repeat(&self.need.service) {
+                    if turns >= MOST_TURNS || !self.may_repeat("turned away") {
                         let cause = "turned away";
                         return if runs == 0 {
                             End::Refused {
@@ -230,14 +230,14 @@
                 }
                 Attempt::Failed(response) => {
                     runs += 1;
-                    if !may_go_on || !self.traffic.may_repeat(&self.need.service) {
+                    if !may_go_on || !self.may_repeat("failed") {
                         return End::Whole(response);
                     }
                     failed = Some(response);
                 }
                 Attempt::Unknown(cause) => {
                     runs += 1;
-                    if !may_go_on || !self.traffic.may_repeat(&self.need.service) {
+                    if !may_go_on || !self.may_repeat(cause) {
                         return End::Unknown { cause };
                     }
                 }
@@ -245,6 +245,12 @@
         }
     }
 
+    /// Takes a repeat from the budget, or says that none is left.
+    pub(super) fn may_repeat(&self, cause: &str) -> bool {
+        let service = &self.need.service;
+        self.traffic.may_repeat(&self.request.id, service, cause)
+    }
+
     fn note_attempt(&self, worker: &id::Worker, expected: f64, attempt: &Attempt) {
         let outcome = match attempt {
             Attempt::Live(_) => "stream",
@@ -259,7 +265,8 @@
         let expected_ms = (expected * 1e3).round();
         self.note(
             "sent",
-            json!({"server": worker, "expected_ms": expected_ms, "outcome": outcome}),
+            json!({"server": worker, "service": self.need.service, "expected_ms": expected_ms,
+                "outcome": outcome}),
         );
     }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a gateway.
 
+use crate::world::id;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -14,6 +15,8 @@
     registry: Registry,
     answers: Family<Labels, Counter>,
     sends: Family<Labels, Counter>,
+    first_sends: Family<Labels, Counter>,
+    repeats: Family<Labels, Counter>,
     pub first_byte: Histogram,
     pub connections: Counter,
 }
@@ -23,6 +26,8 @@
         let mut registry = Registry::with_prefix("poplarseam");
         let answers = Family::<Labels, Counter>::default();
         let sends = Family::<Labels, Counter>::default();
+        let first_sends = Family::<Labels, Counter>::default();
+        let repeats = Family::<Labels, Counter>::default();
         let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 14));
         let connections = Counter::default();
         registry.register(
@@ -35,6 +40,16 @@
             "Requests sent to servers, by outcome",
             sends.clone(),
         );
+        registry.register(
+            "first_sends",
+            "Requests sent for the first time, by service",
+            first_sends.clone(),
+        );
+        registry.register(
+            "repeats",
+            "Decisions to send a request again, by service",
+            repeats.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time to the first byte",
@@ -49,6 +64,8 @@
             registry,
             answers,
             sends,
+            first_sends,
+            repeats,
             first_byte,
             connections,
         }
@@ -68,6 +85,19 @@
         self.sends.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that is sent for the first time.
+    pub fn on_first_send(&self, service: &id::Service) {
+        let labels = vec![("service", service.to_string())];
+        self.first_sends.get_or_create(&labels).inc();
+    }
+
+    /// Counts a decision to send a request again.
+    pub fn on_repeat(&self, service: &id::Service, granted: bool) {
+        let granted = granted.to_string();
+        let labels = vec![("service", service.to_string()), ("granted", granted)];
+        self.repeats.get_or_create(&labels).inc();
+    }
+
     /// Everything, as text.
     #[must_use]
     pub fn text(&self) -> String {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -134,7 +134,7 @@
         let traffic = &self.case.traffic;
         let allowed = self.resumable
             && self.resumed < MOST_RESUMED
-            && traffic.may_repeat(&self.case.need.service);
+            && self.case.may_repeat("stream broke off");
         if !allowed {
             return false;
         }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -442,19 +442,24 @@
     }
 
     /// Takes one repeat of the share of this instance, if one is left.
-    pub fn may_repeat(&self, service: &id::Service) -> bool {
-        let instances = f64::from(self.instances());
+    pub fn may_repeat(&self, request: &str, service: &id::Service, cause: &str) -> bool {
+        let instances = self.instances();
         let mut budgets = self.budgets.borrow_mut();
         let bounds = &self.deployment.bounds;
         let budget = budgets.entry(service.clone());
-        let most = bounds.retry_extra / 2.0 / instances;
-        budget
-            .or_insert_with(|| Budget::new(bounds.retry_ratio / 2.0, most))
-            .take()
+        let most = bounds.retry_extra / 2.0 / f64::from(instances);
+        let budget = budget.or_insert_with(|| Budget::new(bounds.retry_ratio / 2.0, most));
+        let granted = budget.take();
+        self.metrics.on_repeat(service, granted);
+        let values = json!({"request": request, "service": service, "cause": cause,
+            "granted": granted, "budget": budget, "instances": instances});
+        self.journal.note("repeat", &values);
+        granted
     }
 
     /// Notes the first sending of a request.
     pub fn on_first_send(&self, service: &id::Service) {
+        self.metrics.on_first_send(service);
         if let Some(budget) = self.budgets.borrow_mut().get_mut(service) {
             budget.on_first();
         }
