--- /dev/null
+++ b/tests/gateway_processes/site.rs
@@ -0,0 +1,204 @@
+//! A platform with instances of the gateway in front of it, and callers.
+
+use serde_json::{Value, json};
+use standins::platform::Platform;
+use standins::process::Process;
+use standins::worker::{Faults, Worker};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+/// Longest wait for something that happens soon.
+pub const SOON: Duration = Duration::from_secs(20);
+/// Seconds that a stop may take.
+pub const GRACE_S: u64 = 8;
+pub const PAUSE: Duration = Duration::from_millis(50);
+
+static SUBNET: AtomicU8 = AtomicU8::new(1);
+
+/// A platform with instances in front of it.
+pub struct Site {
+    pub platform: Platform,
+    pub instances: Vec<(Ipv4Addr, Process)>,
+    folder: PathBuf,
+}
+
+pub fn config(timeout_ms: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        json!({"Name": name, "Hostname": "h", "PathPrefix": format!("/{name}/"), "Type": kind,
+            "TimeoutMs": timeout_ms, "TargetLatencyMs": 200, "Priority": 1, "Service": service,
+            "MaxAttempts": 2, "Resumable": resumable})
+    };
+    let models = ["m1", "m2"].map(|name| {
+        json!({"Name": name, "WeightsMb": 40, "LoadTimeS": 0.1, "Adapters": 3,
+            "AdapterSizeMb": 1})
+    });
+    json!({
+        "Version": timeout_ms,
+        "Routes": [route("draft", "streaming", "llm", false), route("long", "streaming", "llm", true),
+            route("issue", "unsafe", "app", false), route("check", "safe", "app", false)],
+        "Services": [{"Name": "llm", "MaxConnections": 50, "Engine": {"Slots": 8,
+                "KvCapacity": 100_000, "WeightsMb": 100, "AdapterCapacity": 2, "LoadsPerS": 2,
+                "Models": models}},
+            {"Name": "app", "MaxConnections": 50}],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1000, "IdleTimeoutMs": 15000},
+    })
+}
+
+impl Site {
+    /// Workers `a` and `b` with models, servers `p` and `q` of the plain service.
+    pub fn start(instances: u8) -> Self {
+        Self::start_when(instances, false, GRACE_S)
+    }
+
+    /// One instance that serves.
+    pub fn ready() -> Self {
+        let site = Self::start(1);
+        site.wait_until_ready();
+        site
+    }
+
+    /// One instance that serves, before workers that break a stream off after four events.
+    pub fn with_cut_streams() -> Self {
+        let site = Self::ready();
+        let faults = Faults {
+            cut_after: Some(4),
+            ..Faults::default()
+        };
+        site.set(&["a", "b"], faults);
+        site
+    }
+
+    pub fn start_when(instances: u8, store_down: bool, grace_s: u64) -> Self {
+        let workers = vec![
+            Worker::new("a", "llm", &["m1"], 10, PAUSE),
+            Worker::new("b", "llm", &["m1", "m2"], 10, PAUSE),
+            Worker::new("p", "app", &[], 0, PAUSE),
+            Worker::new("q", "app", &[], 0, PAUSE),
+        ];
+        let platform = Platform::start(workers);
+        platform.configure(&config(5_000));
+        platform.set_down(store_down);
+        let subnet = SUBNET.fetch_add(1, Ordering::Relaxed);
+        let folder = format!("poplarseam-gateway-{}-{subnet}", std::process::id());
+        let folder = std::env::temp_dir().join(folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut site = Self {
+            platform,
+            instances: Vec::new(),
+            folder,
+        };
+        let pid = std::process::id().to_le_bytes();
+        for number in 1..=instances {
+            let ip = Ipv4Addr::new(127, 16 + pid[0] % 100, subnet + pid[1] % 100, number);
+            site.add(ip, grace_s);
+        }
+        site
+    }
+
+    pub fn add(&mut self, ip: Ipv4Addr, grace_s: u64) {
+        let name = format!("edge-{}", ip.octets()[3]);
+        let settings = self.folder.join(format!("{name}.json"));
+        let mut values = self.platform.settings(&name, ip);
+        values["Bounds"]["GraceS"] = json!(grace_s);
+        std::fs::write(&settings, values.to_string()).unwrap();
+        let path = settings.to_string_lossy().into_owned();
+        let environment = [("POPLARSEAM_SETTINGS".to_owned(), path)];
+        let process = Process::start("poplarseam-gateway", &name, &environment, &self.folder);
+        self.instances.push((ip, process));
+    }
+
+    pub fn callers(&self, instance: usize) -> SocketAddr {
+        (self.instances[instance].0, 8000).into()
+    }
+
+    pub fn status(&self, instance: usize, port: u16, path: &str) -> u16 {
+        let address = (self.instances[instance].0, port).into();
+        let answer = exchange(address, &format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n"));
+        answer.map_or(0, |answer| status(&answer))
+    }
+
+    pub fn state(&self, instance: usize) -> Value {
+        let address = (self.instances[instance].0, 7001).into();
+        let answer = exchange(address, "GET /state HTTP/1.1\r\nHost: x\r\n\r\n");
+        let answer = answer.unwrap_or_default();
+        let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+        serde_json::from_str(body).unwrap_or_default()
+    }
+
+    pub fn wait_until_ready(&self) {
+        wait_for("ready", || {
+            (0..self.instances.len())
+                .all(|instance| self.status(instance, 8001, "/v1/readyz") == 200)
+        });
+        wait_for("all servers listed", || {
+            let states = (0..self.instances.len()).map(|instance| self.state(instance));
+            let mut counts = states.map(|state| state["servers"].as_array().map_or(0, Vec::len));
+            counts.all(|count| count == 4)
+        });
+    }
+
+    pub fn ask(&self, path: &str, id: &str, model: &str) -> String {
+        let answer = exchange(self.callers(0), &request(path, id, model));
+        answer.unwrap_or_default()
+    }
+
+    pub fn set(&self, workers: &[&str], faults: Faults) {
+        for worker in workers {
+            self.platform.worker(worker).set(faults);
+        }
+    }
+
+    pub fn ran(&self, id: &str) -> usize {
+        let workers = ["a", "b", "p", "q"].map(|worker| self.platform.worker(worker).ran());
+        workers.iter().flatten().filter(|ran| *ran == id).count()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn request(path: &str, id: &str, model: &str) -> String {
+    let model = if model.is_empty() {
+        String::new()
+    } else {
+        format!("X-Model-Name: {model}\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: 1:100\r\n")
+    };
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 4000\r\n{model}\
+         Content-Length: 2\r\n\r\nhi"
+    )
+}
+
+/// Sends a request on a connection of its own and reads to the connection's end, or until the
+/// answer is whole.
+pub fn exchange(address: SocketAddr, request: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(6)))?;
+    let request = request.replacen("\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1);
+    stream.write_all(request.as_bytes())?;
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    if answer.is_empty() {
+        read?;
+    }
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
+
+pub fn status(answer: &str) -> u16 {
+    let code = answer.split(' ').nth(1);
+    code.and_then(|code| code.parse().ok()).unwrap_or(0)
+}
+
+pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + SOON;
+    while !holds() {
+        assert!(Instant::now() < until, "not in time: {what}");
+        std::thread::sleep(PAUSE);
+    }
+}
