--- /dev/null
+++ b/tests/gateway_processes/budget.rs
@@ -0,0 +1,97 @@
+//! Repeats of all instances together, as back ends count them.
+
+use super::site::{GRACE_S, Site, status, wait_for};
+use standins::worker::Faults;
+use std::time::{Duration, Instant};
+
+/// The promise of the stand-in's settings: repeats for each request, and those on top in a window.
+const RATIO: f64 = 0.2;
+const EXTRA: f64 = 56.0;
+const WINDOW: Duration = Duration::from_secs(10);
+/// Requests to one instance, more than its budget could ever repeat.
+const MOST_ASKED: usize = 60;
+
+/// A site whose plain servers run each request and fail.
+struct Failing {
+    site: Site,
+    requests: usize,
+    began: Instant,
+}
+
+impl Failing {
+    fn start(instances: u8) -> Self {
+        let site = Site::start(instances);
+        site.wait_until_ready();
+        let faults = Faults {
+            fail: true,
+            ..Faults::default()
+        };
+        site.set(&["p", "q"], faults);
+        Self {
+            site,
+            requests: 0,
+            began: Instant::now(),
+        }
+    }
+
+    /// Sends requests that may be repeated to one instance until it repeats no more.
+    fn exhaust(&mut self, instance: usize) {
+        for _ in 0..MOST_ASKED {
+            self.requests += 1;
+            let id = format!("r{}", self.requests);
+            let answer = self.site.ask_at(instance, "/check/x", &id, "");
+            assert_eq!(status(&answer), 500, "{answer}");
+            if self.site.ran(&id) == 1 {
+                return;
+            }
+        }
+        panic!("instance {instance} repeated all of {MOST_ASKED} requests");
+    }
+
+    fn assert_within_budget(&self) {
+        let servers = ["p", "q"].map(|server| self.site.platform.worker(server).ran().len());
+        let repeats = servers.iter().sum::<usize>() - self.requests;
+        let windows = self.began.elapsed().div_duration_f64(WINDOW).ceil();
+        let requests = self.requests;
+        let allowed = RATIO * as_f64(requests) + EXTRA * windows;
+        assert!(
+            as_f64(repeats) <= allowed,
+            "{repeats} repeats for {requests} requests; allowed are {allowed}"
+        );
+    }
+}
+
+fn as_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap())
+}
+
+/// Guards against a share of the retry budget that an instance works out from the peers it hears at
+/// its first repeat, and keeps when more of them appear.
+#[test]
+fn instances_that_join_one_by_one_keep_to_one_retry_budget() {
+    let mut failing = Failing::start(1);
+    failing.exhaust(0);
+    for instance in 1..8 {
+        failing.site.grow(GRACE_S);
+        failing.site.wait_until_ready();
+        failing.exhaust(instance);
+    }
+    failing.assert_within_budget();
+}
+
+/// Guards against a start that hands out a full retry budget: each restart added another one.
+#[test]
+fn instances_that_restart_keep_to_one_retry_budget() {
+    let mut failing = Failing::start(4);
+    for _ in 0..4 {
+        for instance in 0..4 {
+            failing.exhaust(instance);
+            failing.site.restart(instance);
+        }
+        wait_for("all instances hear each other", || {
+            (0..4).all(|instance| failing.site.state(instance)["instances"] == 4)
+        });
+        failing.site.wait_until_ready();
+    }
+    failing.assert_within_budget();
+}
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -1,5 +1,6 @@
 //! The gateway as processes, on our own stand-in of the platform.
 
+mod budget;
 mod site;
 
 use serde_json::json;
--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -23,6 +23,7 @@
     pub platform: Platform,
     pub instances: Vec<(Ipv4Addr, Process)>,
     folder: PathBuf,
+    subnet: u8,
 }
 
 pub fn config(timeout_ms: u64) -> Value {
@@ -89,16 +90,31 @@
             platform,
             instances: Vec::new(),
             folder,
+            subnet,
         };
-        let pid = std::process::id().to_le_bytes();
-        for number in 1..=instances {
-            let ip = Ipv4Addr::new(127, 16 + pid[0] % 100, subnet + pid[1] % 100, number);
-            site.add(ip, grace_s);
+        for _ in 0..instances {
+            site.grow(grace_s);
         }
         site
     }
 
-    pub fn add(&mut self, ip: Ipv4Addr, grace_s: u64) {
+    /// Adds an instance.
+    pub fn grow(&mut self, grace_s: u64) {
+        let pid = std::process::id().to_le_bytes();
+        let number = u8::try_from(self.instances.len() + 1).unwrap();
+        let ip = Ipv4Addr::new(127, 16 + pid[0] % 100, self.subnet + pid[1] % 100, number);
+        let process = self.launch(ip, grace_s);
+        self.instances.push((ip, process));
+    }
+
+    /// Kills an instance and starts it anew at once.
+    pub fn restart(&mut self, instance: usize) {
+        let ip = self.instances[instance].0;
+        self.instances[instance].1.kill();
+        self.instances[instance].1 = self.launch(ip, GRACE_S);
+    }
+
+    fn launch(&self, ip: Ipv4Addr, grace_s: u64) -> Process {
         let name = format!("edge-{}", ip.octets()[3]);
         let settings = self.folder.join(format!("{name}.json"));
         let mut values = self.platform.settings(&name, ip);
@@ -106,8 +122,7 @@
         std::fs::write(&settings, values.to_string()).unwrap();
         let path = settings.to_string_lossy().into_owned();
         let environment = [("POPLARSEAM_SETTINGS".to_owned(), path)];
-        let process = Process::start("poplarseam-gateway", &name, &environment, &self.folder);
-        self.instances.push((ip, process));
+        Process::start("poplarseam-gateway", &name, &environment, &self.folder)
     }
 
     pub fn callers(&self, instance: usize) -> SocketAddr {
@@ -141,7 +156,11 @@
     }
 
     pub fn ask(&self, path: &str, id: &str, model: &str) -> String {
-        let answer = exchange(self.callers(0), &request(path, id, model));
+        self.ask_at(0, path, id, model)
+    }
+
+    pub fn ask_at(&self, instance: usize, path: &str, id: &str, model: &str) -> String {
+        let answer = exchange(self.callers(instance), &request(path, id, model));
         answer.unwrap_or_default()
     }
 
