Let shares of the retry budget follow the instances that are known

Cause: an instance worked out its share at a service's first repeat, from the peers heard at that moment, and kept it until its process ended. One that had just started, or was cut off, took the whole 28 for good. Ruled out: sendings past the budget (no more was sent beyond the first than was granted). Change: the share is looked at with each use; it is divided by all instances that are listed in the store or were ever heard, silent ones included, since one that is cut off from here goes on using its own. Before the list was read there is no share of the part on top. Figures of the parts are as before.

Tests: a_budget_shrinks_as_soon_as_more_instances_are_known, an_instance_that_falls_silent_keeps_its_share.

--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::decide::suspect::{Fingerprint, Registry, Standing};
 use crate::world::artifact::Artifact;
 use crate::world::contract;
+use crate::world::deployment::Allowance;
 use crate::world::id;
 
 /// Requests that may wait at one instance.
@@ -26,6 +27,14 @@
 /// Pause before a struck request looks for a free worker again.
 const OCCUPIED_PAUSE: Duration = Duration::from_millis(100);
 
+/// Retries of one instance; they are not shared with others.
+const RETRIES: Allowance = Allowance {
+    ratio: 0.2,
+    extra: 40.0,
+    window: Duration::from_secs(10),
+};
+const ALONE: Option<u32> = Some(1);
+
 #[derive(Debug, Clone)]
 struct Live {
     arrival: Arrival,
@@ -70,7 +79,7 @@
             fleet,
             queue: Queue::default(),
             registry: Registry::default(),
-            budget: Budget::default(),
+            budget: Budget::new(RETRIES, ALONE),
             shares: BTreeMap::new(),
             live: BTreeMap::new(),
             entries: 1,
@@ -148,7 +157,7 @@
                 refusal,
             }];
         }
-        self.budget.on_first();
+        self.budget.on_first(ALONE);
         let mut actions = self.make_room(arrival.class);
         let need = Need {
             artifact: arrival.artifact.clone(),
--- a/src/decide/dispatch/ending.rs
+++ b/src/decide/dispatch/ending.rs
@@ -1,7 +1,7 @@
 //! How attempts end: what is tried again, and who is to blame for a crash.
 
 use super::request::{Action, End, Reason, Refusal};
-use super::{COME_BACK, Dispatcher, MOST_ATTEMPTS, OCCUPIED_PAUSE, ticket};
+use super::{ALONE, COME_BACK, Dispatcher, MOST_ATTEMPTS, OCCUPIED_PAUSE, ticket};
 use crate::common::*;
 use crate::decide::suspect::{Fingerprint, Standing};
 use crate::world::id;
@@ -137,7 +137,7 @@
             return Vec::new();
         };
         let free = live.attempts <= 1;
-        if live.attempts >= MOST_ATTEMPTS || !(free || self.budget.take()) {
+        if live.attempts >= MOST_ATTEMPTS || !(free || self.budget.take(ALONE)) {
             return vec![self.refuse(request, Reason::Retries)];
         }
         live.need.avoid = vec![worker.clone()];
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -1,50 +1,64 @@
-//! A budget for retries: a fixed part of first attempts, so that retries can't become a storm.
+//! A budget for retries that instances share, so that retries can't become a storm.
+//!
+//! Each instance has a part of what all may do together: a fixed part of its own first attempts,
+//! which needs no count of the others, and a share of the rest, which follows that count.
 
 use crate::common::*;
+use crate::world::deployment::Allowance;
 
-/// Retries allowed for each first attempt.
-const RATIO: f64 = 0.1;
-/// Retries that may be saved up.
-const MOST: f64 = 20.0;
+/// Part of the ratio that is used; a retry may arrive in a window with fewer first attempts.
+const RATIO_PART: f64 = 0.5;
+/// Part of the retries on top that all instances may save up together.
+const SAVED_PART: f64 = 0.5;
 
-/// Retries that are left.
+/// What one instance may retry.
 #[derive(Debug, Clone, Serialize)]
 pub struct Budget {
-    ratio: f64,
-    most: f64,
+    allowance: Allowance,
     left: f64,
 }
 
-impl Default for Budget {
-    fn default() -> Self {
-        Self::new(RATIO, MOST)
+impl Budget {
+    /// A full budget; `sharers` is the number of instances that share the allowance, if known.
+    #[must_use]
+    pub fn new(allowance: Allowance, sharers: Option<u32>) -> Self {
+        let mut budget = Self {
+            allowance,
+            left: f64::INFINITY,
+        };
+        budget.bound(sharers);
+        budget
     }
-}
 
-impl Budget {
-    /// A full budget that grows by `ratio` with each first attempt, up to `most`.
+    /// Retries that are left.
     #[must_use]
-    pub fn new(ratio: f64, most: f64) -> Self {
-        Self {
-            ratio,
-            most,
-            left: most,
-        }
+    pub const fn left(&self) -> f64 {
+        self.left
     }
 
     /// Notes a first attempt.
-    pub fn on_first(&mut self) {
-        self.left = (self.left + self.ratio).min(self.most);
+    pub fn on_first(&mut self, sharers: Option<u32>) {
+        self.left += self.allowance.ratio * RATIO_PART;
+        self.bound(sharers);
     }
 
     /// Takes one retry, if one is left.
-    pub fn take(&mut self) -> bool {
+    pub fn take(&mut self, sharers: Option<u32>) -> bool {
+        self.bound(sharers);
         let allowed = self.left >= 1.0;
         if allowed {
             self.left -= 1.0;
         }
         allowed
     }
+
+    /// Holds what is saved up to the share of this instance. One may always be saved: an instance
+    /// could make no retry at all otherwise.
+    fn bound(&mut self, sharers: Option<u32>) {
+        let saved = self.allowance.extra * SAVED_PART;
+        let share = sharers.map_or(0.0, |sharers| saved / f64::from(sharers.max(1)));
+        self.left = self.left.min(share.max(1.0));
+    }
 }
 
 /// Time to wait before asking again: `base` doubled for each try up to `most`, spread by `jitter` in
--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -70,6 +70,10 @@
     members: BTreeMap<id::Instance, Member>,
     summaries: BTreeMap<id::DataCentre, Summary>,
     turn: usize,
+    /// Whether the list of instances in the store was read.
+    is_list_read: bool,
+    /// Most instances that were ever counted.
+    most: u32,
 }
 
 impl Topology {
@@ -82,6 +86,8 @@
             members: BTreeMap::new(),
             summaries: BTreeMap::new(),
             turn: 0,
+            is_list_read: false,
+            most: 1,
         }
     }
 
@@ -110,6 +116,11 @@
         }
     }
 
+    /// Notes that all instances on the list in the store were taken.
+    pub fn on_list_read(&mut self) {
+        self.is_list_read = true;
+    }
+
     /// Takes the sender of a datagram; says besides whether it was silent before.
     pub fn on_heard(&mut self, now: Duration, sender: &Sender) -> (Standing, bool) {
         let member = self.members.entry(sender.instance.clone());
@@ -200,6 +211,15 @@
         self.near_count(now) + others.map(|summary| summary.instances).sum::<u32>()
     }
 
+    /// Instances that share what all may do together, listed or heard at any time. One that falls
+    /// silent counts: it may be cut off from this instance only, and go on using its share. None
+    /// before the list of instances was read.
+    pub fn sharers(&mut self, now: Duration) -> Option<u32> {
+        let known = u32::try_from(self.members.len()).unwrap_or(u32::MAX - 1) + 1;
+        self.most = self.most.max(known).max(self.count(now));
+        self.is_list_read.then_some(self.most)
+    }
+
     /// Addresses of all peers in this data centre.
     #[must_use]
     pub fn near(&self) -> Vec<SocketAddr> {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -345,6 +345,7 @@
         for member in listed {
             topology.on_listed(member.instance, member.address, member.data_centre);
         }
+        topology.on_list_read();
         drop(topology);
         self.demand_told_at.set([Duration::ZERO; 3]);
         self.to_tell.notify_one();
@@ -441,18 +442,20 @@
         self.topology.borrow().count(self.clock.now())
     }
 
+    /// Instances that share what all may do together; none before the list of them was read.
+    #[must_use]
+    pub fn sharers(&self) -> Option<u32> {
+        self.topology.borrow_mut().sharers(self.clock.now())
+    }
+
     /// Takes one repeat of the share of this instance, if one is left.
     pub fn may_repeat(&self, request: &str, service: &id::Service, cause: &str) -> bool {
-        let instances = self.instances();
-        let mut budgets = self.budgets.borrow_mut();
-        let bounds = &self.deployment.bounds;
-        let budget = budgets.entry(service.clone());
-        let most = bounds.retry_extra / 2.0 / f64::from(instances);
-        let budget = budget.or_insert_with(|| Budget::new(bounds.retry_ratio / 2.0, most));
-        let granted = budget.take();
+        let sharers = self.sharers();
+        let (granted, left) =
+            self.with_budget(service, |budget| (budget.take(sharers), budget.left()));
         self.metrics.on_repeat(service, granted);
         let values = json!({"request": request, "service": service, "cause": cause,
-            "granted": granted, "budget": budget, "instances": instances});
+            "granted": granted, "left": left, "sharers": sharers, "instances": self.instances()});
         self.journal.note("repeat", &values);
         granted
     }
@@ -460,9 +463,15 @@
     /// Notes the first sending of a request.
     pub fn on_first_send(&self, service: &id::Service) {
         self.metrics.on_first_send(service);
-        if let Some(budget) = self.budgets.borrow_mut().get_mut(service) {
-            budget.on_first();
-        }
+        let sharers = self.sharers();
+        self.with_budget(service, |budget| budget.on_first(sharers));
+    }
+
+    fn with_budget<T>(&self, service: &id::Service, act: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let allowance = self.deployment.bounds.retries;
+        let budget = budgets.entry(service.clone());
+        act(budget.or_insert_with(|| Budget::new(allowance, self.sharers())))
     }
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,7 +1,7 @@
 //! The settings file that the platform writes for each process.
 
 use crate::common::*;
-use crate::world::deployment::{Bounds, Deployment};
+use crate::world::deployment::{Allowance, Bounds, Deployment};
 
 /// Variable that holds the path of the settings file.
 pub const VARIABLE: &str = "POPLARSEAM_SETTINGS";
@@ -77,9 +77,11 @@
         Bounds {
             grace: Duration::from_secs_f64(self.grace_s.max(0.0)),
             lease: Duration::from_millis(self.lease_ms),
-            retry_ratio: self.retry_budget_ratio,
-            retry_extra: self.budget_extra,
-            retry_window: Duration::from_secs_f64(self.budget_window_s.max(0.0)),
+            retries: Allowance {
+                ratio: self.retry_budget_ratio,
+                extra: self.budget_extra,
+                window: Duration::from_secs_f64(self.budget_window_s.max(0.0)),
+            },
             load_window: Duration::from_secs_f64(self.ceiling_window_s.max(0.0)),
         }
     }
--- a/src/world/deployment.rs
+++ b/src/world/deployment.rs
@@ -30,11 +30,18 @@
     pub grace: Duration,
     /// Orders of two holders must lie this far apart.
     pub lease: Duration,
-    /// Repeats allowed for each first request, over all instances.
-    pub retry_ratio: f64,
-    /// Repeats allowed on top, within a window.
-    pub retry_extra: f64,
-    pub retry_window: Duration,
+    /// Retries at each service, over all instances.
+    pub retries: Allowance,
     /// Part of the weight store's rate that may be used, over a window.
     pub load_window: Duration,
 }
+
+/// What all instances together may retry within a window.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Allowance {
+    /// Retries for each first attempt.
+    pub ratio: f64,
+    /// Retries on top of those.
+    pub extra: f64,
+    pub window: Duration,
+}
--- a/tests/gateway/build.rs
+++ b/tests/gateway/build.rs
@@ -1,7 +1,7 @@
 //! Builders of servers, sites and requests.
 
 use poplarseam::world::backend::{Backend, Holdings};
-use poplarseam::world::deployment::{Bounds, Deployment};
+use poplarseam::world::deployment::{Allowance, Bounds, Deployment};
 use poplarseam::world::id;
 use poplarseam::world::message::{Generation, Target};
 use poplarseam::world::site::{Engine, Limits, Model, Service, Site, Version};
@@ -107,9 +107,11 @@
         bounds: Bounds {
             grace: ms(8_000),
             lease: ms(3_000),
-            retry_ratio: 0.2,
-            retry_extra: 56.0,
-            retry_window: ms(10_000),
+            retries: Allowance {
+                ratio: 0.2,
+                extra: 56.0,
+                window: ms(10_000),
+            },
             load_window: ms(5_000),
         },
     }
--- a/tests/gateway/retry.rs
+++ b/tests/gateway/retry.rs
@@ -1,8 +1,10 @@
-//! Pauses between tries.
+//! Budgets for retries, and pauses between tries.
 
 use super::build::ms;
-use poplarseam::decide::retry::backoff;
+use poplarseam::decide::retry::{Budget, backoff};
+use poplarseam::world::deployment::Allowance;
 use rstest::rstest;
+use std::time::Duration;
 
 #[rstest]
 #[case(0, 400)]
@@ -18,3 +20,20 @@
 fn without_jitter_half_of_the_pause_is_left() {
     assert_eq!(backoff(ms(400), 1, ms(4_000), 0.0), ms(400));
 }
+
+const ALLOWANCE: Allowance = Allowance {
+    ratio: 0.2,
+    extra: 56.0,
+    window: Duration::from_secs(10),
+};
+
+/// Guards against a share that is kept from the time when few instances were heard.
+#[test]
+fn a_budget_shrinks_as_soon_as_more_instances_are_known() {
+    let mut budget = Budget::new(ALLOWANCE, Some(1));
+    for _ in 0..1_000 {
+        budget.on_first(Some(1));
+    }
+    let granted = (0..100).filter(|_| budget.take(Some(8)));
+    assert_eq!(granted.count(), 3);
+}
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -79,3 +79,29 @@
     assert_eq!(topology.has_configuration(ms(0), 6), None);
     assert_eq!(topology.has_configuration(ms(1_600), 5), None);
 }
+
+/// Guards against a share that grows when peers fall silent: those that are cut off from this
+/// instance go on using theirs.
+#[test]
+fn an_instance_that_falls_silent_keeps_its_share() {
+    let mut topology = hearing(&[sender("a", 1), sender("b", 2)]);
+    assert_eq!(topology.sharers(ms(0)), None);
+    topology.on_listed("z".parse().unwrap(), address(3), "north-2".parse().unwrap());
+    topology.on_list_read();
+    assert_eq!(topology.sharers(ms(0)), Some(4));
+    assert_eq!(topology.count(ms(60_000)), 1);
+    assert_eq!(topology.sharers(ms(60_000)), Some(4));
+}
+
+#[test]
+fn instances_of_other_data_centres_that_are_only_summed_up_have_shares() {
+    let mut topology = hearing(&[sender("a", 1)]);
+    topology.on_list_read();
+    let far = Sender {
+        data_centre: "north-2".parse().unwrap(),
+        ..sender("z", 2)
+    };
+    topology.on_summary(ms(0), &far, 5);
+    assert_eq!(topology.sharers(ms(0)), Some(7));
+    assert_eq!(topology.sharers(ms(60_000)), Some(7));
+}
