Hand out no retries at a start

Cause: a budget began full. What an earlier life of the process had spent was forgotten, so each restart added a whole share. Ruled out: a wrong share (fixed before; sharers are right in these runs). Change: a budget begins empty. It earns half of the ratio with each first attempt as before, and a quarter of what is allowed on top over a window; another quarter may be saved. So any sequence of starts stays within half of the allowance. An instance whose row does not stand in the store yet never ran before and starts with two retries: a caller's first failing request is still sent to another server. The same type serves the product's own entries.

--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -30,7 +30,7 @@
 /// Retries of one instance; they are not shared with others.
 const RETRIES: Allowance = Allowance {
     ratio: 0.2,
-    extra: 40.0,
+    extra: 80.0,
     window: Duration::from_secs(10),
 };
 const ALONE: Option<u32> = Some(1);
@@ -79,7 +79,7 @@
             fleet,
             queue: Queue::default(),
             registry: Registry::default(),
-            budget: Budget::new(RETRIES, ALONE),
+            budget: Budget::new(RETRIES, Duration::ZERO),
             shares: BTreeMap::new(),
             live: BTreeMap::new(),
             entries: 1,
@@ -157,7 +157,7 @@
                 refusal,
             }];
         }
-        self.budget.on_first(ALONE);
+        self.budget.on_first(now, ALONE);
         let mut actions = self.make_room(arrival.class);
         let need = Need {
             artifact: arrival.artifact.clone(),
--- a/src/decide/dispatch/ending.rs
+++ b/src/decide/dispatch/ending.rs
@@ -137,7 +137,7 @@
             return Vec::new();
         };
         let free = live.attempts <= 1;
-        if live.attempts >= MOST_ATTEMPTS || !(free || self.budget.take(ALONE)) {
+        if live.attempts >= MOST_ATTEMPTS || !(free || self.budget.take(now, ALONE)) {
             return vec![self.refuse(request, Reason::Retries)];
         }
         live.need.avoid = vec![worker.clone()];
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -1,33 +1,40 @@
 //! A budget for retries that instances share, so that retries can't become a storm.
 //!
-//! Each instance has a part of what all may do together: a fixed part of its own first attempts,
-//! which needs no count of the others, and a share of the rest, which follows that count.
+//! Each instance has a part of what all may do together. It earns a fixed part of its own first
+//! attempts, which needs no count of the others, and over time its share of the rest, which follows
+//! that count. A start hands out nothing, since nobody knows what was spent before it; only the first
+//! start of an instance does.
 
 use crate::common::*;
 use crate::world::deployment::Allowance;
 
 /// Part of the ratio that is used; a retry may arrive in a window with fewer first attempts.
 const RATIO_PART: f64 = 0.5;
-/// Part of the retries on top that all instances may save up together.
-const SAVED_PART: f64 = 0.5;
+/// Part of the retries on top that all instances together earn within a window.
+const EARNED_PART: f64 = 0.25;
+/// Part of the retries on top that all instances together may save up.
+const SAVED_PART: f64 = 0.25;
+
+/// Retries of an instance that never ran before: enough for its first requests.
+const FIRST_START: f64 = 2.0;
 
 /// What one instance may retry.
 #[derive(Debug, Clone, Serialize)]
 pub struct Budget {
     allowance: Allowance,
     left: f64,
+    earned_at: Duration,
 }
 
 impl Budget {
-    /// A full budget; `sharers` is the number of instances that share the allowance, if known.
+    /// An empty budget.
     #[must_use]
-    pub fn new(allowance: Allowance, sharers: Option<u32>) -> Self {
-        let mut budget = Self {
+    pub const fn new(allowance: Allowance, now: Duration) -> Self {
+        Self {
             allowance,
-            left: f64::INFINITY,
-        };
-        budget.bound(sharers);
-        budget
+            left: 0.0,
+            earned_at: now,
+        }
     }
 
     /// Retries that are left.
@@ -36,15 +43,20 @@
         self.left
     }
 
-    /// Notes a first attempt.
-    pub fn on_first(&mut self, sharers: Option<u32>) {
-        self.left += self.allowance.ratio * RATIO_PART;
-        self.bound(sharers);
+    /// Notes that there was no earlier start, and so nothing was spent before this one.
+    pub fn on_first_start(&mut self) {
+        self.left += FIRST_START;
+    }
+
+    /// Notes a first attempt; `sharers` is the number of instances that share the allowance, if
+    /// known.
+    pub fn on_first(&mut self, now: Duration, sharers: Option<u32>) {
+        self.earn(now, sharers, self.allowance.ratio * RATIO_PART);
     }
 
     /// Takes one retry, if one is left.
-    pub fn take(&mut self, sharers: Option<u32>) -> bool {
-        self.bound(sharers);
+    pub fn take(&mut self, now: Duration, sharers: Option<u32>) -> bool {
+        self.earn(now, sharers, 0.0);
         let allowed = self.left >= 1.0;
         if allowed {
             self.left -= 1.0;
@@ -52,12 +64,16 @@
         allowed
     }
 
-    /// Holds what is saved up to the share of this instance. One may always be saved: an instance
-    /// could make no retry at all otherwise.
-    fn bound(&mut self, sharers: Option<u32>) {
-        let saved = self.allowance.extra * SAVED_PART;
-        let share = sharers.map_or(0.0, |sharers| saved / f64::from(sharers.max(1)));
-        self.left = self.left.min(share.max(1.0));
+    /// Adds `gain` and what was earned over time, up to what may be saved. One may always be saved:
+    /// an instance could make no retry at all otherwise.
+    fn earn(&mut self, now: Duration, sharers: Option<u32>, gain: f64) {
+        let Allowance { extra, window, .. } = self.allowance;
+        let share = sharers.map_or(0.0, |sharers| extra / f64::from(sharers.max(1)));
+        let elapsed = now.saturating_sub(self.earned_at);
+        let windows = elapsed.as_secs_f64() / window.as_secs_f64().max(f64::EPSILON);
+        self.earned_at = now;
+        let left = self.left + gain + share * EARNED_PART * windows;
+        self.left = left.min((share * SAVED_PART).max(1.0));
     }
 }
 
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -80,6 +80,7 @@
         "open": traffic.open.get(),
         "stopping": traffic.is_stopping.get(),
         "instances": traffic.instances(),
+        "sharers": traffic.sharers(),
         "budgets": &*traffic.budgets.borrow(),
         "servers": balance.views().collect::<Vec<_>>(),
     })
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -22,6 +22,8 @@
     Site(Arc<Site>, Bytes),
     /// Changed rows of the list of servers.
     Servers(Batch),
+    /// This instance had no row yet: it never ran before.
+    FirstStart,
     /// Instances that registered.
     Members(Vec<Member>),
     /// Rows of leases, of which this instance may have held some before it started anew.
--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -29,6 +29,9 @@
         if !is_written {
             let txn = Txn::default().put(key.clone(), version, row.clone());
             is_written = matches!(commit(&store, &txn).await, Ok(Commit::Done(_)));
+            if is_written && version == 0 {
+                store.tell(News::FirstStart).await;
+            }
         }
         let Ok(page) = store.read(rows::OWN, MEMBERS).await else {
             failures += 1;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -63,6 +63,7 @@
     /// Wakes the task that tells peers.
     pub to_tell: Notify,
     pub(super) budgets: RefCell<BTreeMap<id::Service, Budget>>,
+    is_first_start: Cell<bool>,
     pub(super) topology: RefCell<Topology>,
     pub(super) roster: RefCell<Roster>,
     /// Newest version of the list that a peer knows, and when one was last heard.
@@ -161,6 +162,7 @@
             changed: Notify::new(),
             to_tell: Notify::new(),
             budgets: RefCell::default(),
+            is_first_start: Cell::new(false),
             topology,
             roster: RefCell::default(),
             heard_version: Cell::default(),
@@ -225,6 +227,7 @@
                 self.on_batch(&batch);
             }
             News::Former(rows) => self.hand(Heard::Former(rows)),
+            News::FirstStart => self.on_first_start(),
             News::Members(members) => self.on_members(members),
             News::Store { up } => {
                 self.reaches_store.set(up);
@@ -340,6 +343,12 @@
         }
     }
 
+    fn on_first_start(&self) {
+        self.is_first_start.set(true);
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.values_mut().for_each(Budget::on_first_start);
+    }
+
     fn on_members(&self, listed: Vec<event::Member>) {
         let mut topology = self.topology.borrow_mut();
         for member in listed {
@@ -450,9 +459,9 @@
 
     /// Takes one repeat of the share of this instance, if one is left.
     pub fn may_repeat(&self, request: &str, service: &id::Service, cause: &str) -> bool {
-        let sharers = self.sharers();
+        let (now, sharers) = (self.clock.now(), self.sharers());
         let (granted, left) =
-            self.with_budget(service, |budget| (budget.take(sharers), budget.left()));
+            self.with_budget(service, |budget| (budget.take(now, sharers), budget.left()));
         self.metrics.on_repeat(service, granted);
         let values = json!({"request": request, "service": service, "cause": cause,
             "granted": granted, "left": left, "sharers": sharers, "instances": self.instances()});
@@ -463,15 +472,21 @@
     /// Notes the first sending of a request.
     pub fn on_first_send(&self, service: &id::Service) {
         self.metrics.on_first_send(service);
-        let sharers = self.sharers();
-        self.with_budget(service, |budget| budget.on_first(sharers));
+        let (now, sharers) = (self.clock.now(), self.sharers());
+        self.with_budget(service, |budget| budget.on_first(now, sharers));
     }
 
     fn with_budget<T>(&self, service: &id::Service, act: impl FnOnce(&mut Budget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let allowance = self.deployment.bounds.retries;
-        let budget = budgets.entry(service.clone());
-        act(budget.or_insert_with(|| Budget::new(allowance, self.sharers())))
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let mut budget = Budget::new(allowance, Duration::ZERO);
+            if self.is_first_start.get() {
+                budget.on_first_start();
+            }
+            budget
+        });
+        act(budget)
     }
 }
 
--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -148,6 +148,10 @@
             (0..self.instances.len())
                 .all(|instance| self.status(instance, 8001, "/v1/readyz") == 200)
         });
+        wait_for("the list of instances is read", || {
+            let mut states = (0..self.instances.len()).map(|instance| self.state(instance));
+            states.all(|state| state["sharers"].is_u64())
+        });
         wait_for("all servers listed", || {
             let states = (0..self.instances.len()).map(|instance| self.state(instance));
             let mut counts = states.map(|state| state["servers"].as_array().map_or(0, Vec::len));
