Remember through resumptions where a request ran

What callers saw: a stream that broke off at a failing server was resumed at the same one, up to three times, and was cut in the end; back ends saw a request on more workers than its route allows where the first ones were gone.

Cause: each resumption began a dispatch that knew of no attempt before it. It went back to the worker that broke off (its prompt is read there already), ran on as many new workers as a new request may, and counted as a new first request, which earns retries. Ruled out: sendings past the budget: each resumption drew a retry before it. Change: decide/attempts keeps where a request was sent and ran, for its whole life. A resumption excludes the worker that broke off, stays within the workers that the route allows, and is no first request.

Tests, both failed before: a_resumed_stream_goes_on_at_another_worker_of_those_ its_route_allows (three runs on one worker), a_resumed_stream_counts_as_one_ request (3 first sends, expected 1); four of the decision module. No check of an earlier test changed. Conclusion: kept; not the cause of the incident, of the same class: what was spent is forgotten at a new beginning.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -372,10 +372,16 @@
         self.views.values()
     }
 
-    /// The server for a request, none of those in `tried`.
+    /// The server for a request, of those that are allowed.
     #[must_use]
-    pub fn choose(&self, now: Duration, need: &Need, tried: &[id::Worker]) -> Choice {
-        let usable: Vec<&View> = self.usable(need, tried).collect();
+    pub fn choose(
+        &self,
+        now: Duration,
+        need: &Need,
+        is_allowed: impl Fn(&id::Worker) -> bool,
+    ) -> Choice {
+        let usable = self.usable(need);
+        let usable: Vec<&View> = usable.filter(|view| is_allowed(&view.backend.id)).collect();
         if usable.is_empty() {
             return Choice::Nobody;
         }
@@ -412,7 +418,7 @@
         let target = &need.generation.as_ref()?.target;
         let service = self.services.get(&need.service)?;
         let places = service.engine.as_ref()?.adapter_places;
-        let views = self.usable(need, &[]);
+        let views = self.usable(need);
         let views = views.filter(|view| view.has_model(&target.model));
         let views = views.filter(|view| has_holder(&view.backend.id));
         let costs = views.map(|view| {
@@ -425,16 +431,9 @@
         best.map(|(_, worker)| worker.clone())
     }
 
-    fn usable<'a>(
-        &'a self,
-        need: &'a Need,
-        tried: &'a [id::Worker],
-    ) -> impl Iterator<Item = &'a View> {
+    fn usable(&self, need: &Need) -> impl Iterator<Item = &View> {
         let views = self.views.values();
-        views.filter(|view| {
-            let backend = &view.backend;
-            backend.service == need.service && !backend.leaving && !tried.contains(&backend.id)
-        })
+        views.filter(|view| view.backend.service == need.service && !view.backend.leaving)
     }
 
     fn best(&self, now: Duration, need: &Need, views: &[&View]) -> Choice {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -5,6 +5,7 @@
 use super::relay::Relay;
 use super::traffic::Traffic;
 use crate::common::*;
+use crate::decide::attempts::Attempts;
 use crate::decide::balance::{Choice, Need, Running};
 use crate::decide::shed;
 use crate::platform::request::{self, Stamp};
@@ -16,6 +17,7 @@
 use hyper::body::Incoming;
 use hyper::http::{request::Parts, response};
 use hyper::{Response, StatusCode};
+use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
@@ -57,6 +59,7 @@
     pub site: Arc<Site>,
     pub route: Route,
     pub need: Need,
+    pub attempts: RefCell<Attempts>,
     pub arrived: Duration,
     /// When the caller or the route gives up.
     pub deadline: Duration,
@@ -171,14 +174,13 @@
 
     /// Brings the request to a server, or says why not.
     pub async fn dispatch(self: &Rc<Self>, last_event: Option<&str>) -> End {
-        let mut tried: Vec<id::Worker> = Vec::new();
         let mut failed: Option<Response<Body>> = None;
-        let mut runs = 0;
         let mut turns = 0;
         let mut unreached = 0;
         loop {
+            let has_run = self.attempts.borrow().has_run();
             if self.left() <= CLOSE {
-                return if runs > 0 {
+                return if has_run {
                     End::Late
                 } else {
                     End::Refused {
@@ -187,28 +189,31 @@
                     }
                 };
             }
-            let (worker, expected) = match self.place(&tried).await {
+            let (worker, expected) = match self.place().await {
                 Ok(place) => place,
-                Err(end) if runs == 0 => return end,
+                Err(end) if !has_run => return end,
                 Err(_) => {
                     let cause = "no other server";
                     return failed.map_or(End::Unknown { cause }, End::Whole);
                 }
             };
-            let is_new = tried.is_empty() && last_event.is_none();
-            if let Some(back) = self.refuses(expected).filter(|_| is_new) {
-                return End::Refused {
-                    cause: "busy",
-                    back,
-                };
-            }
-            if tried.is_empty() {
+            if self.attempts.borrow().is_new() {
+                if let Some(back) = self.refuses(expected) {
+                    return End::Refused {
+                        cause: "busy",
+                        back,
+                    };
+                }
                 self.traffic.on_first_send(&self.need.service);
             }
-            let may_go_on = self.route.repeat.is_allowed() && runs + 1 < self.route.most_workers;
+            let may_go_on =
+                self.route.repeat.is_allowed() && self.attempts.borrow().may_leave(&worker);
+            self.attempts.borrow_mut().on_sent(&worker);
             let attempt = self.attempt(&worker, expected, last_event, may_go_on).await;
             self.note_attempt(&worker, expected, &attempt);
-            tried.push(worker);
+            if !matches!(attempt, Attempt::NotRun | Attempt::Unreached) {
+                self.attempts.borrow_mut().on_run(&worker);
+            }
             match attempt {
                 Attempt::Live(live) => return End::Live(live),
                 Attempt::Whole(response) => return End::Whole(response),
@@ -218,25 +223,23 @@
                     turns += 1;
                     if turns >= MOST_TURNS || !self.may_repeat("turned away") {
                         let cause = "turned away";
-                        return if runs == 0 {
+                        return if has_run {
+                            End::Unknown { cause }
+                        } else {
                             End::Refused {
                                 cause,
                                 back: COME_BACK,
                             }
-                        } else {
-                            End::Unknown { cause }
                         };
                     }
                 }
                 Attempt::Failed(response) => {
-                    runs += 1;
                     if !may_go_on || !self.may_repeat("failed") {
                         return End::Whole(response);
                     }
                     failed = Some(response);
                 }
                 Attempt::Unknown(cause) => {
-                    runs += 1;
                     if !may_go_on || !self.may_repeat(cause) {
                         return End::Unknown { cause };
                     }
@@ -271,13 +274,12 @@
     }
 
     /// A server for the request; waits a while for one that holds what it needs.
-    async fn place(&self, tried: &[id::Worker]) -> Result<(id::Worker, f64), End> {
+    async fn place(&self) -> Result<(id::Worker, f64), End> {
         let began = self.now();
         let left = self.left_to_begin(began);
         loop {
             let now = self.now();
-            let choice = self.traffic.balance.borrow().choose(now, &self.need, tried);
-            let (longest, cause, back) = match choice {
+            let (longest, cause, back) = match self.choose(now) {
                 Choice::Send(worker, expected) => return Ok((worker, expected)),
                 Choice::Nobody => (UNDECIDED, "no server", COME_BACK),
                 Choice::NoAdapter => {
@@ -299,6 +301,12 @@
         }
     }
 
+    fn choose(&self, now: Duration) -> Choice {
+        let attempts = self.attempts.borrow();
+        let balance = self.traffic.balance.borrow();
+        balance.choose(now, &self.need, |worker| attempts.allows(worker))
+    }
+
     /// When to come back, where the best server would let a new request wait too long.
     fn refuses(&self, expected: f64) -> Option<Duration> {
         self.need.generation.as_ref()?;
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -5,6 +5,7 @@
 use super::forward::{self, Case};
 use super::traffic::Traffic;
 use crate::common::*;
+use crate::decide::attempts::Attempts;
 use crate::decide::balance::Need;
 use crate::platform::request;
 use crate::world::message::Request;
@@ -15,6 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
@@ -156,6 +158,7 @@
         request,
         body,
         site,
+        attempts: RefCell::new(Attempts::new(route.most_workers)),
         route,
         need,
         arrived,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -139,7 +139,9 @@
             return false;
         }
         if let State::Reading { end, .. } = &self.state {
-            traffic.balance.borrow_mut().on_failed(&end.ticket.worker);
+            let worker = &end.ticket.worker;
+            traffic.balance.borrow_mut().on_failed(worker);
+            self.case.attempts.borrow_mut().on_broken_off(worker);
         }
         self.resumed += 1;
         self.partial.clear();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
     pub mod admit;
     pub mod appetite;
     pub mod arrange;
+    pub mod attempts;
     pub mod balance;
     pub mod claim;
     pub mod demand;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -156,6 +156,11 @@
         &self.workers[id]
     }
 
+    /// All workers that it hosts.
+    pub fn workers(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values().map(Arc::as_ref)
+    }
+
     /// Writes a worker's entry with a state.
     pub fn list(&self, worker: &Worker, state: &str) {
         let entry = worker.entry(state);
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -25,7 +25,7 @@
 }
 
 fn chosen(balance: &Balance, text: &str) -> String {
-    match balance.choose(ms(100), &need(text), &[]) {
+    match balance.choose(ms(100), &need(text), |_| true) {
         Choice::Send(worker, _) => worker.to_string(),
         other => format!("{other:?}"),
     }
@@ -56,7 +56,7 @@
     let loads = BTreeMap::from([(worker("a"), running)]);
     balance.on_peer(ms(0), &"two".parse().unwrap(), &loads);
     assert_eq!(chosen(&balance, "m1"), "b");
-    let later = balance.choose(ms(5_000), &need("m1"), &[]);
+    let later = balance.choose(ms(5_000), &need("m1"), |_| true);
     assert!(matches!(later, Choice::Send(id, _) if id == worker("a")));
 }
 
@@ -107,7 +107,7 @@
     ]);
     balance.on_unreachable(ms(100), &worker("a"));
     assert_eq!(chosen(&balance, "m1"), "b");
-    let later = balance.choose(ms(2_000), &need("m1"), &[]);
+    let later = balance.choose(ms(2_000), &need("m1"), |_| true);
     assert!(matches!(later, Choice::Send(id, _) if id == worker("a")));
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod appetite;
 mod arrange;
+mod attempts;
 mod balance;
 mod build;
 mod fleet;
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -171,6 +171,31 @@
     }
 }
 
+/// Guards against a resumed stream that forgets where it ran: it went back to the worker that broke
+/// it off, three times.
+#[test]
+fn a_resumed_stream_goes_on_at_another_worker_of_those_its_route_allows() {
+    let more = ["c", "d"].map(|name| Worker::new(name, "llm", &["m1"], 10, PAUSE));
+    let site = Site::ready_with(more.into());
+    let faults = Faults {
+        cut_after: Some(1),
+        ..Faults::default()
+    };
+    site.set(&["a", "b", "c", "d"], faults);
+    site.ask("/long/x", "r1", "m1");
+    assert_eq!(site.runners("r1"), 2);
+}
+
+/// Guards against a resumption that counts as a new request, which earns retries.
+#[test]
+fn a_resumed_stream_counts_as_one_request() {
+    let site = Site::with_cut_streams();
+    let answer = site.ask("/long/x", "r1", "m1");
+    assert!(answer.contains("piece 10"), "{answer}");
+    let first_sends = "poplarseam_first_sends_total{service=\"llm\"}";
+    assert_eq!(site.counter(0, first_sends), 1);
+}
+
 #[test]
 fn a_stream_that_breaks_off_does_not_look_complete() {
     let site = Site::with_cut_streams();
--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -72,13 +72,25 @@
         site
     }
 
+    /// One instance that serves, before these workers besides the usual ones.
+    pub fn ready_with(more: Vec<Worker>) -> Self {
+        let site = Self::start_all(more, 1, false, GRACE_S);
+        site.wait_until_ready();
+        site
+    }
+
     pub fn start_when(instances: u8, store_down: bool, grace_s: u64) -> Self {
-        let workers = vec![
+        Self::start_all(Vec::new(), instances, store_down, grace_s)
+    }
+
+    fn start_all(more: Vec<Worker>, instances: u8, store_down: bool, grace_s: u64) -> Self {
+        let mut workers = vec![
             Worker::new("a", "llm", &["m1"], 10, PAUSE),
             Worker::new("b", "llm", &["m1", "m2"], 10, PAUSE),
             Worker::new("p", "app", &[], 0, PAUSE),
             Worker::new("q", "app", &[], 0, PAUSE),
         ];
+        workers.extend(more);
         let platform = Platform::start(workers);
         platform.configure(&config(5_000));
         platform.set_down(store_down);
@@ -155,7 +167,7 @@
         wait_for("all servers listed", || {
             let states = (0..self.instances.len()).map(|instance| self.state(instance));
             let mut counts = states.map(|state| state["servers"].as_array().map_or(0, Vec::len));
-            counts.all(|count| count == 4)
+            counts.all(|count| count == self.platform.workers().count())
         });
     }
 
@@ -175,8 +187,24 @@
     }
 
     pub fn ran(&self, id: &str) -> usize {
-        let workers = ["a", "b", "p", "q"].map(|worker| self.platform.worker(worker).ran());
-        workers.iter().flatten().filter(|ran| *ran == id).count()
+        let ran = self.platform.workers().flat_map(Worker::ran);
+        ran.filter(|ran| ran == id).count()
+    }
+
+    /// Workers that ran a request.
+    pub fn runners(&self, id: &str) -> usize {
+        let workers = self.platform.workers();
+        let ran = workers.filter(|worker| worker.ran().iter().any(|ran| ran == id));
+        ran.count()
+    }
+
+    /// A counter of an instance; 0 where it is not there.
+    pub fn counter(&self, instance: usize, name: &str) -> u64 {
+        let address = (self.instances[instance].0, 7001).into();
+        let text = exchange(address, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+        let text = text.unwrap_or_default();
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.map_or(0, |value| value.trim().parse().unwrap())
     }
 }
 
