Divide idle connections by the instances that share a server

Change: the part is worked out from the instances that were ever known, as for retries; one connection while their number is unknown. Test: an_instance_takes_its_part_of_what_all_share (the function is new; before, a lone view took 185 where 23 are its part). Connections in use are still not held to a part (docs/PLATFORM.md).

--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -263,3 +263,9 @@
 fn is_within(now: Duration, heard: Option<Duration>, span: Duration) -> bool {
     heard.is_some_and(|at| now < at + span)
 }
+
+/// One instance's part of what so many share, at least one; no more where their number is unknown.
+#[must_use]
+pub fn part(all: u32, sharers: Option<u32>) -> u32 {
+    sharers.map_or(1, |sharers| all / sharers.max(1)).max(1)
+}
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -12,7 +12,7 @@
 use crate::decide::roster::{self, Change, Roster};
 use crate::decide::tally::Tally;
 use crate::decide::told::Told;
-use crate::decide::topology::Topology;
+use crate::decide::topology::{self, Topology};
 use crate::node::clock::Clock;
 use crate::platform::worker;
 use crate::wire::generated_gossip::{Batch, Entry};
@@ -196,8 +196,8 @@
         let site = self.site.borrow();
         let service = site.as_ref().and_then(|site| site.services.get(service));
         let all = service.map_or(0, |service| service.most_connections);
-        let most = all / self.instances().max(1) / 2;
-        let most = usize::try_from(most.max(1)).unwrap_or(1);
+        let most = topology::part(all / 2, self.sharers());
+        let most = usize::try_from(most).unwrap_or(1);
         let now = self.clock.now();
         self.pool.put(now, worker, channel, keeps, most);
     }
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -1,7 +1,8 @@
 //! Who reads the configuration from the store, and whom the others ask for it.
 
 use super::build::{deployment, ms};
-use poplarseam::decide::topology::{Sender, Topology};
+use poplarseam::decide::topology::{Sender, Topology, part};
+use rstest::rstest;
 use std::net::SocketAddr;
 
 fn address(number: u16) -> SocketAddr {
@@ -105,3 +106,16 @@
     assert_eq!(topology.sharers(ms(0)), Some(7));
     assert_eq!(topology.sharers(ms(60_000)), Some(7));
 }
+
+/// Guards against an instance that is cut off and takes what all others may use besides.
+#[rstest]
+#[case(185, Some(8), 23)]
+#[case(185, Some(930), 1)]
+#[case(185, None, 1)]
+fn an_instance_takes_its_part_of_what_all_share(
+    #[case] all: u32,
+    #[case] sharers: Option<u32>,
+    #[case] taken: u32,
+) {
+    assert_eq!(part(all, sharers), taken);
+}
