Read the list of instances again soon after a start

One that registers first read only its own row, and read the list again after two minutes; those whose datagrams don't reach it were missing from its count until then, so shares could sum to more than the budget.

Change: a second read 3 s after the first that found the own row in place. Ruled out: telling peers of a new row; that is what fails where they are not heard. Test, failed before (not in time, 20 s): an_instance_that_registers_later_and_is_never_heard_has_a_share. Cost: one call to the store for each start.

--- a/src/gateway/register.rs
+++ b/src/gateway/register.rs
@@ -14,6 +14,8 @@
 const MEMBERS: &str = "instance.";
 /// Pause between reads of the list of instances; later ones announce themselves to all they read.
 const MEMBERS_AGAIN: Duration = Duration::from_mins(2);
+/// Pause before the second read: others that started at the same time have registered by then.
+const MEMBERS_SOON: Duration = Duration::from_secs(3);
 
 /// Writes this instance's row, then reads those of the others: of two that start together, one at
 /// least finds the other so, and announces itself to it. The rows of the leases come along: a row
@@ -25,6 +27,7 @@
     let written = row.to_string().into_bytes();
     let (mut version, mut is_written, mut failures) = (0, false, 0);
     let mut is_first = true;
+    let mut has_settled = false;
     loop {
         if !is_written {
             let txn = Txn::default().put(key.clone(), version, row.clone());
@@ -47,7 +50,13 @@
         is_first = false;
         is_written |= was_there;
         store.tell(News::Members(members(&page))).await;
-        sleep(if is_written { MEMBERS_AGAIN } else { AGAIN }).await;
+        sleep(match (is_written, has_settled) {
+            (false, _) => AGAIN,
+            (true, false) => MEMBERS_SOON,
+            (true, true) => MEMBERS_AGAIN,
+        })
+        .await;
+        has_settled = is_written;
     }
 }
 
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -167,6 +167,11 @@
         self.write(SERVERS, &worker.id, Some(&entry));
     }
 
+    /// Writes a row as another process of the system would.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        self.write(table, key, Some(value));
+    }
+
     /// Writes the operator's configuration.
     pub fn configure(&self, config: &Value) {
         self.write(OPERATOR, "config", Some(config));
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -37,6 +37,16 @@
     });
 }
 
+/// Guards against an instance that started first and shares what all may do together with nobody:
+/// those that register later may never be heard.
+#[test]
+fn an_instance_that_registers_later_and_is_never_heard_has_a_share() {
+    let site = Site::ready();
+    let row = json!({"address": "127.0.0.1:9", "data_centre": "north-2"});
+    site.platform.put("poplarseam", "instance.silent", &row);
+    wait_for("its share", || site.state(0)["sharers"] == 2);
+}
+
 #[test]
 fn a_stop_lets_streams_end_and_then_takes_no_connections() {
     let mut site = Site::start(1);
