Hear an instance again that restarts after its clock was set back

Cause: the incarnation of a process is its time of day at the start. One that restarts after its clock was set back has a lower one, and peers took all its datagrams for those of its earlier start, for as long as it ran. Change: a lower incarnation counts as an earlier start only while the later one was heard within 3 s. Inside, a start is known by how many were heard of its instance, a number that only grows, so totals told by it are not mixed up. Ruled out: the clock of the machine since its boot as the incarnation; it starts anew when power is lost. Test, failed before (Outdated, expected Newest): an_instance_that_starts_anew_after_its_clock_was_set_back_is_heard.

--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -25,6 +25,8 @@
     data_centre: id::DataCentre,
     incarnation: u64,
     sequence: u64,
+    /// Starts of it that were heard.
+    starts: u64,
     heard: Option<Duration>,
     reaches_store: bool,
     configuration: u64,
@@ -54,6 +56,17 @@
     Newest,
 }
 
+/// A datagram, as its receiver sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hearing {
+    pub standing: Standing,
+    /// Whether its sender was silent before.
+    pub was_silent: bool,
+    /// Starts of the sender heard so far. This number grows, also where the sender's incarnation falls
+    /// because its time of day was set back.
+    pub start: u64,
+}
+
 /// What one data centre tells others of itself.
 #[derive(Debug, Clone)]
 struct Summary {
@@ -106,6 +119,7 @@
             data_centre: data_centre.clone(),
             incarnation: 0,
             sequence: 0,
+            starts: 0,
             heard: None,
             reaches_store: true,
             configuration: 0,
@@ -121,33 +135,42 @@
         self.is_list_read = true;
     }
 
-    /// Takes the sender of a datagram; says besides whether it was silent before.
-    pub fn on_heard(&mut self, now: Duration, sender: &Sender) -> (Standing, bool) {
+    /// Takes the sender of a datagram.
+    pub fn on_heard(&mut self, now: Duration, sender: &Sender) -> Hearing {
         let member = self.members.entry(sender.instance.clone());
         let member = member.or_insert(Member {
             address: sender.address,
             data_centre: sender.data_centre.clone(),
             incarnation: 0,
             sequence: 0,
+            starts: 0,
             heard: None,
             reaches_store: true,
             configuration: 0,
         });
-        if sender.incarnation < member.incarnation {
-            return (Standing::Outdated, false);
-        }
         let was_silent = !is_within(now, member.heard, GONE);
+        let hearing = |standing, member: &Member| Hearing {
+            standing,
+            was_silent: was_silent && standing != Standing::Outdated,
+            start: member.starts,
+        };
+        if sender.incarnation < member.incarnation && !was_silent {
+            return hearing(Standing::Outdated, member);
+        }
         member.heard = Some(now);
         member.address = sender.address;
         member.data_centre.clone_from(&sender.data_centre);
-        let order = (sender.incarnation, sender.sequence);
-        if order <= (member.incarnation, member.sequence) {
-            return (Standing::Overtaken, was_silent);
+        if sender.incarnation == member.incarnation && sender.sequence <= member.sequence {
+            return hearing(Standing::Overtaken, member);
+        }
+        if sender.incarnation != member.incarnation {
+            member.starts += 1;
         }
-        (member.incarnation, member.sequence) = order;
+        member.incarnation = sender.incarnation;
+        member.sequence = sender.sequence;
         member.reaches_store = sender.reaches_store;
         member.configuration = sender.configuration;
-        (Standing::Newest, was_silent)
+        hearing(Standing::Newest, member)
     }
 
     /// Takes the summary of another data centre, from its speaker.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,17 +20,18 @@
 
 impl Traffic {
     /// Takes a peer's datagram.
-    pub fn on_gossip(&self, gossip: Gossip) {
+    pub fn on_gossip(&self, mut gossip: Gossip) {
         let now = self.clock.now();
         let Some(sender) = sender(&gossip) else {
             log::warn!("a datagram names no sender: it is not taken");
             return;
         };
-        let (standing, was_silent) = self.topology.borrow_mut().on_heard(now, &sender);
-        if standing == Standing::Outdated {
+        let hearing = self.topology.borrow_mut().on_heard(now, &sender);
+        if hearing.standing == Standing::Outdated {
             return;
         }
-        if was_silent {
+        gossip.incarnation = hearing.start;
+        if hearing.was_silent {
             self.demand_told_at.set([Duration::ZERO; 3]);
             let values = json!({"instance": sender.instance, "heard": true});
             self.journal.note("peer", &values);
@@ -41,7 +42,7 @@
             topology.on_summary(now, &sender, gossip.instances);
         }
         let running = gossip.running.as_ref();
-        if let Some(running) = running.filter(|_| standing == Standing::Newest) {
+        if let Some(running) = running.filter(|_| hearing.standing == Standing::Newest) {
             let loads = running.loads.iter().filter_map(decode_load).collect();
             let source = if gossip.is_sum {
                 format!("{SUM}{}", sender.data_centre)
@@ -79,7 +80,7 @@
             instance: sender.instance.clone(),
             is_sum: false,
         };
-        let incarnation = Incarnation(sender.incarnation);
+        let incarnation = Incarnation(gossip.incarnation);
         let mut tally = self.tally.borrow_mut();
         let mut sums = self.sums.borrow_mut();
         for demand in &gossip.demands {
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -1,7 +1,7 @@
 //! Who reads the configuration from the store, and whom the others ask for it.
 
 use super::build::{deployment, ms};
-use poplarseam::decide::topology::{Sender, Topology, part};
+use poplarseam::decide::topology::{Sender, Standing, Topology, part};
 use rstest::rstest;
 use std::net::SocketAddr;
 
@@ -119,3 +119,20 @@
 ) {
     assert_eq!(part(all, sharers), taken);
 }
+
+/// Guards against an instance that nobody hears any more: it started anew after the time of day was
+/// set back, so its incarnation is lower than that of its earlier start.
+#[test]
+fn an_instance_that_starts_anew_after_its_clock_was_set_back_is_heard() {
+    let earlier = Sender {
+        incarnation: 9,
+        ..sender("a", 1)
+    };
+    let mut topology = hearing(&[earlier]);
+    let hearing = topology.on_heard(ms(100), &sender("a", 1));
+    assert_eq!((hearing.standing, hearing.start), (Standing::Outdated, 1));
+    let hearing = topology.on_heard(ms(3_100), &sender("a", 1));
+    assert_eq!((hearing.standing, hearing.start), (Standing::Newest, 2));
+    assert!(hearing.was_silent);
+    assert_eq!(topology.count(ms(3_100)), 2);
+}
