Play overlapping faults against real processes of the gateway

Checked from what callers and back ends saw: at most once, refused means not run, whole answers, the retry budget, workers for each request, no request cut by a stop, recovery. The stand-in worker notes arrivals and turns requests away; its faults are one enum, since they exclude each other.

Earlier tests keep their assertions.

--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -71,7 +71,7 @@
         const POLL: Duration = Duration::from_millis(10);
         let until = Instant::now() + longest;
         while Instant::now() < until {
-            if let Ok(Some(status)) = self.child.try_wait() {
+            if let Some(status) = self.ended() {
                 return Some(status);
             }
             std::thread::sleep(POLL);
@@ -79,6 +79,12 @@
         None
     }
 
+    /// How it ended, if it did.
+    #[must_use]
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Number of the process.
     #[must_use]
     pub fn id(&self) -> u32 {
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -11,7 +11,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::time::Sleep;
 
 /// What a worker does and holds.
@@ -19,24 +19,30 @@
 struct State {
     models: BTreeMap<String, BTreeSet<String>>,
     orders: u64,
+    /// When requests came, by id, whether they ran or not.
+    arrivals: Vec<(Instant, String)>,
     /// Ids of the requests that ran, in order.
     ran: Vec<String>,
     /// Ids of the requests whose connection closed before their end.
     dropped: Vec<String>,
-    faults: Faults,
+    fault: Fault,
 }
 
-/// Faults in force; the default is none.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Faults {
+/// What a worker does wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Fault {
+    #[default]
+    None,
     /// Requests run, and their connection closes without an answer.
-    pub lose_answers: bool,
+    LoseAnswers,
     /// Streams break off after this many events.
-    pub cut_after: Option<u32>,
+    CutAfter(u32),
     /// Requests run without end.
-    pub hang: bool,
+    Hang,
     /// Requests run and fail.
-    pub fail: bool,
+    Fail,
+    /// Requests are turned away and don't run.
+    TurnAway,
 }
 
 /// A worker; it is hosted by [`platform::Platform`].
@@ -87,6 +93,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// When requests came, by id, whether they ran or not.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<(Instant, String)> {
+        self.state().arrivals.clone()
+    }
+
     /// Ids of the requests that ran here.
     #[must_use]
     pub fn ran(&self) -> Vec<String> {
@@ -99,9 +111,9 @@
         self.state().dropped.clone()
     }
 
-    /// Replaces the faults in force.
-    pub fn set(&self, faults: Faults) {
-        self.state().faults = faults;
+    /// Replaces the fault in force.
+    pub fn set(&self, fault: Fault) {
+        self.state().fault = fault;
     }
 
     /// The worker's entry in the platform's list.
@@ -199,22 +211,27 @@
 async fn run(worker: &Arc<Worker>, headers: &HeaderMap) -> Option<Response<Body>> {
     let id = text(headers, "x-request-id").to_owned();
     let target = text(headers, "x-model-name");
+    worker.state().arrivals.push((Instant::now(), id.clone()));
+    let fault = worker.state().fault;
+    if fault == Fault::TurnAway {
+        let headers = [("x-request-id", id.as_str()), ("x-not-executed", "1")];
+        return plain(503, &headers, "");
+    }
     if !target.is_empty() && !worker.holds(target) {
         return plain(421, &[], "");
     }
     worker.state().ran.push(id.clone());
-    let faults = worker.state().faults;
-    if faults.lose_answers {
+    if fault == Fault::LoseAnswers {
         return None;
     }
-    if faults.fail {
+    if fault == Fault::Fail {
         let headers = [("x-request-id", id.as_str())];
         return plain(500, &headers, "the server's own failure");
     }
     let signed = [("x-request-id", id.as_str()), ("x-response-signature", "s")];
     if target.is_empty() {
-        let _gone = Watch(Arc::clone(worker), id.clone(), !faults.hang);
-        if faults.hang {
+        let _gone = Watch(Arc::clone(worker), id.clone(), fault != Fault::Hang);
+        if fault == Fault::Hang {
             std::future::pending::<()>().await;
         }
         return plain(200, &signed, "done");
@@ -224,7 +241,10 @@
         watch: Watch(Arc::clone(worker), id.clone(), false),
         next: after + 1,
         last: worker.events,
-        cut_after: faults.cut_after.map(|events| after + events),
+        cut_after: match fault {
+            Fault::CutAfter(events) => Some(after + events),
+            _ => None,
+        },
         pause: worker.pause,
         sleep: Box::pin(tokio::time::sleep(worker.pause)),
     };
--- a/tests/gateway_processes/budget.rs
+++ b/tests/gateway_processes/budget.rs
@@ -1,7 +1,7 @@
 //! Repeats of all instances together, as back ends count them.
 
 use super::site::{GRACE_S, Site, status, wait_for};
-use standins::worker::Faults;
+use standins::worker::Fault;
 use std::time::{Duration, Instant};
 
 /// The promise of the stand-in's settings: repeats for each request, and those on top in a window.
@@ -22,11 +22,7 @@
     fn start(instances: u8) -> Self {
         let site = Site::start(instances);
         site.wait_until_ready();
-        let faults = Faults {
-            fail: true,
-            ..Faults::default()
-        };
-        site.set(&["p", "q"], faults);
+        site.set(&["p", "q"], Fault::Fail);
         Self {
             site,
             requests: 0,
--- /dev/null
+++ b/tests/gateway_processes/caller.rs
@@ -0,0 +1,175 @@
+//! Callers that go on using open connections until the process behind them is gone.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response, body::Incoming};
+use hyper_util::rt::TokioIo;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+/// What callers wait for an answer, and what they say that they wait.
+const PATIENCE: Duration = Duration::from_millis(3_500);
+const DEADLINE_MS: u64 = 3_000;
+/// Longest pause of a caller between two requests, in milliseconds.
+const PAUSE_MS: u64 = 120;
+/// How often a caller goes on with the connection that it has.
+const KEEPS: f64 = 0.8;
+
+/// A route of the site, and what it promises.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A plain call that may run once.
+    Issue,
+    /// A plain call that may be repeated.
+    Check,
+    /// A stream that may not be resumed.
+    Draft,
+    /// A stream that may be resumed.
+    Long,
+}
+
+impl Kind {
+    pub const ALL: [Self; 4] = [Self::Issue, Self::Check, Self::Draft, Self::Long];
+
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Draft | Self::Long)
+    }
+
+    pub fn may_run_again(self) -> bool {
+        matches!(self, Self::Check | Self::Long)
+    }
+
+    fn request(self, id: &str) -> Request<Full<Bytes>> {
+        let path = match self {
+            Self::Issue => "/issue/x",
+            Self::Check => "/check/x",
+            Self::Draft => "/draft/x",
+            Self::Long => "/long/x",
+        };
+        let request = Request::post(path)
+            .header("host", "h")
+            .header("x-request-id", id)
+            .header("x-deadline-ms", DEADLINE_MS);
+        let request = if self.is_stream() {
+            request
+                .header("x-model-name", "m1")
+                .header("x-token-usage", "100,20")
+                .header("x-prompt-prefix", "1:100")
+        } else {
+            request
+        };
+        request.body(Full::new(Bytes::from("hi"))).unwrap()
+    }
+}
+
+/// How a request ended, as its caller saw it.
+#[derive(Debug)]
+pub enum Outcome {
+    /// An answer; the body is none where it broke off.
+    Answered {
+        status: u16,
+        signed: bool,
+        echoes: bool,
+        body: Option<String>,
+    },
+    /// The connection ended without an answer.
+    Closed,
+    /// Nothing came in time.
+    Silent,
+}
+
+#[derive(Debug)]
+pub struct Record {
+    pub id: String,
+    pub kind: Kind,
+    pub instance: usize,
+    pub began: Instant,
+    pub ended: Instant,
+    pub outcome: Outcome,
+}
+
+/// One caller; it sends to any of the instances.
+pub struct Caller {
+    pub name: String,
+    pub instances: Vec<SocketAddr>,
+    pub rng: SmallRng,
+    pub records: Rc<RefCell<Vec<Record>>>,
+    pub is_over: Rc<Cell<bool>>,
+}
+
+type Connection = (usize, SendRequest<Full<Bytes>>);
+
+impl Caller {
+    /// Sends requests until the play is over.
+    pub async fn run(mut self) {
+        let mut kept: Option<Connection> = None;
+        let mut number = 0;
+        while !self.is_over.get() {
+            sleep(Duration::from_millis(self.rng.random_range(0..PAUSE_MS))).await;
+            let again = kept.take().filter(|_| self.rng.random_bool(KEEPS));
+            let Some((instance, mut sender)) = self.connection(again).await else {
+                continue;
+            };
+            number += 1;
+            let id = format!("{}-{number}", self.name);
+            let kind = *Kind::ALL.choose(&mut self.rng).unwrap();
+            let began = Instant::now();
+            let answer = timeout(PATIENCE, exchange(&mut sender, kind, &id)).await;
+            let outcome = answer.unwrap_or(Outcome::Silent);
+            let is_whole = matches!(&outcome, Outcome::Answered { body: Some(_), .. });
+            kept = is_whole.then_some((instance, sender));
+            self.records.borrow_mut().push(Record {
+                outcome,
+                id,
+                kind,
+                instance,
+                began,
+                ended: Instant::now(),
+            });
+        }
+    }
+
+    async fn connection(&mut self, kept: Option<Connection>) -> Option<Connection> {
+        if let Some((instance, mut sender)) = kept
+            && sender.ready().await.is_ok()
+        {
+            return Some((instance, sender));
+        }
+        let instance = self.rng.random_range(0..self.instances.len());
+        let opening = TcpStream::connect(self.instances[instance]);
+        let stream = timeout(PATIENCE, opening).await.ok()?.ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::task::spawn_local(connection);
+        Some((instance, sender))
+    }
+}
+
+async fn exchange(sender: &mut SendRequest<Full<Bytes>>, kind: Kind, id: &str) -> Outcome {
+    match sender.send_request(kind.request(id)).await {
+        Ok(response) => read(response, id).await,
+        Err(_) => Outcome::Closed,
+    }
+}
+
+async fn read(response: Response<Incoming>, id: &str) -> Outcome {
+    let headers = response.headers();
+    let signed = headers.contains_key("x-response-signature");
+    let echoes = headers.get("x-request-id").is_some_and(|echo| echo == id);
+    let status = response.status().as_u16();
+    let body = response.into_body().collect().await.ok();
+    let body = body.map(|body| String::from_utf8_lossy(&body.to_bytes()).into_owned());
+    Outcome::Answered {
+        status,
+        signed,
+        echoes,
+        body,
+    }
+}
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -1,11 +1,13 @@
 //! The gateway as processes, on our own stand-in of the platform.
 
 mod budget;
+mod caller;
 mod site;
+mod soak;
 
 use serde_json::json;
 use site::{GRACE_S, PAUSE, SOON, Site, config, exchange, request, status, wait_for};
-use standins::worker::{Faults, Worker};
+use standins::worker::{Fault, Worker};
 use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
@@ -125,11 +127,7 @@
 #[test]
 fn a_request_that_may_run_once_is_not_sent_again_when_its_answer_is_lost() {
     let site = Site::ready();
-    let faults = Faults {
-        lose_answers: true,
-        ..Faults::default()
-    };
-    site.set(&["p", "q"], faults);
+    site.set(&["p", "q"], Fault::LoseAnswers);
     assert_eq!(status(&site.ask("/issue/x", "r1", "")), 502);
     assert_eq!(site.ran("r1"), 1);
     assert_eq!(status(&site.ask("/check/x", "r2", "")), 502);
@@ -157,11 +155,7 @@
 fn a_servers_failure_is_passed_on_where_no_other_server_is_left() {
     let site = Site::ready();
     site.platform.list(site.platform.worker("p"), "draining");
-    let fail = Faults {
-        fail: true,
-        ..Faults::default()
-    };
-    site.platform.worker("q").set(fail);
+    site.platform.worker("q").set(Fault::Fail);
     wait_for("the news", || {
         let answer = site.ask("/check/x", "r1", "");
         status(&answer) == 500 && answer.contains("the server's own failure")
@@ -187,11 +181,7 @@
 fn a_resumed_stream_goes_on_at_another_worker_of_those_its_route_allows() {
     let more = ["c", "d"].map(|name| Worker::new(name, "llm", &["m1"], 10, PAUSE));
     let site = Site::ready_with(more.into());
-    let faults = Faults {
-        cut_after: Some(1),
-        ..Faults::default()
-    };
-    site.set(&["a", "b", "c", "d"], faults);
+    site.set(&["a", "b", "c", "d"], Fault::CutAfter(1));
     site.ask("/long/x", "r1", "m1");
     assert_eq!(site.runners("r1"), 2);
 }
@@ -217,11 +207,7 @@
 #[test]
 fn a_caller_that_leaves_ends_the_run() {
     let site = Site::ready();
-    let faults = Faults {
-        hang: true,
-        ..Faults::default()
-    };
-    site.set(&["p", "q"], faults);
+    site.set(&["p", "q"], Fault::Hang);
     let mut caller = TcpStream::connect(site.callers(0)).unwrap();
     caller
         .write_all(request("/issue/x", "r1", "").as_bytes())
@@ -239,11 +225,7 @@
 fn a_request_gets_its_answer_at_the_time_out_of_its_route() {
     let site = Site::ready();
     site.platform.configure(&config(5_001));
-    let faults = Faults {
-        hang: true,
-        ..Faults::default()
-    };
-    site.set(&["p", "q"], faults);
+    site.set(&["p", "q"], Fault::Hang);
     assert_eq!(status(&site.ask("/issue/x", "r1", "")), 504);
 }
 
--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 use standins::platform::Platform;
 use standins::process::Process;
-use standins::worker::{Faults, Worker};
+use standins::worker::{Fault, Worker};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -64,11 +64,7 @@
     /// One instance that serves, before workers that break a stream off after four events.
     pub fn with_cut_streams() -> Self {
         let site = Self::ready();
-        let faults = Faults {
-            cut_after: Some(4),
-            ..Faults::default()
-        };
-        site.set(&["a", "b"], faults);
+        site.set(&["a", "b"], Fault::CutAfter(4));
         site
     }
 
@@ -83,7 +79,7 @@
         Self::start_all(Vec::new(), instances, store_down, grace_s)
     }
 
-    fn start_all(more: Vec<Worker>, instances: u8, store_down: bool, grace_s: u64) -> Self {
+    pub fn start_all(more: Vec<Worker>, instances: u8, store_down: bool, grace_s: u64) -> Self {
         let mut workers = vec![
             Worker::new("a", "llm", &["m1"], 10, PAUSE),
             Worker::new("b", "llm", &["m1", "m2"], 10, PAUSE),
@@ -121,8 +117,13 @@
 
     /// Kills an instance and starts it anew at once.
     pub fn restart(&mut self, instance: usize) {
-        let ip = self.instances[instance].0;
         self.instances[instance].1.kill();
+        self.relaunch(instance);
+    }
+
+    /// Starts an instance anew that has ended.
+    pub fn relaunch(&mut self, instance: usize) {
+        let ip = self.instances[instance].0;
         self.instances[instance].1 = self.launch(ip, GRACE_S);
     }
 
@@ -180,9 +181,9 @@
         answer.unwrap_or_default()
     }
 
-    pub fn set(&self, workers: &[&str], faults: Faults) {
+    pub fn set(&self, workers: &[&str], fault: Fault) {
         for worker in workers {
-            self.platform.worker(worker).set(faults);
+            self.platform.worker(worker).set(fault);
         }
     }
 
