Refuse requests that end one server after the other

Cause: the gateway recognized no request that comes again under another id. Change: decide/crash. A connection that breaks while a request runs is a suspicion against its path and body; it becomes a strike when the server turns out to have ended (unreachable, unlisted, started anew) within 5 s. Three strikes at different servers without a success in between, counted over all instances, and it is refused at once with 503, before it is sent. Instances tell each other of strikes and acquittals in datagrams; what is known only grows, so order and doubles don't matter. Ruled out: strikes by broken connections alone (links break, answers are lost while servers live on).

--- /dev/null
+++ b/src/decide/crash.rs
@@ -0,0 +1,139 @@
+//! Requests that crash the servers that run them, as all instances together find them.
+//!
+//! A connection that breaks while a request runs is a suspicion. It becomes a strike when the server
+//! turns out to have ended: faults of links strike nobody. A request that was running on three
+//! servers that ended, and never succeeded, is not sent any more. What is known only grows, so
+//! instances can tell each other in any order and more than once.
+
+use super::suspect::Fingerprint;
+use crate::common::*;
+use crate::world::id;
+use crate::world::unit::Incarnation;
+
+/// Servers that a request may end; the platform's page begins to count after three.
+const MOST_ENDED: usize = 3;
+/// A server that ends so soon after a connection broke may have ended for what it ran there. Its
+/// entry in the list stands for three heartbeats.
+const SOON: Duration = Duration::from_secs(5);
+/// How long strikes and acquittals are remembered.
+const MEMORY: Duration = Duration::from_mins(10);
+/// Most fingerprints remembered.
+const MOST: usize = 2_000;
+
+/// One start of a server.
+pub type Start = (id::Worker, Incarnation);
+
+/// What is known of one fingerprint.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Record {
+    /// Servers that ended while they ran it.
+    pub ended: BTreeSet<Start>,
+    /// Whether it succeeded after a strike.
+    pub acquitted: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Suspicion {
+    fingerprint: Fingerprint,
+    start: Start,
+    at: Duration,
+}
+
+/// What is known of requests that were running where servers ended.
+#[derive(Debug, Clone, Default)]
+pub struct Crashes {
+    suspicions: VecDeque<Suspicion>,
+    records: BTreeMap<Fingerprint, (Duration, Record)>,
+}
+
+impl Crashes {
+    /// Whether nothing is known of any request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Whether a request crashes servers and is not to be sent.
+    #[must_use]
+    pub fn is_convicted(&self, fingerprint: Fingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|(_, record)| !record.acquitted && record.ended.len() >= MOST_ENDED)
+    }
+
+    /// All requests that are not to be sent.
+    pub fn convicted(&self) -> impl Iterator<Item = Fingerprint> {
+        let known = self.records.keys().copied();
+        known.filter(|fingerprint| self.is_convicted(*fingerprint))
+    }
+
+    /// Notes that a connection broke while a server ran a request.
+    pub fn on_broken(&mut self, now: Duration, fingerprint: Fingerprint, start: Start) {
+        self.forget(now);
+        self.suspicions.push_back(Suspicion {
+            fingerprint,
+            start,
+            at: now,
+        });
+    }
+
+    /// Notes that a server is gone or can't be reached; what its end strikes for the first time.
+    pub fn on_ended(&mut self, now: Duration, worker: &id::Worker) -> Vec<Fingerprint> {
+        self.forget(now);
+        let (struck, open) = std::mem::take(&mut self.suspicions)
+            .into_iter()
+            .partition(|suspicion| suspicion.start.0 == *worker);
+        self.suspicions = open;
+        let struck: VecDeque<Suspicion> = struck;
+        let struck = struck.into_iter().filter_map(|suspicion| {
+            let record = Record {
+                ended: [suspicion.start].into(),
+                acquitted: false,
+            };
+            let is_news = self.on_told(now, suspicion.fingerprint, record);
+            is_news.then_some(suspicion.fingerprint)
+        });
+        struck.collect()
+    }
+
+    /// Notes that a request succeeded; true where that acquits it.
+    pub fn on_success(&mut self, fingerprint: Fingerprint) -> bool {
+        let Some((_, record)) = self.records.get_mut(&fingerprint) else {
+            return false;
+        };
+        !std::mem::replace(&mut record.acquitted, true)
+    }
+
+    /// Takes what another instance knows; true where it is news.
+    pub fn on_told(&mut self, now: Duration, fingerprint: Fingerprint, told: Record) -> bool {
+        let entry = self.records.entry(fingerprint);
+        let (_, record) = entry.or_insert_with(|| (now, Record::default()));
+        let before = record.clone();
+        record.ended.extend(told.ended);
+        record.acquitted |= told.acquitted;
+        let is_news = *record != before;
+        self.forget(now);
+        is_news
+    }
+
+    /// Everything that is known, to tell others.
+    pub fn records(&self) -> impl Iterator<Item = (Fingerprint, &Record)> {
+        let records = self.records.iter();
+        records.map(|(fingerprint, (_, record))| (*fingerprint, record))
+    }
+
+    fn forget(&mut self, now: Duration) {
+        self.suspicions
+            .retain(|suspicion| now < suspicion.at + SOON);
+        self.records.retain(|_, (since, _)| now < *since + MEMORY);
+        while self.records.len() > MOST {
+            let oldest = self.records.iter().min_by_key(|(_, (since, _))| *since);
+            let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) else {
+                return;
+            };
+            self.records.remove(&oldest);
+        }
+        while self.suspicions.len() > MOST {
+            self.suspicions.pop_front();
+        }
+    }
+}
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -82,6 +82,7 @@
         "instances": traffic.instances(),
         "sharers": traffic.sharers(),
         "budgets": &*traffic.budgets.borrow(),
+        "convicted": traffic.crashes.borrow().convicted().collect::<Vec<_>>(),
         "servers": balance.views().collect::<Vec<_>>(),
     })
 }
--- /dev/null
+++ b/src/gateway/crashes.rs
@@ -0,0 +1,102 @@
+//! What instances tell each other of requests that crash servers.
+
+use super::traffic::Traffic;
+use crate::common::*;
+use crate::decide::crash::Record;
+use crate::decide::suspect::Fingerprint;
+use crate::wire::generated_gossip::{Crash, Ended};
+use crate::world::id;
+use crate::world::unit::Incarnation;
+
+/// Requests told of in one datagram.
+pub(super) const MOST_TOLD: usize = 200;
+
+impl Traffic {
+    /// Whether a request crashes the servers that run it.
+    pub fn is_convicted(&self, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
+        let crashes = self.crashes.borrow();
+        !crashes.is_empty() && crashes.is_convicted(fingerprint())
+    }
+
+    /// Notes that the connection to a server broke while it ran a request.
+    pub fn on_broken(&self, fingerprint: Fingerprint, worker: &id::Worker) {
+        let balance = self.balance.borrow();
+        let Some(view) = balance.view(worker) else {
+            return;
+        };
+        let start = (worker.clone(), view.backend.boot);
+        let now = self.clock.now();
+        self.crashes.borrow_mut().on_broken(now, fingerprint, start);
+    }
+
+    /// Notes that a server ended or can't be reached: what it ran may be the cause.
+    pub fn on_ended(&self, worker: &id::Worker) {
+        let now = self.clock.now();
+        let struck = self.crashes.borrow_mut().on_ended(now, worker);
+        if struck.is_empty() {
+            return;
+        }
+        let convicted = struck.iter().filter(|print| self.is_convicted(|| **print));
+        let convicted: Vec<&Fingerprint> = convicted.collect();
+        let values = json!({"server": worker, "struck": struck.len(), "convicted": convicted});
+        self.journal.note("crash", &values);
+        self.tell_of(struck);
+    }
+
+    /// Notes that a request succeeded.
+    pub fn on_success(&self, fingerprint: impl FnOnce() -> Fingerprint) {
+        if self.crashes.borrow().is_empty() {
+            return;
+        }
+        let fingerprint = fingerprint();
+        if self.crashes.borrow_mut().on_success(fingerprint) {
+            self.tell_of(vec![fingerprint]);
+        }
+    }
+
+    fn tell_of(&self, fingerprints: Vec<Fingerprint>) {
+        self.new_crashes.borrow_mut().extend(fingerprints);
+        self.to_tell.notify_one();
+    }
+
+    /// What peers are to hear at once.
+    pub fn take_crashes(&self) -> Vec<Crash> {
+        let news = std::mem::take(&mut *self.new_crashes.borrow_mut());
+        let crashes = self.crashes.borrow();
+        let told = crashes.records();
+        let told = told.filter(|(fingerprint, _)| news.contains(fingerprint));
+        told.map(|(fingerprint, record)| encode(fingerprint, record))
+            .collect()
+    }
+
+    /// Takes what a peer tells.
+    pub(super) fn on_crashes(&self, now: Duration, told: &[Crash]) {
+        let mut crashes = self.crashes.borrow_mut();
+        for crash in told {
+            crashes.on_told(now, Fingerprint(crash.fingerprint), decode(crash));
+        }
+    }
+}
+
+fn encode(fingerprint: Fingerprint, record: &Record) -> Crash {
+    let ended = record.ended.iter().map(|(worker, boot)| Ended {
+        worker: worker.to_string(),
+        boot: boot.0,
+    });
+    Crash {
+        fingerprint: fingerprint.0,
+        ended: ended.collect(),
+        acquitted: record.acquitted,
+    }
+}
+
+fn decode(crash: &Crash) -> Record {
+    let ended = crash.ended.iter().filter_map(|ended| {
+        let worker = ended.worker.parse().ok()?;
+        Some((worker, Incarnation(ended.boot)))
+    });
+    Record {
+        ended: ended.collect(),
+        acquitted: crash.acquitted,
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -66,6 +66,7 @@
         }
         self.on_leads(now, &gossip.leads, Some(sender.address));
         self.on_holdings(&gossip.holdings);
+        self.on_crashes(now, &gossip.crashes);
         if let Some(batch) = &gossip.batch {
             self.on_batch(batch);
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -8,6 +8,7 @@
 use crate::decide::attempts::Attempts;
 use crate::decide::balance::{Choice, Need, Running};
 use crate::decide::shed;
+use crate::decide::suspect::Fingerprint;
 use crate::platform::request::{self, Stamp};
 use crate::world::id;
 use crate::world::message::{Answer, Outcome, Request};
@@ -20,7 +21,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::time::{sleep, timeout};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Callers leave a stream that has not begun after this time, or after this multiple of the target
 /// if that is longer; the platform's page says so.
@@ -38,6 +39,11 @@
 const COME_BACK: Duration = Duration::from_millis(300);
 /// When a caller should come back whose model is being loaded.
 const COME_BACK_LOADED: Duration = Duration::from_millis(1_200);
+/// When a caller may come back whose request crashes servers.
+const COME_BACK_CONVICTED: Duration = Duration::from_mins(1);
+/// Causes that a server may have ended for: its connection broke before its answer began, or within.
+const BROKEN: &str = "broken";
+const CUT: &str = "cut";
 /// Times that a request may be turned away by servers that did not run it.
 const MOST_TURNS: usize = 4;
 /// Servers that may be found unreachable before that counts as being turned away. Such a try reaches
@@ -165,6 +171,13 @@
         self.deadline.saturating_sub(self.now())
     }
 
+    /// What it is recognised by when it comes again, under another id.
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        let path = self.head.uri.path_and_query();
+        let path = path.map_or("", |path| path.as_str());
+        Fingerprint(xxh3_64_with_seed(&self.body, xxh3_64(path.as_bytes())))
+    }
+
     /// Writes a log line about this request.
     pub(super) fn note(&self, event: &str, mut values: Value) {
         values["request"] = json!(self.request.id);
@@ -198,6 +211,12 @@
                 }
             };
             if self.attempts.borrow().is_new() {
+                if self.traffic.is_convicted(|| self.fingerprint()) {
+                    return End::Refused {
+                        cause: "crashes servers",
+                        back: COME_BACK_CONVICTED,
+                    };
+                }
                 if let Some(back) = self.refuses(expected) {
                     return End::Refused {
                         cause: "busy",
@@ -214,6 +233,9 @@
             if !matches!(attempt, Attempt::NotRun | Attempt::Unreached) {
                 self.attempts.borrow_mut().on_run(&worker);
             }
+            if matches!(attempt, Attempt::Unknown(BROKEN | CUT)) {
+                self.traffic.on_broken(self.fingerprint(), &worker);
+            }
             match attempt {
                 Attempt::Live(live) => return End::Live(live),
                 Attempt::Whole(response) => return End::Whole(response),
@@ -367,6 +389,7 @@
                     .balance
                     .borrow_mut()
                     .on_unreachable(now, &worker);
+                self.traffic.on_ended(&worker);
                 return Attempt::Unreached;
             };
             if !matches!(timeout(TAKES, channel.sender.ready()).await, Ok(Ok(()))) {
@@ -390,7 +413,7 @@
                         json!({"server": worker, "error": error.error().to_string()}),
                     );
                     self.traffic.balance.borrow_mut().on_failed(&worker);
-                    return Attempt::Unknown("broken");
+                    return Attempt::Unknown(BROKEN);
                 }
             }
         }
@@ -476,12 +499,15 @@
                 let body = Limited::new(incoming, self.largest()).collect().await;
                 let Ok(body) = body else {
                     traffic.balance.borrow_mut().on_failed(&worker);
-                    return Attempt::Unknown("cut");
+                    return Attempt::Unknown(CUT);
                 };
                 ticket.on_first();
                 if answer.framed && !answer.closes {
                     traffic.keep(&self.need.service, &worker, channel, answer.keeps);
                 }
+                if answer.outcome == Outcome::Success {
+                    traffic.on_success(|| self.fingerprint());
+                }
                 let response = passed_on(head, body.to_bytes());
                 if answer.outcome == Outcome::Failed {
                     traffic.balance.borrow_mut().on_failed(&worker);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -2,6 +2,7 @@
 //!
 //! Each says what is, not what changed, so a lost one is made good by the next.
 
+use super::crashes::MOST_TOLD;
 use super::event::Word;
 use super::traffic::{Tier, Traffic};
 use crate::common::*;
@@ -84,8 +85,8 @@
     }
 }
 
-/// Tells at once what can't wait: wants to holders, new configurations to the data centre, changes
-/// of the list of servers to all.
+/// Tells at once what can't wait: wants to holders, new configurations to the data centre, requests
+/// that crash servers and changes of the list of servers to all.
 pub async fn hurry(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
     loop {
         traffic.to_tell.notified().await;
@@ -98,6 +99,11 @@
         if traffic.is_site_news.take() {
             send(&socket, &traffic.envelope(), &traffic.near()).await;
         }
+        for crashes in traffic.take_crashes().chunks(MOST_TOLD) {
+            let mut gossip = traffic.envelope();
+            gossip.crashes = crashes.to_vec();
+            broadcast(&traffic, &socket, gossip).await;
+        }
         let batches = std::mem::take(&mut *traffic.batches.borrow_mut());
         for batch in batches.into_iter().filter(|_| traffic.is_planner()) {
             let mut gossip = traffic.envelope();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -90,6 +90,9 @@
                             }
                         }
                         Some(Err(error)) => {
+                            let worker = &end.ticket.worker;
+                            let traffic = &self.case.traffic;
+                            traffic.on_broken(self.case.fingerprint(), worker);
                             if !self.resume() {
                                 return self.fail(&error.to_string());
                             }
@@ -134,6 +137,7 @@
         let traffic = &self.case.traffic;
         let allowed = self.resumable
             && self.resumed < MOST_RESUMED
+            && !traffic.is_convicted(|| self.case.fingerprint())
             && self.case.may_repeat("stream broke off");
         if !allowed {
             return false;
@@ -167,6 +171,7 @@
         let state = std::mem::replace(&mut self.state, State::Over);
         self.outcome = "whole";
         if let State::Reading { end, .. } = state {
+            self.case.traffic.on_success(|| self.case.fingerprint());
             let worker = end.ticket.worker.clone();
             if end.reusable {
                 let traffic = &self.case.traffic;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -7,9 +7,11 @@
 use super::pool::Pool;
 use crate::common::*;
 use crate::decide::balance::{Balance, Need};
+use crate::decide::crash::Crashes;
 use crate::decide::lag::Lag;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
+use crate::decide::suspect::Fingerprint;
 use crate::decide::tally::Tally;
 use crate::decide::told::Told;
 use crate::decide::topology::{self, Topology};
@@ -64,6 +66,9 @@
     pub to_tell: Notify,
     pub(super) budgets: RefCell<BTreeMap<id::Service, Budget>>,
     is_first_start: Cell<bool>,
+    pub(super) crashes: RefCell<Crashes>,
+    /// Requests of which peers are to hear that they crash servers, or don't.
+    pub(super) new_crashes: RefCell<BTreeSet<Fingerprint>>,
     pub(super) topology: RefCell<Topology>,
     pub(super) roster: RefCell<Roster>,
     /// Newest version of the list that a peer knows, and when one was last heard.
@@ -163,6 +168,8 @@
             to_tell: Notify::new(),
             budgets: RefCell::default(),
             is_first_start: Cell::new(false),
+            crashes: RefCell::default(),
+            new_crashes: RefCell::default(),
             topology,
             roster: RefCell::default(),
             heard_version: Cell::default(),
@@ -273,6 +280,7 @@
                 Change::Listed(backend) => self.on_listed(backend.clone()),
                 Change::Unlisted(worker) => {
                     self.journal.note("unlisted", &json!({"server": worker}));
+                    self.on_ended(worker);
                     self.balance.borrow_mut().on_unlisted(worker);
                     self.pool.close(worker);
                     self.held.borrow_mut().remove(worker);
@@ -285,6 +293,14 @@
 
     fn on_listed(&self, mut backend: Backend) {
         self.journal.note("listed", &json!({"backend": backend}));
+        let boot = self
+            .balance
+            .borrow()
+            .view(&backend.id)
+            .map(|view| view.backend.boot);
+        if boot.is_some_and(|boot| boot != backend.boot) {
+            self.on_ended(&backend.id);
+        }
         let now = self.clock.now();
         let held = self.held.borrow().get(&backend.id).cloned();
         let known = held.filter(|held| held.boot == backend.boot);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
     pub mod attempts;
     pub mod balance;
     pub mod claim;
+    pub mod crash;
     pub mod demand;
     pub mod dispatch;
     pub mod fleet;
@@ -90,6 +91,7 @@
     mod body;
     mod channel;
     pub mod command;
+    mod crashes;
     mod event;
     mod exchange;
     mod feed;
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -53,6 +53,27 @@
     /// Whether the store answers the sender.
     #[prost(bool, tag = "18")]
     pub reaches_store: bool,
+    /// Requests that were running where servers ended.
+    #[prost(message, repeated, tag = "19")]
+    pub crashes: ::prost::alloc::vec::Vec<Crash>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Crash {
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub ended: ::prost::alloc::vec::Vec<Ended>,
+    /// Whether the request succeeded after a strike.
+    #[prost(bool, tag = "3")]
+    pub acquitted: bool,
+}
+/// One start of a server that ended.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Ended {
+    #[prost(string, tag = "1")]
+    pub worker: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
 }
 /// Rows of the list of servers that changed after one version and up to another.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -167,6 +167,11 @@
         self.write(SERVERS, &worker.id, Some(&entry));
     }
 
+    /// Removes a worker's entry.
+    pub fn unlist(&self, worker: &Worker) {
+        self.write(SERVERS, &worker.id, None);
+    }
+
     /// Writes a row as another process of the system would.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         self.write(table, key, Some(value));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod balance;
 mod build;
+mod crash;
 mod fleet;
 mod lag;
 mod lease;
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -295,3 +295,41 @@
     );
     assert_eq!(status(&exchange(callers, &large).unwrap()), 413);
 }
+
+/// Guards against a request that ends one server after the other: its caller sends it again, at any
+/// instance.
+#[test]
+fn a_request_that_ended_three_servers_is_refused_at_every_instance() {
+    let more = ["r", "s"].map(|name| Worker::new(name, "app", &[], 0, PAUSE));
+    let site = Site::start_all(more.into(), 2, false, GRACE_S);
+    site.wait_until_ready();
+    site.set(&["p", "q", "r", "s"], Fault::LoseAnswers);
+    for number in 0..3 {
+        let id = format!("crash-{number}");
+        let answer = site.ask_at(number % 2, "/issue/x", &id, "");
+        assert_eq!(status(&answer), 502, "{answer}");
+        let servers = ["p", "q", "r", "s"].map(|server| site.platform.worker(server));
+        let ended = servers.iter().find(|server| server.ran().contains(&id));
+        site.platform.unlist(ended.unwrap());
+        wait_for("the news", || {
+            (0..2).all(|instance| {
+                let servers = site.state(instance)["servers"].clone();
+                servers.as_array().map_or(0, Vec::len) == 5 - number
+            })
+        });
+    }
+    wait_for("the verdict", || {
+        let verdicts = (0..2).map(|instance| site.state(instance)["convicted"].clone());
+        let mut counts = verdicts.map(|verdicts| verdicts.as_array().map_or(0, Vec::len));
+        counts.all(|count| count == 1)
+    });
+    site.set(&["p", "q", "r", "s"], Fault::None);
+    for instance in 0..2 {
+        let id = format!("again-{instance}");
+        let answer = site.ask_at(instance, "/issue/x", &id, "");
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert_eq!(site.ran(&id), 0);
+        let other = site.ask_at(instance, "/issue/y", "other", "");
+        assert_eq!(status(&other), 200, "{other}");
+    }
+}
