Count only servers that ended, one after the other, as crashed by a request

What callers saw: after links to all servers had reset for a second, instances answered 503 'crashes servers' to every request with the same path and body, for as long as the play watched (20 s, 390 tries).

Cause: a server that could not be reached counted as ended, so each request that broke on a resetting link struck, and servers that fail at the same moment gave three strikes at once. Change: an end is an entry that goes, a new start, or a port that refuses connections. Strikes count when their connections broke a second apart or more; the time goes along in the datagram. A verdict holds for a minute after the last strike, then the request may be sent and succeed. The soak now puts links in front of all workers and the store: delayed, reset, silent or mute. Its logs stay where a play fails.

--- a/src/decide/crash.rs
+++ b/src/decide/crash.rs
@@ -2,8 +2,8 @@
 //!
 //! A connection that breaks while a request runs is a suspicion. It becomes a strike when the server
 //! turns out to have ended: faults of links strike nobody. A request that was running on three
-//! servers that ended, and never succeeded, is not sent any more. What is known only grows, so
-//! instances can tell each other in any order and more than once.
+//! servers that ended one after the other, and has not succeeded since, is not sent for a while.
+//! What is known only grows, so instances can tell each other in any order and more than once.
 
 use super::suspect::Fingerprint;
 use crate::common::*;
@@ -15,6 +15,10 @@
 /// A server that ends so soon after a connection broke may have ended for what it ran there. Its
 /// entry in the list stands for three heartbeats.
 const SOON: Duration = Duration::from_secs(5);
+/// Strikes closer together than this are one: servers that end together have another cause.
+const APART: Duration = Duration::from_secs(1);
+/// A convicted request may be sent again this long after its last strike, and may succeed.
+const TERM: Duration = Duration::from_mins(1);
 /// How long strikes and acquittals are remembered.
 const MEMORY: Duration = Duration::from_mins(10);
 /// Most fingerprints remembered.
@@ -26,12 +30,33 @@
 /// What is known of one fingerprint.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Record {
-    /// Servers that ended while they ran it.
-    pub ended: BTreeSet<Start>,
+    /// Servers that ended while they ran it, and when its connection broke.
+    pub ended: BTreeMap<Start, Duration>,
     /// Whether it succeeded after a strike.
     pub acquitted: bool,
 }
 
+impl Record {
+    /// Strikes, those that came together counted as one.
+    fn strikes(&self) -> usize {
+        let mut times: Vec<Duration> = self.ended.values().copied().collect();
+        times.sort_unstable();
+        let mut last = None;
+        times.retain(|at| {
+            let counts = last.is_none_or(|last| *at >= last + APART);
+            if counts {
+                last = Some(*at);
+            }
+            counts
+        });
+        times.len()
+    }
+
+    fn last_strike(&self) -> Duration {
+        self.ended.values().max().copied().unwrap_or_default()
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Suspicion {
     fingerprint: Fingerprint,
@@ -55,15 +80,18 @@
 
     /// Whether a request crashes servers and is not to be sent.
     #[must_use]
-    pub fn is_convicted(&self, fingerprint: Fingerprint) -> bool {
+    pub fn is_convicted(&self, now: Duration, fingerprint: Fingerprint) -> bool {
         let record = self.records.get(&fingerprint);
-        record.is_some_and(|(_, record)| !record.acquitted && record.ended.len() >= MOST_ENDED)
+        record.is_some_and(|(_, record)| {
+            let is_recent = now < record.last_strike() + TERM;
+            !record.acquitted && is_recent && record.strikes() >= MOST_ENDED
+        })
     }
 
     /// All requests that are not to be sent.
-    pub fn convicted(&self) -> impl Iterator<Item = Fingerprint> {
+    pub fn convicted(&self, now: Duration) -> impl Iterator<Item = Fingerprint> {
         let known = self.records.keys().copied();
-        known.filter(|fingerprint| self.is_convicted(*fingerprint))
+        known.filter(move |fingerprint| self.is_convicted(now, *fingerprint))
     }
 
     /// Notes that a connection broke while a server ran a request.
@@ -76,7 +104,7 @@
         });
     }
 
-    /// Notes that a server is gone or can't be reached; what its end strikes for the first time.
+    /// Notes that a server has ended; what its end strikes for the first time.
     pub fn on_ended(&mut self, now: Duration, worker: &id::Worker) -> Vec<Fingerprint> {
         self.forget(now);
         let (struck, open) = std::mem::take(&mut self.suspicions)
@@ -86,7 +114,7 @@
         let struck: VecDeque<Suspicion> = struck;
         let struck = struck.into_iter().filter_map(|suspicion| {
             let record = Record {
-                ended: [suspicion.start].into(),
+                ended: [(suspicion.start, suspicion.at)].into(),
                 acquitted: false,
             };
             let is_news = self.on_told(now, suspicion.fingerprint, record);
@@ -107,10 +135,12 @@
     pub fn on_told(&mut self, now: Duration, fingerprint: Fingerprint, told: Record) -> bool {
         let entry = self.records.entry(fingerprint);
         let (_, record) = entry.or_insert_with(|| (now, Record::default()));
-        let before = record.clone();
-        record.ended.extend(told.ended);
+        let mut is_news = told.acquitted && !record.acquitted;
         record.acquitted |= told.acquitted;
-        let is_news = *record != before;
+        for (start, at) in told.ended {
+            is_news |= !record.ended.contains_key(&start);
+            record.ended.entry(start).or_insert(at);
+        }
         self.forget(now);
         is_news
     }
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -82,7 +82,7 @@
         "instances": traffic.instances(),
         "sharers": traffic.sharers(),
         "budgets": &*traffic.budgets.borrow(),
-        "convicted": traffic.crashes.borrow().convicted().collect::<Vec<_>>(),
+        "convicted": traffic.crashes.borrow().convicted(traffic.clock.now()).collect::<Vec<_>>(),
         "servers": balance.views().collect::<Vec<_>>(),
     })
 }
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -15,7 +15,7 @@
     /// Whether a request crashes the servers that run it.
     pub fn is_convicted(&self, fingerprint: impl FnOnce() -> Fingerprint) -> bool {
         let crashes = self.crashes.borrow();
-        !crashes.is_empty() && crashes.is_convicted(fingerprint())
+        !crashes.is_empty() && crashes.is_convicted(self.clock.now(), fingerprint())
     }
 
     /// Notes that the connection to a server broke while it ran a request.
@@ -29,7 +29,7 @@
         self.crashes.borrow_mut().on_broken(now, fingerprint, start);
     }
 
-    /// Notes that a server ended or can't be reached: what it ran may be the cause.
+    /// Notes that a server ended: what it ran may be the cause.
     pub fn on_ended(&self, worker: &id::Worker) {
         let now = self.clock.now();
         let struck = self.crashes.borrow_mut().on_ended(now, worker);
@@ -61,11 +61,12 @@
 
     /// What peers are to hear at once.
     pub fn take_crashes(&self) -> Vec<Crash> {
+        let now = self.clock.now();
         let news = std::mem::take(&mut *self.new_crashes.borrow_mut());
         let crashes = self.crashes.borrow();
         let told = crashes.records();
         let told = told.filter(|(fingerprint, _)| news.contains(fingerprint));
-        told.map(|(fingerprint, record)| encode(fingerprint, record))
+        told.map(|(fingerprint, record)| encode(now, fingerprint, record))
             .collect()
     }
 
@@ -73,15 +74,16 @@
     pub(super) fn on_crashes(&self, now: Duration, told: &[Crash]) {
         let mut crashes = self.crashes.borrow_mut();
         for crash in told {
-            crashes.on_told(now, Fingerprint(crash.fingerprint), decode(crash));
+            crashes.on_told(now, Fingerprint(crash.fingerprint), decode(now, crash));
         }
     }
 }
 
-fn encode(fingerprint: Fingerprint, record: &Record) -> Crash {
-    let ended = record.ended.iter().map(|(worker, boot)| Ended {
+fn encode(now: Duration, fingerprint: Fingerprint, record: &Record) -> Crash {
+    let ended = record.ended.iter().map(|((worker, boot), at)| Ended {
         worker: worker.to_string(),
         boot: boot.0,
+        age_ms: u64::try_from(now.saturating_sub(*at).as_millis()).unwrap_or(u64::MAX),
     });
     Crash {
         fingerprint: fingerprint.0,
@@ -90,10 +92,11 @@
     }
 }
 
-fn decode(crash: &Crash) -> Record {
+fn decode(now: Duration, crash: &Crash) -> Record {
     let ended = crash.ended.iter().filter_map(|ended| {
         let worker = ended.worker.parse().ok()?;
-        Some((worker, Incarnation(ended.boot)))
+        let at = now.saturating_sub(Duration::from_millis(ended.age_ms));
+        Some(((worker, Incarnation(ended.boot)), at))
     });
     Record {
         ended: ended.collect(),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,6 +19,7 @@
 use hyper::http::{request::Parts, response};
 use hyper::{Response, StatusCode};
 use std::cell::RefCell;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -389,7 +390,6 @@
                     .balance
                     .borrow_mut()
                     .on_unreachable(now, &worker);
-                self.traffic.on_ended(&worker);
                 return Attempt::Unreached;
             };
             if !matches!(timeout(TAKES, channel.sender.ready()).await, Ok(Ok(()))) {
@@ -428,6 +428,9 @@
         self.traffic.metrics.connections.inc();
         opened
             .inspect_err(|error| {
+                if error.kind() == ErrorKind::ConnectionRefused {
+                    self.traffic.on_ended(worker);
+                }
                 self.note(
                     "unreachable",
                     json!({"server": worker, "error": error.to_string()}),
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -74,6 +74,9 @@
     pub worker: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub boot: u64,
+    /// How long ago the connection to it broke.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 /// Rows of the list of servers that changed after one version and up to another.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fault;
 pub mod http;
 pub mod instances;
+pub mod link;
 pub mod objects;
 pub mod platform;
 pub mod process;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -3,6 +3,7 @@
 //! Everything runs on one thread with a runtime of its own, which ends when the stand-in is
 //! dropped. Only what the system uses of the platform is here.
 
+use crate::link::{Link, Mode};
 use crate::worker::{self, Worker};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
@@ -22,6 +23,8 @@
 /// Table and key of the operator's configuration, and the table of servers.
 const OPERATOR: &str = "op";
 const SERVERS: &str = "servers";
+/// Name of the link to the store.
+pub const STORE_LINK: &str = "store";
 /// How long a feed is kept waiting at most.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
@@ -100,6 +103,8 @@
     store: Arc<Mutex<Store>>,
     changed: Arc<Notify>,
     workers: BTreeMap<String, Arc<Worker>>,
+    /// Links to workers by their ids and to the store, where there are any.
+    links: BTreeMap<String, Link>,
     _end: oneshot::Sender<()>,
 }
 
@@ -107,6 +112,16 @@
     /// Starts the store, model workers and servers of a plain service.
     #[must_use]
     pub fn start(workers: Vec<Worker>) -> Self {
+        Self::start_at(workers, false)
+    }
+
+    /// The same, all of it behind links that can be disturbed.
+    #[must_use]
+    pub fn start_linked(workers: Vec<Worker>) -> Self {
+        Self::start_at(workers, true)
+    }
+
+    fn start_at(workers: Vec<Worker>, linked: bool) -> Self {
         let listener = listen();
         let address = listener.local_addr().expect("an address");
         let store = Arc::new(Mutex::new(Store::default()));
@@ -115,6 +130,16 @@
         let workers: BTreeMap<String, Arc<Worker>> =
             workers.map(|worker| (worker.id.clone(), worker)).collect();
         let (end, ended) = oneshot::channel();
+        let targets = workers
+            .values()
+            .map(|worker| (worker.id.clone(), worker.address));
+        let targets = targets.chain([(STORE_LINK.to_owned(), address)]);
+        let (mut links, mut listeners) = (BTreeMap::new(), Vec::new());
+        for (name, target) in targets.filter(|_| linked) {
+            let (link, listener) = Link::new();
+            links.insert(name, link);
+            listeners.push((listener, target));
+        }
         let hosted: Vec<Arc<Worker>> = workers.values().cloned().collect();
         let (rows, feed) = (Arc::clone(&store), Arc::clone(&changed));
         std::thread::spawn(move || {
@@ -130,6 +155,9 @@
                 for worker in hosted {
                     tokio::task::spawn_local(worker::host(worker));
                 }
+                for (listener, target) in listeners {
+                    tokio::task::spawn_local(listener.host(target));
+                }
                 let _ = ended.await;
             });
         });
@@ -138,6 +166,7 @@
             store,
             changed,
             workers,
+            links,
             _end: end,
         };
         for worker in platform.workers.values() {
@@ -163,7 +192,10 @@
 
     /// Writes a worker's entry with a state.
     pub fn list(&self, worker: &Worker, state: &str) {
-        let entry = worker.entry(state);
+        let mut entry = worker.entry(state);
+        if let Some(link) = self.links.get(&worker.id) {
+            entry["Address"] = json!(link.address);
+        }
         self.write(SERVERS, &worker.id, Some(&entry));
     }
 
@@ -177,6 +209,11 @@
         self.write(table, key, Some(value));
     }
 
+    /// Changes what the link to a worker or to the store does.
+    pub fn disturb(&self, name: &str, mode: Mode) {
+        self.links[name].set(mode);
+    }
+
     /// Writes the operator's configuration.
     pub fn configure(&self, config: &Value) {
         self.write(OPERATOR, "config", Some(config));
@@ -205,13 +242,15 @@
     /// Settings of an instance on its own loopback address.
     #[must_use]
     pub fn settings(&self, name: &str, ip: Ipv4Addr) -> Value {
+        let link = self.links.get(STORE_LINK);
+        let store = link.map_or(self.address, |link| link.address);
         json!({
             "NodeName": name, "Zone": "north-1", "Ip": ip, "InternalPorts": [7000, 7015],
             "Zones": {"north-1": "north", "north-2": "north"},
             "Listen": {"Frontend": format!("{ip}:8000"), "Ready": format!("{ip}:8001")},
             "Bounds": {"GraceS": 8, "LeaseMs": 3000, "RetryBudgetRatio": 0.2, "BudgetExtra": 56,
                 "BudgetWindowS": 10, "CeilingWindowS": 5},
-            "Platform": {"Address": self.address},
+            "Platform": {"Address": store},
         })
     }
 }
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -42,7 +42,7 @@
             .env_clear()
             .envs(environment.iter().cloned())
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(file.try_clone().expect("a second handle of the log"))
             .stderr(file)
             .spawn()
             .expect("the program must start");
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -50,7 +50,7 @@
 pub struct Worker {
     pub id: String,
     pub service: String,
-    address: SocketAddr,
+    pub(crate) address: SocketAddr,
     listener: Mutex<Option<TcpListener>>,
     state: Mutex<State>,
     /// Events of each stream, and the pause before each.
