Split forwarding and traffic of the gateway by job

The retry budgets leave traffic.rs for repeats.rs. Code is moved, nothing is decided differently; all tests pass unchanged.

--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -3,6 +3,7 @@
 use super::body::Body;
 use super::channel;
 use super::forward::{self, Case};
+use super::reply;
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::attempts::Attempts;
@@ -124,7 +125,7 @@
 ) -> Result<Case, Response<Body>> {
     let Some(site) = traffic.site.borrow().clone() else {
         traffic.metrics.on_answer(503, "no configuration");
-        return Err(forward::refusal("", "no configuration", COME_BACK));
+        return Err(reply::refusal("", "no configuration", COME_BACK));
     };
     let Some(request) = request::decode(&head) else {
         return Err(denied(
@@ -147,7 +148,7 @@
     };
     let patience = request.patience.unwrap_or(PATIENCE).min(route.timeout);
     let need = need(&site, &request, &route)
-        .ok_or_else(|| forward::refusal(&request.id, "the route has no service", COME_BACK))?;
+        .ok_or_else(|| reply::refusal(&request.id, "the route has no service", COME_BACK))?;
     let body = read_body(traffic, &site, &request, body, patience).await?;
     if let Some(generation) = &need.generation {
         traffic.on_asked(&generation.target, generation.prompt.0);
@@ -221,5 +222,5 @@
     traffic.metrics.on_answer(status.as_u16(), cause);
     let values = json!({"request": id, "status": status.as_u16(), "cause": cause});
     traffic.journal.note("denied", &values);
-    forward::own(id, status, cause)
+    reply::own(id, status, cause)
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -4,7 +4,8 @@
 //! so that another worker can go on after the last one when its worker breaks off.
 
 use super::channel::Channel;
-use super::forward::{Case, End, Live, Ticket};
+use super::forward::{Case, End, Live};
+use super::ticket::Ticket;
 use crate::common::*;
 use crate::platform::request;
 use crate::world::site::Repeat;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -65,7 +65,7 @@
     /// Wakes the task that tells peers.
     pub to_tell: Notify,
     pub(super) budgets: RefCell<BTreeMap<id::Service, Budget>>,
-    is_first_start: Cell<bool>,
+    pub(super) is_first_start: Cell<bool>,
     pub(super) crashes: RefCell<Crashes>,
     /// Requests of which peers are to hear that they crash servers, or don't.
     pub(super) new_crashes: RefCell<BTreeSet<Fingerprint>>,
@@ -359,12 +359,6 @@
         }
     }
 
-    fn on_first_start(&self) {
-        self.is_first_start.set(true);
-        let mut budgets = self.budgets.borrow_mut();
-        budgets.values_mut().for_each(Budget::on_first_start);
-    }
-
     fn on_members(&self, listed: Vec<event::Member>) {
         let mut topology = self.topology.borrow_mut();
         for member in listed {
@@ -472,38 +466,6 @@
     pub fn sharers(&self) -> Option<u32> {
         self.topology.borrow_mut().sharers(self.clock.now())
     }
-
-    /// Takes one repeat of the share of this instance, if one is left.
-    pub fn may_repeat(&self, request: &str, service: &id::Service, cause: &str) -> bool {
-        let (now, sharers) = (self.clock.now(), self.sharers());
-        let (granted, left) =
-            self.with_budget(service, |budget| (budget.take(now, sharers), budget.left()));
-        self.metrics.on_repeat(service, granted);
-        let values = json!({"request": request, "service": service, "cause": cause,
-            "granted": granted, "left": left, "sharers": sharers, "instances": self.instances()});
-        self.journal.note("repeat", &values);
-        granted
-    }
-
-    /// Notes the first sending of a request.
-    pub fn on_first_send(&self, service: &id::Service) {
-        self.metrics.on_first_send(service);
-        let (now, sharers) = (self.clock.now(), self.sharers());
-        self.with_budget(service, |budget| budget.on_first(now, sharers));
-    }
-
-    fn with_budget<T>(&self, service: &id::Service, act: impl FnOnce(&mut Budget) -> T) -> T {
-        let mut budgets = self.budgets.borrow_mut();
-        let allowance = self.deployment.bounds.retries;
-        let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let mut budget = Budget::new(allowance, Duration::ZERO);
-            if self.is_first_start.get() {
-                budget.on_first_start();
-            }
-            budget
-        });
-        act(budget)
-    }
 }
 
 fn is_heard(now: Duration, holders: &BTreeMap<Shard, Holder>, worker: &id::Worker) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,6 +88,7 @@
 /// The process that serves on every instance of the users' platform.
 pub mod gateway {
     mod admin;
+    mod attempt;
     mod body;
     mod channel;
     pub mod command;
@@ -107,7 +108,10 @@
     mod pool;
     mod register;
     mod relay;
+    mod repeats;
+    mod reply;
     mod store;
+    mod ticket;
     mod traffic;
     mod words;
 }
