Keep loads that were told before the first configuration

Found in the last reading: the loads of an earlier start replaced those that other holders had told of before the first configuration came. They are added now. Two lines of decide/crash and a comment read more plainly.

--- a/src/decide/crash.rs
+++ b/src/decide/crash.rs
@@ -107,11 +107,10 @@
     /// Notes that a server has ended; what its end strikes for the first time.
     pub fn on_ended(&mut self, now: Duration, worker: &id::Worker) -> Vec<Fingerprint> {
         self.forget(now);
-        let (struck, open) = std::mem::take(&mut self.suspicions)
-            .into_iter()
-            .partition(|suspicion| suspicion.start.0 == *worker);
+        let suspicions = std::mem::take(&mut self.suspicions).into_iter();
+        let (struck, open): (VecDeque<_>, VecDeque<_>) =
+            suspicions.partition(|suspicion| suspicion.start.0 == *worker);
         self.suspicions = open;
-        let struck: VecDeque<Suspicion> = struck;
         let struck = struck.into_iter().filter_map(|suspicion| {
             let record = Record {
                 ended: [(suspicion.start, suspicion.at)].into(),
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -105,7 +105,7 @@
         self.counts_earlier = true;
         let ends = (1..).map(float).take_while(|number| *number <= allowed);
         let ends = ends.map(|number| self.load_window.mul_f64(number / allowed));
-        self.loads = ends.collect();
+        self.loads.extend(ends);
     }
 
     /// Takes a worker's entry; `held` says whether this instance holds its shard.
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -15,7 +15,8 @@
 /// Part of the retries on top that all instances together may save up.
 const SAVED_PART: f64 = 0.25;
 
-/// Retries of an instance that never ran before: enough for its first requests.
+/// Retries of an instance that never ran before, as far as it may save them: enough for its first
+/// requests.
 const FIRST_START: f64 = 2.0;
 
 /// What one instance may retry.
