State the promise of retries once in the process tests

Last reading of the change: the ratio, the extra and the window of the stand-in's settings stood in two test files; they stand in the site's file now, with the same values.

--- a/tests/gateway_processes/budget.rs
+++ b/tests/gateway_processes/budget.rs
@@ -1,13 +1,9 @@
 //! Repeats of all instances together, as back ends count them.
 
-use super::site::{GRACE_S, Site, status, wait_for};
+use super::site::{EXTRA, GRACE_S, RATIO, Site, WINDOW, status, wait_for};
 use standins::worker::Fault;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-/// The promise of the stand-in's settings: repeats for each request, and those on top in a window.
-const RATIO: f64 = 0.2;
-const EXTRA: f64 = 56.0;
-const WINDOW: Duration = Duration::from_secs(10);
 /// Requests to one instance, more than its budget could ever repeat.
 const MOST_ASKED: usize = 60;
 
--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -14,6 +14,10 @@
 pub const SOON: Duration = Duration::from_secs(20);
 /// Seconds that a stop may take.
 pub const GRACE_S: u64 = 8;
+/// The promise of the stand-in's settings: retries for each request, and those on top in a window.
+pub const RATIO: f64 = 0.2;
+pub const EXTRA: f64 = 56.0;
+pub const WINDOW: Duration = Duration::from_secs(10);
 pub const PAUSE: Duration = Duration::from_millis(50);
 
 static SUBNET: AtomicU8 = AtomicU8::new(1);
--- a/tests/gateway_processes/soak.rs
+++ b/tests/gateway_processes/soak.rs
@@ -4,7 +4,7 @@
 //! By hand: `SOAK_SEEDS=1-50 cargo test --test gateway_processes soak_by_hand -- --nocapture`.
 
 use super::caller::{Caller, Kind, Outcome, Record};
-use super::site::{GRACE_S, PAUSE, Site, status, wait_for};
+use super::site::{EXTRA, GRACE_S, PAUSE, RATIO, Site, WINDOW, status, wait_for};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -26,10 +26,6 @@
 const AFTER: Duration = Duration::from_secs(1);
 /// Workers that a route allows, by the site's configuration.
 const MOST_WORKERS: usize = 2;
-/// The budget of retries, by the settings.
-const RATIO: f64 = 0.2;
-const EXTRA: f64 = 56.0;
-const WINDOW: Duration = Duration::from_secs(10);
 
 #[derive(Debug, Clone)]
 enum Trouble {
