Tell peers of the list of servers only what holders don't

Each load of a model or adapter changes a worker's entry; the planner sent each entry whole to all instances (26 KB each 300 ms to 59 addresses, more than its 20 Mbit/s), so instances fell behind and read the store for themselves. Holders tell what workers hold already. Now only the holders get such changes, others only those of place, start and state; whoever begins to follow reads the whole list. The log has a line for these changes only.

--- a/src/decide/roster.rs
+++ b/src/decide/roster.rs
@@ -36,12 +36,19 @@
     Unlisted(id::Worker),
 }
 
+/// The newest row of one server.
+#[derive(Debug, Clone)]
+struct Known {
+    version: u64,
+    backend: Option<Backend>,
+}
+
 /// The list, as far as it is known.
 #[derive(Debug, Default)]
 pub struct Roster {
     /// Nothing up to this version is missing.
     version: u64,
-    entries: BTreeMap<id::Worker, (u64, bool)>,
+    entries: BTreeMap<id::Worker, Known>,
     /// Entries that vanished while the store was disturbed, and when they count as gone.
     doubtful: BTreeMap<id::Worker, Duration>,
 }
@@ -53,6 +60,17 @@
         self.version
     }
 
+    /// Whether an entry says more than is known here, what its server holds left out.
+    #[must_use]
+    pub fn is_news(&self, entry: &Entry) -> bool {
+        let known = self.entries.get(&entry.worker);
+        let known = known.and_then(|known| known.backend.as_ref());
+        match (known, &entry.backend) {
+            (Some(known), Some(backend)) => !known.is_same_but_for_memory(backend),
+            (known, backend) => known.is_some() || backend.is_some(),
+        }
+    }
+
     /// Takes a batch.
     pub fn on_batch(&mut self, now: Duration, batch: Batch) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -73,8 +91,8 @@
         let present: BTreeSet<&id::Worker> =
             batch.entries.iter().map(|entry| &entry.worker).collect();
         let known = self.entries.iter();
-        let missing = known.filter(|(worker, (version, is_there))| {
-            *is_there && *version <= batch.to && !present.contains(worker)
+        let missing = known.filter(|(worker, known)| {
+            known.backend.is_some() && known.version <= batch.to && !present.contains(worker)
         });
         let missing: Vec<id::Worker> = missing.map(|(worker, _)| worker.clone()).collect();
         for worker in missing {
@@ -89,13 +107,15 @@
 
     fn on_entry(&mut self, now: Duration, entry: Entry, trusted: bool, changes: &mut Vec<Change>) {
         let known = self.entries.get(&entry.worker);
-        if known.is_some_and(|(version, _)| entry.version <= *version) {
+        if known.is_some_and(|known| entry.version <= known.version) {
             return;
         }
-        let was_there = known.is_some_and(|(_, is_there)| *is_there);
-        let is_there = entry.backend.is_some();
-        self.entries
-            .insert(entry.worker.clone(), (entry.version, is_there));
+        let was_there = known.is_some_and(|known| known.backend.is_some());
+        let newest = Known {
+            version: entry.version,
+            backend: entry.backend.clone(),
+        };
+        self.entries.insert(entry.worker.clone(), newest);
         match entry.backend {
             Some(backend) => {
                 self.doubtful.remove(&entry.worker);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -72,7 +72,8 @@
         self.on_holdings(&gossip.holdings);
         self.on_crashes(now, &gossip.crashes);
         self.on_told_leaving(&gossip.leaving);
-        if let Some(batch) = &gossip.batch {
+        let batch = gossip.batch.as_ref();
+        if let Some(batch) = batch.filter(|batch| !(batch.partial && self.is_holder.get())) {
             self.on_batch(batch);
         }
         if concerns_placer(&gossip) {
@@ -237,6 +238,16 @@
         }
     }
 
+    /// Addresses of the other instances that hold shards.
+    #[must_use]
+    pub fn other_holders(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let holders = self.holders.borrow();
+        let heard = holders.values().filter(|holder| holder.is_heard(now));
+        let addresses: BTreeSet<SocketAddr> = heard.filter_map(|it| it.address).collect();
+        addresses.into_iter().collect()
+    }
+
     /// Whether this instance holds the first of the shards that are held, and so plans.
     #[must_use]
     pub fn is_planner(&self) -> bool {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -95,7 +95,7 @@
 }
 
 /// Follows the list of servers while that is of interest; else only catches up where peers know
-/// more.
+/// more. Peers leave out what servers hold, so whoever begins to follow reads the whole list.
 pub async fn servers(store: Rc<Store>, mut interest: watch::Receiver<Interest>) {
     let mut feed = Feed::new(
         Rc::clone(&store),
@@ -104,9 +104,12 @@
         |interest| interest.server_doubts,
         |_| true,
     );
+    let mut followed = false;
     loop {
         let now = *interest.borrow_and_update();
-        feed.after = feed.after.max(now.known);
+        let begins = now.follow && !followed;
+        followed = now.follow;
+        feed.after = if begins { 0 } else { feed.after.max(now.known) };
         let is_behind = feed.after == 0 || now.heard > feed.after;
         if !now.follow && !is_behind {
             feed.channel = None;
@@ -131,6 +134,7 @@
             to: feed.after,
             entries: entries.collect(),
             trusted: !store.is_disturbed(),
+            partial: false,
         };
         store.tell(News::Servers(batch)).await;
         sleep(GATHER).await;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -114,7 +114,10 @@
         let batches = std::mem::take(&mut *traffic.batches.borrow_mut());
         for batch in batches.into_iter().filter(|_| traffic.is_planner()) {
             let mut gossip = traffic.envelope();
-            gossip.batch = Some(batch);
+            gossip.batch = Some(batch.whole);
+            send(&socket, &gossip, &traffic.other_holders()).await;
+            gossip = traffic.envelope();
+            gossip.batch = Some(batch.news);
             broadcast(&traffic, &socket, gossip).await;
         }
     }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -98,10 +98,18 @@
     pub(super) demand_told_at: Cell<[Duration; 3]>,
     pub(super) sequence: Cell<u64>,
     /// Changes of the list of servers that peers are to hear.
-    pub batches: RefCell<Vec<Batch>>,
+    pub batches: RefCell<Vec<ListNews>>,
     pub(super) placer: flume::Sender<Heard>,
 }
 
+/// Changes of the list of servers: all of them for holders, who give orders by them, and for others
+/// those that holders don't tell.
+#[derive(Debug)]
+pub struct ListNews {
+    pub whole: Batch,
+    pub news: Batch,
+}
+
 /// How far a data centre is; the farther, the less often it is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Tier {
@@ -238,11 +246,12 @@
         match news {
             News::Site(site, written) => self.on_site(site, written),
             News::Servers(batch) => {
+                let news = self.on_batch(&batch);
                 if self.follows_servers(self.clock.now()) {
-                    self.batches.borrow_mut().push(batch.clone());
+                    let told = ListNews { whole: batch, news };
+                    self.batches.borrow_mut().push(told);
                     self.to_tell.notify_one();
                 }
-                self.on_batch(&batch);
             }
             News::Former(rows) => self.hand(Heard::Former(rows)),
             News::FirstStart => self.on_first_start(),
@@ -254,19 +263,31 @@
         }
     }
 
-    /// Takes changes of the list of servers, from the store or from a peer.
-    pub(super) fn on_batch(&self, batch: &Batch) {
-        let entries = batch.entries.iter().filter_map(|entry| self.decode(entry));
+    /// Takes changes of the list of servers, from the store or from a peer. Returns them without those
+    /// of which holders tell.
+    pub(super) fn on_batch(&self, batch: &Batch) -> Batch {
+        let entries = batch.entries.iter();
+        let entries = entries.filter_map(|entry| Some((entry, self.decode(entry)?)));
+        let entries: Vec<(&Entry, roster::Entry)> = entries.collect();
+        let mut roster = self.roster.borrow_mut();
+        let news = entries.iter().filter(|(_, read)| roster.is_news(read));
+        let news = Batch {
+            entries: news.map(|(entry, _)| (*entry).clone()).collect(),
+            partial: true,
+            ..*batch
+        };
         let batch = roster::Batch {
             from: batch.from,
             to: batch.to,
-            entries: entries.collect(),
+            entries: entries.into_iter().map(|(_, read)| read).collect(),
             trusted: batch.trusted,
         };
         let now = self.clock.now();
-        let changes = self.roster.borrow_mut().on_batch(now, batch);
+        let changes = roster.on_batch(now, batch);
+        drop(roster);
         self.on_changes(changes);
         self.set_interest(now);
+        news
     }
 
     fn decode(&self, entry: &Entry) -> Option<roster::Entry> {
@@ -309,7 +330,7 @@
     /// Takes an entry of the list; returns it with what its server said of itself.
     fn on_listed(&self, listed: Backend) -> Backend {
         let mut backend = listed.clone();
-        self.journal.note("listed", &json!({"backend": backend}));
+        self.note_listed(&backend);
         let boot = self
             .balance
             .borrow()
@@ -331,6 +352,15 @@
         Backend { leaving, ..listed }
     }
 
+    /// Logs an entry that says more than what its server holds.
+    fn note_listed(&self, listed: &Backend) {
+        let balance = self.balance.borrow();
+        let known = balance.view(&listed.id).map(|view| &view.backend);
+        if known.is_none_or(|known| !known.is_same_but_for_memory(listed)) {
+            self.journal.note("listed", &json!({"backend": listed}));
+        }
+    }
+
     /// Version of the configuration in force, 0 before the first.
     pub(super) fn configuration(&self) -> u64 {
         let site = self.site.borrow();
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -100,6 +100,9 @@
     pub entries: ::prost::alloc::vec::Vec<Entry>,
     #[prost(bool, tag = "4")]
     pub trusted: bool,
+    /// Whether changes are left out of which holders tell: what servers hold.
+    #[prost(bool, tag = "5")]
+    pub partial: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Entry {
--- a/src/world/backend.rs
+++ b/src/world/backend.rs
@@ -24,6 +24,28 @@
     pub copies: BTreeSet<id::Model>,
 }
 
+impl Backend {
+    /// Whether another entry says the same but for what the server's engine holds, which the holders of
+    /// leases tell.
+    #[must_use]
+    pub fn is_same_but_for_memory(&self, other: &Self) -> bool {
+        let all_but_memory = |it: &Self| {
+            let (id, service, address) = (it.id.clone(), it.service.clone(), it.address);
+            let data_centre = it.data_centre.clone();
+            (
+                id,
+                service,
+                address,
+                data_centre,
+                it.boot,
+                it.leaving,
+                it.places,
+            )
+        };
+        all_but_memory(self) == all_but_memory(other)
+    }
+}
+
 /// What a worker's engine says of itself when asked.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Report {
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -2,6 +2,7 @@
 
 use super::build::{backend, ms, worker};
 use poplarseam::decide::roster::{Batch, Change, Entry, Roster};
+use poplarseam::world::backend::Backend;
 
 /// A batch of entries, written with the version and whether the server is there.
 fn batch(from: u64, to: u64, entries: &[(&str, u64, bool)]) -> Batch {
@@ -86,3 +87,40 @@
     let changes = roster.on_batch(ms(1), batch(10, 12, &[("a", 12, false)]));
     assert_eq!(changes, vec![Change::Unlisted(worker("a"))]);
 }
+
+/// Load: hundreds of workers load models and adapters all day, and each change of their memory is a
+/// change of the list.
+#[test]
+fn a_change_of_memory_alone_is_no_news_to_peers() {
+    let mut roster = Roster::default();
+    let entry = |version, held: &str, leaving| Entry {
+        worker: worker("a"),
+        version,
+        backend: Some(Backend {
+            leaving,
+            ..backend("a", "north-1", held)
+        }),
+    };
+    assert!(roster.is_news(&entry(1, "m1", false)));
+    roster.on_batch(
+        ms(0),
+        Batch {
+            from: 0,
+            to: 1,
+            entries: vec![entry(1, "m1", false)],
+            trusted: true,
+        },
+    );
+    assert!(!roster.is_news(&entry(2, "m1 m2/a1", false)));
+    assert!(roster.is_news(&entry(2, "m1", true)));
+    let gone = Entry {
+        backend: None,
+        ..entry(2, "m1", false)
+    };
+    assert!(roster.is_news(&gone));
+    let unknown = Entry {
+        worker: worker("b"),
+        ..gone
+    };
+    assert!(!roster.is_news(&unknown));
+}
