Tell hubs of a large data centre what runs, and let them tell the sum

Above eight instances in a data centre each now tells two hubs, the first by name that are heard; each hub tells all the sum every 200 ms, with the part that the receiver told itself, so that nobody counts its own requests twice. All still hear each other every 700 ms. Small sites talk as before. Weighed: a slower pace for all (news gets as old as the pace), one hub (its loss stops all news for 1.5 s).

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -7,7 +7,7 @@
 use super::retry::backoff;
 use super::speed::Speeds;
 use crate::common::*;
-use crate::world::backend::{Backend, Holdings};
+use crate::world::backend::{self, Backend, Holdings};
 use crate::world::deployment::Deployment;
 use crate::world::id;
 use crate::world::message::{Generation, Load, Target};
@@ -93,6 +93,16 @@
             kept: self.kept + other.kept,
         }
     }
+
+    /// Without what is counted elsewhere.
+    #[must_use]
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(other.requests),
+            reading_us: self.reading_us.saturating_sub(other.reading_us),
+            kept: self.kept.saturating_sub(other.kept),
+        }
+    }
 }
 
 /// What is known of one server.
@@ -166,6 +176,8 @@
     notices: Notices,
     /// Servers at which each peer last told that it has anything running.
     busy: Map<id::Instance, Vec<id::Worker>>,
+    /// Servers by what they are called in datagrams.
+    keys: Map<u64, id::Worker>,
 }
 
 impl Balance {
@@ -202,6 +214,8 @@
                 view.backend.leaving = leaving;
             }
             _ => {
+                self.keys
+                    .insert(backend::key(&backend.id), backend.id.clone());
                 self.views.insert(backend.id.clone(), View::new(backend));
             }
         }
@@ -236,6 +250,13 @@
     /// Forgets a server that ended.
     pub fn on_unlisted(&mut self, worker: &id::Worker) {
         self.views.remove(worker);
+        self.keys.remove(&backend::key(worker));
+    }
+
+    /// The server that is called so in datagrams.
+    #[must_use]
+    pub fn server(&self, key: u64) -> Option<&id::Worker> {
+        self.keys.get(&key)
     }
 
     /// Takes what the holder of the lease knows of a worker's memory.
@@ -280,6 +301,17 @@
             .collect()
     }
 
+    /// What one peer told that it has running, at all servers.
+    #[must_use]
+    pub fn of_peer(&self, peer: &id::Instance) -> BTreeMap<id::Worker, Running> {
+        let servers = self.busy.get(peer).into_iter().flatten();
+        let told = servers.filter_map(|server| {
+            let (_, running) = self.views.get(server)?.peers.get(peer)?;
+            Some((server.clone(), *running))
+        });
+        told.collect()
+    }
+
     /// What this instance and its peers in the data centre have running, at all servers.
     #[must_use]
     pub fn near(&self, now: Duration) -> BTreeMap<id::Worker, Running> {
--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -14,6 +14,12 @@
 /// A peer that is silent this long has no share of what all instances may do together.
 const GONE: Duration = Duration::from_secs(3);
 
+/// Instances of a data centre up to which each tells all others what runs at it. Where there are more,
+/// they tell hubs, which tell the sum to all: datagrams grow with their number, not with its square.
+const MOST_DIRECT: u32 = 8;
+/// Hubs of a data centre: one may be lost, and the other's word goes on.
+const HUBS: usize = 2;
+
 /// Instances of a data centre that read the configuration from the store; the others get it from
 /// them.
 const READERS: usize = 2;
@@ -196,6 +202,42 @@
         near.all(|(_, member)| !is_within(now, member.heard, SILENT))
     }
 
+    /// Whether instances of this data centre tell hubs what runs at them, and not each other.
+    #[must_use]
+    pub fn has_hubs(&self, now: Duration) -> bool {
+        self.near_count(now) > MOST_DIRECT
+    }
+
+    /// Whether this instance is a hub: it is among the first by name of those heard here.
+    #[must_use]
+    pub fn is_hub(&self, now: Duration) -> bool {
+        let before = self.heard_near(now).filter(|(peer, _)| **peer < self.me);
+        before.count() < HUBS
+    }
+
+    /// The hubs of this data centre, this instance left out.
+    #[must_use]
+    pub fn hubs(&self, now: Duration) -> Vec<SocketAddr> {
+        let others = HUBS - usize::from(self.is_hub(now));
+        let heard = self.heard_near(now).take(others);
+        heard.map(|(_, member)| member.address).collect()
+    }
+
+    /// Peers of this data centre that are not silent, by name.
+    fn heard_near(&self, now: Duration) -> impl Iterator<Item = (&id::Instance, &Member)> {
+        let near = self.members.iter();
+        near.filter(move |(_, member)| {
+            member.data_centre == self.here && is_within(now, member.heard, SILENT)
+        })
+    }
+
+    /// Peers of this data centre with their addresses.
+    pub fn near_peers(&self) -> impl Iterator<Item = (&id::Instance, SocketAddr)> {
+        let near = self.members.iter();
+        let near = near.filter(|(_, member)| member.data_centre == self.here);
+        near.map(|(peer, member)| (peer, member.address))
+    }
+
     /// Whether this instance reads the configuration from the store: it is among the first by name
     /// of those that are heard here and that the store answers.
     #[must_use]
@@ -251,9 +293,7 @@
     /// Addresses of all peers in this data centre.
     #[must_use]
     pub fn near(&self) -> Vec<SocketAddr> {
-        let near = self.members.values();
-        let near = near.filter(|member| member.data_centre == self.here);
-        near.map(|member| member.address).collect()
+        self.near_peers().map(|(_, address)| address).collect()
     }
 
     /// Addresses in each of some other data centres that pass on what they are told: the speaker
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,13 +1,14 @@
 //! What an instance tells its peers, and what it learns from them.
 
 use super::event::{Heard, Word};
-use super::traffic::{Holder, Tier, Traffic};
+use super::traffic::{Holder, TIERS, Tier, Traffic};
 use super::words;
 use crate::common::*;
-use crate::decide::balance::{Running, SUM};
+use crate::decide::balance::{Balance, Running, SUM};
 use crate::decide::tally::Source;
 use crate::decide::topology::{Sender, Standing};
 use crate::wire::generated_gossip::{Demand, Gossip, Holding, Lead, Load, Loads, Want};
+use crate::world::backend;
 use crate::world::id;
 use crate::world::message::Target;
 use crate::world::shard::Shard;
@@ -36,7 +37,7 @@
             self.to_tell.notify_one();
         }
         if hearing.was_silent {
-            self.demand_told_at.set([Duration::ZERO; 3]);
+            self.demand_told_at.set([Duration::ZERO; TIERS]);
             let values = json!({"instance": sender.instance, "heard": true});
             self.journal.note("peer", &values);
         }
@@ -45,17 +46,9 @@
             let mut topology = self.topology.borrow_mut();
             topology.on_summary(now, &sender, gossip.instances);
         }
-        let running = gossip.running.as_ref();
-        if let Some(running) = running.filter(|_| hearing.standing == Standing::Newest) {
-            let loads = running.loads.iter().filter_map(decode_load).collect();
-            let source = if gossip.is_sum {
-                format!("{SUM}{}", sender.data_centre)
-                    .parse()
-                    .unwrap_or_default()
-            } else {
-                sender.instance.clone()
-            };
-            self.balance.borrow_mut().on_peer(now, &source, &loads);
+        let counts_twice = gossip.is_sum && !is_far && self.hears_all();
+        if hearing.standing == Standing::Newest && !counts_twice {
+            self.on_running(now, &sender, &gossip);
         }
         if !is_far && !gossip.is_sum {
             self.add_to_sum(&sender, &gossip);
@@ -81,6 +74,30 @@
         }
     }
 
+    /// Takes what runs at a peer, or at all of a data centre but this instance.
+    fn on_running(&self, now: Duration, sender: &Sender, gossip: &Gossip) {
+        let Some(running) = &gossip.running else {
+            return;
+        };
+        let mut balance = self.balance.borrow_mut();
+        let mut loads = decode_loads(&balance, running);
+        if let Some(included) = &gossip.included {
+            for (server, told) in decode_loads(&balance, included) {
+                if let Some(all) = loads.get_mut(&server) {
+                    *all = all.minus(told);
+                }
+            }
+        }
+        let source = if gossip.is_sum {
+            format!("{SUM}{}", sender.data_centre)
+                .parse()
+                .unwrap_or_default()
+        } else {
+            sender.instance.clone()
+        };
+        balance.on_peer(now, &source, &loads);
+    }
+
     /// Adds what a peer's callers asked for to the sum of this data centre.
     fn add_to_sum(&self, sender: &Sender, gossip: &Gossip) {
         let source = Source {
@@ -145,19 +162,13 @@
         } else {
             self.balance.borrow().own()
         };
-        let loads = loads.into_iter().map(|(worker, running)| Load {
-            worker: worker.to_string(),
-            requests: running.requests,
-            reading_us: running.reading_us,
-            kept: running.kept,
-        });
+        let tells_demand = tier != Tier::Here || self.topology.borrow().is_speaker(now);
+        let demands = tells_demand.then(|| self.take_demands(now, tier));
         Gossip {
-            running: Some(Loads {
-                loads: loads.collect(),
-            }),
-            demands: self.take_demands(now, tier),
+            running: Some(encode_loads(loads)),
+            demands: demands.unwrap_or_default(),
             is_sum,
-            pass_on: is_sum,
+            pass_on: matches!(tier, Tier::Region | Tier::Far),
             instances: self.topology.borrow().near_count(now),
             leaving: self.leaving(),
             ..self.envelope()
@@ -189,7 +200,7 @@
         }
         let demands = match tier {
             Tier::DataCentre => &self.demands,
-            Tier::Region | Tier::Far => &self.sums,
+            Tier::Here | Tier::Region | Tier::Far => &self.sums,
         };
         let mut demands = demands.borrow_mut();
         let told = demands.iter_mut();
@@ -233,7 +244,7 @@
 
     /// Has the own placer hear what this instance's callers ask for.
     pub fn tell_placer(&self, gossip: &Gossip) {
-        if !gossip.demands.is_empty() {
+        if !gossip.demands.is_empty() && self.hears_all() {
             self.hand(Heard::Gossip(Box::new(gossip.clone())));
         }
     }
@@ -273,6 +284,33 @@
         addresses.iter().take(first).any(Option::is_none)
     }
 
+    /// Whom this instance tells what runs at it: all peers of its data centre, or the hubs there.
+    #[must_use]
+    pub fn listeners(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let topology = self.topology.borrow();
+        if topology.has_hubs(now) {
+            topology.hubs(now)
+        } else {
+            topology.near()
+        }
+    }
+
+    /// What each peer of this data centre told that runs at it, where this instance is a hub: the part of
+    /// a sum that the peer knows better itself.
+    #[must_use]
+    pub fn included(&self) -> Vec<(SocketAddr, Loads)> {
+        let now = self.clock.now();
+        let topology = self.topology.borrow();
+        if !topology.has_hubs(now) || !topology.is_hub(now) {
+            return Vec::new();
+        }
+        let balance = self.balance.borrow();
+        let peers = topology.near_peers();
+        let parts = peers.map(|(peer, address)| (address, encode_loads(balance.of_peer(peer))));
+        parts.collect()
+    }
+
     /// Addresses of all peers in this data centre.
     #[must_use]
     pub fn near(&self) -> Vec<SocketAddr> {
@@ -317,13 +355,29 @@
     })
 }
 
-fn decode_load(load: &Load) -> Option<(id::Worker, Running)> {
-    let running = Running {
-        requests: load.requests,
-        reading_us: load.reading_us,
-        kept: load.kept,
-    };
-    Some((load.worker.parse().ok()?, running))
+fn encode_loads(loads: BTreeMap<id::Worker, Running>) -> Loads {
+    let loads = loads.into_iter().map(|(server, running)| Load {
+        server: backend::key(&server),
+        requests: running.requests,
+        reading_us: running.reading_us,
+        kept: running.kept,
+    });
+    Loads {
+        loads: loads.collect(),
+    }
+}
+
+/// Loads of the servers that are known here.
+fn decode_loads(balance: &Balance, loads: &Loads) -> BTreeMap<id::Worker, Running> {
+    let known = loads.loads.iter().filter_map(|load| {
+        let running = Running {
+            requests: load.requests,
+            reading_us: load.reading_us,
+            kept: load.kept,
+        };
+        Some((balance.server(load.server)?.clone(), running))
+    });
+    known.collect()
 }
 
 fn concerns_placer(gossip: &Gossip) -> bool {
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -172,6 +172,7 @@
     for tier in [Tier::DataCentre, Tier::Region, Tier::Far] {
         spawn_local(gossip::tell(Rc::clone(&traffic), Rc::clone(&socket), tier));
     }
+    spawn_local(gossip::tell_sums(Rc::clone(&traffic), Rc::clone(&socket)));
     spawn_local(gossip::hurry(Rc::clone(&traffic), Rc::clone(&socket)));
     spawn_local(gossip::pass(Rc::clone(&traffic), socket, words));
     spawn_local(follow(Rc::clone(&traffic), news));
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -19,6 +19,9 @@
 /// Time between datagrams within a data centre while requests come, and the longest without one.
 const OFTEN: Duration = Duration::from_millis(100);
 const SELDOM: Duration = Duration::from_secs(1);
+/// Time between datagrams to all of a data centre that has hubs: two fit into the time after which a
+/// silent peer does not speak.
+const BEAT: Duration = Duration::from_millis(700);
 /// Wants go out at once, but not more often than this.
 const GATHER: Duration = Duration::from_millis(2);
 
@@ -58,8 +61,8 @@
     loop {
         sleep(pace).await;
         let peers = match tier {
-            Tier::DataCentre => traffic.near(),
-            Tier::Region | Tier::Far => traffic.told_of_sums(tier),
+            Tier::DataCentre => traffic.listeners(),
+            Tier::Here | Tier::Region | Tier::Far => traffic.told_of_sums(tier),
         };
         if peers.is_empty() && tier != Tier::DataCentre {
             continue;
@@ -82,11 +85,38 @@
 fn pace(tier: Tier) -> Duration {
     match tier {
         Tier::DataCentre => OFTEN,
-        Tier::Region => OFTEN * 2,
+        Tier::Here | Tier::Region => OFTEN * 2,
         Tier::Far => OFTEN * 4,
     }
 }
 
+/// Where instances tell hubs what runs at them: lets all others hear that this one is there, and tells
+/// them the sum if this one is a hub. Each hears two hubs, one as often as `OFTEN` together.
+pub async fn tell_sums(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
+    let mut beat_at = Instant::now();
+    loop {
+        sleep(pace(Tier::Here)).await;
+        if traffic.has_hubs() && beat_at.elapsed() >= BEAT {
+            beat_at = Instant::now();
+            send(&socket, &traffic.envelope(), &traffic.near()).await;
+        }
+        let peers = traffic.included();
+        if peers.is_empty() {
+            continue;
+        }
+        let sum = traffic.gossip(Tier::Here).encode_to_vec();
+        for (peer, included) in peers {
+            let part = Gossip {
+                included: Some(included),
+                ..Gossip::default()
+            };
+            // Messages that are put one after the other are read as one.
+            let whole = [sum.clone(), part.encode_to_vec()].concat();
+            send_bytes(&socket, &whole, &[peer]).await;
+        }
+    }
+}
+
 /// Tells at once what can't wait: wants to holders, new configurations to the data centre, requests
 /// that crash servers and changes of the list of servers to all.
 pub async fn hurry(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -95,7 +95,7 @@
     pub(super) new_wants: RefCell<Vec<(id::Worker, Target)>>,
     pub(super) holders: RefCell<BTreeMap<Shard, Holder>>,
     /// When demand was told in whole to each tier.
-    pub(super) demand_told_at: Cell<[Duration; 3]>,
+    pub(super) demand_told_at: Cell<[Duration; TIERS]>,
     pub(super) sequence: Cell<u64>,
     /// Changes of the list of servers that peers are to hear.
     pub batches: RefCell<Vec<ListNews>>,
@@ -110,10 +110,16 @@
     pub news: Batch,
 }
 
+/// Number of tiers.
+pub(super) const TIERS: usize = 4;
+
 /// How far a data centre is; the farther, the less often it is told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Tier {
+    /// Of this data centre, what runs at this instance.
     DataCentre,
+    /// Of this data centre, the sum over it.
+    Here,
     Region,
     Far,
 }
@@ -122,7 +128,7 @@
 pub(super) struct Asked {
     pub tokens: u64,
     /// Tokens that were told to each tier.
-    pub told: [u64; 3],
+    pub told: [u64; TIERS],
 }
 
 /// How far this instance is behind its peers.
@@ -417,7 +423,7 @@
         }
         topology.on_list_read();
         drop(topology);
-        self.demand_told_at.set([Duration::ZERO; 3]);
+        self.demand_told_at.set([Duration::ZERO; TIERS]);
         self.to_tell.notify_one();
     }
 
@@ -494,6 +500,20 @@
         }
     }
 
+    /// Whether instances of this data centre tell hubs what runs at them, and not each other.
+    #[must_use]
+    pub fn has_hubs(&self) -> bool {
+        self.topology.borrow().has_hubs(self.clock.now())
+    }
+
+    /// Whether this instance is told what runs at all others of its data centre.
+    #[must_use]
+    pub fn hears_all(&self) -> bool {
+        let now = self.clock.now();
+        let topology = self.topology.borrow();
+        !topology.has_hubs(now) || topology.is_hub(now)
+    }
+
     /// Whether a model is being loaded somewhere.
     #[must_use]
     pub fn is_coming(&self, model: &id::Model) -> bool {
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -59,6 +59,9 @@
     /// Servers that said in an answer that they leave, while their entries don't.
     #[prost(message, repeated, tag = "20")]
     pub leaving: ::prost::alloc::vec::Vec<Start>,
+    /// Part of a sum over the receiver's data centre that the receiver itself told.
+    #[prost(message, optional, tag = "21")]
+    pub included: ::core::option::Option<Loads>,
 }
 /// One start of a server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -120,10 +123,11 @@
     #[prost(message, repeated, tag = "1")]
     pub loads: ::prost::alloc::vec::Vec<Load>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Load {
-    #[prost(string, tag = "1")]
-    pub worker: ::prost::alloc::string::String,
+    /// Hash of the server's id.
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
     #[prost(uint32, tag = "2")]
     pub requests: u32,
     /// Time that reading their prompts still takes, in microseconds.
--- a/src/world/backend.rs
+++ b/src/world/backend.rs
@@ -3,10 +3,17 @@
 use super::id;
 use super::unit::Incarnation;
 use crate::common::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// What a backend server's engine holds in memory.
 pub type Holdings = BTreeMap<id::Model, BTreeSet<id::Adapter>>;
 
+/// What a server is called in datagrams between instances.
+#[must_use]
+pub fn key(server: &id::Worker) -> u64 {
+    xxh3_64(server.as_str().as_bytes())
+}
+
 /// A backend server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Backend {
--- a/tests/gateway/balance.rs
+++ b/tests/gateway/balance.rs
@@ -154,3 +154,23 @@
     assert_eq!(place, Some(worker("a")));
     let _ = target("m1/a3");
 }
+
+/// Guards against a sum over a data centre in which an instance counts its own requests twice.
+#[test]
+fn a_peers_part_of_a_sum_can_be_taken_out() {
+    let mut balance = balance(vec![backend("a", "north-1", "m1")]);
+    let running = |requests| Running {
+        requests,
+        reading_us: u64::from(requests) * 1_000,
+        kept: u64::from(requests) * 100,
+    };
+    for (peer, requests) in [("two", 3), ("three", 4)] {
+        let loads = BTreeMap::from([(worker("a"), running(requests))]);
+        balance.on_peer(ms(0), &peer.parse().unwrap(), &loads);
+    }
+    let sum = balance.near(ms(0))[&worker("a")];
+    let part = balance.of_peer(&"two".parse().unwrap())[&worker("a")];
+    assert_eq!(sum, running(7));
+    assert_eq!(sum.minus(part), running(4));
+    assert_eq!(part.minus(sum), running(0));
+}
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -136,3 +136,48 @@
     assert!(hearing.was_silent);
     assert_eq!(topology.count(ms(3_100)), 2);
 }
+
+/// Names of peers that come before and after this instance, "one".
+fn fleet(before: u16, after: u16) -> Vec<Sender> {
+    let before = (0..before).map(|number| sender(&format!("a{number:02}"), number + 1));
+    let after = (0..after).map(|number| sender(&format!("z{number:02}"), number + 100));
+    before.chain(after).collect()
+}
+
+/// Load: a data centre of dozens of instances, of which each would tell all others ten times a second.
+#[test]
+fn instances_of_a_large_data_centre_tell_two_hubs() {
+    let topology = hearing(&fleet(20, 28));
+    assert!(topology.has_hubs(ms(0)));
+    assert!(!topology.is_hub(ms(0)));
+    assert_eq!(topology.hubs(ms(0)), [address(1), address(2)]);
+}
+
+#[rstest]
+#[case::first(0, &[100])]
+#[case::second(1, &[1])]
+fn a_hub_tells_the_other_one(#[case] before: u16, #[case] hubs: &[u16]) {
+    let topology = hearing(&fleet(before, 40));
+    let hubs: Vec<SocketAddr> = hubs.iter().copied().map(address).collect();
+    assert!(topology.is_hub(ms(0)));
+    assert_eq!(topology.hubs(ms(0)), hubs);
+}
+
+#[test]
+fn a_silent_hub_is_replaced() {
+    let mut topology = hearing(&fleet(20, 28));
+    for peer in &fleet(20, 28)[1..] {
+        let again = Sender {
+            sequence: 2,
+            ..peer.clone()
+        };
+        topology.on_heard(ms(1_000), &again);
+    }
+    assert_eq!(topology.hubs(ms(1_600)), [address(2), address(3)]);
+}
+
+#[test]
+fn a_small_data_centre_has_no_hubs() {
+    assert!(!hearing(&fleet(3, 4)).has_hubs(ms(0)));
+    assert!(hearing(&fleet(4, 4)).has_hubs(ms(0)));
+}
