Compare instances by changes of the list of servers, not by versions of the whole store

Load: hundreds of instances, each of which reads the list at its own time. The store has one counter for all tables, so every read of the list showed a later version; peers took that for changes that they missed and asked the store for them every half second until something changed. Ruled out: lost datagrams alone (one in a hundred would give some ten calls a second). An instance now tells the version of the newest change that it saw, and a batch begins at the change before it. Looked for elsewhere: configurations have versions of their own, leases those of their rows. Test: a_later_version_of_the_store_alone_leaves_nobody_behind.

--- a/src/decide/roster.rs
+++ b/src/decide/roster.rs
@@ -48,6 +48,9 @@
 pub struct Roster {
     /// Nothing up to this version is missing.
     version: u64,
+    /// Version of the newest change that was seen. The versions of the store's other tables lie between
+    /// this and the one before.
+    changed: u64,
     entries: BTreeMap<id::Worker, Known>,
     /// Entries that vanished while the store was disturbed, and when they count as gone.
     doubtful: BTreeMap<id::Worker, Duration>,
@@ -60,6 +63,12 @@
         self.version
     }
 
+    /// Version of the newest change that was seen: who knows less is behind.
+    #[must_use]
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
     /// Whether an entry says more than is known here, what its server holds left out.
     #[must_use]
     pub fn is_news(&self, entry: &Entry) -> bool {
@@ -78,6 +87,7 @@
             self.miss(now, &batch, &mut changes);
         }
         for entry in batch.entries {
+            self.changed = self.changed.max(entry.version);
             self.on_entry(now, entry, batch.trusted, &mut changes);
         }
         if batch.from <= self.version {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -184,7 +184,7 @@
             sequence: self.sequence.get(),
             data_centre: self.deployment.data_centre.to_string(),
             address: self.deployment.peers.to_string(),
-            servers_version: self.roster.borrow().version(),
+            servers_version: self.roster.borrow().changed(),
             configuration: self.configuration(),
             reaches_store: self.reaches_store.get() && !self.is_stopping.get(),
             ..Gossip::default()
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -105,11 +105,18 @@
         |_| true,
     );
     let mut followed = false;
+    // Version of the newest change: from there on nothing but the next batch changed.
+    let mut newest = 0;
     loop {
         let now = *interest.borrow_and_update();
         let begins = now.follow && !followed;
         followed = now.follow;
-        feed.after = if begins { 0 } else { feed.after.max(now.known) };
+        if begins {
+            feed.after = 0;
+        } else if now.known > feed.after {
+            feed.after = now.known;
+            newest = now.known;
+        }
         let is_behind = feed.after == 0 || now.heard > feed.after;
         if !now.follow && !is_behind {
             feed.channel = None;
@@ -118,10 +125,17 @@
             }
             continue;
         }
-        let from = feed.after;
         let (from, rows) = match feed.next().await {
-            Change::All(rows) => (0, rows),
-            Change::Some(rows) => (from, rows),
+            Change::All(rows) => {
+                newest = feed.after;
+                (0, rows)
+            }
+            Change::Some(rows) => {
+                let from = newest;
+                let versions = rows.iter().map(|row| row.version);
+                newest = versions.max().unwrap_or(newest);
+                (from, rows)
+            }
             Change::Nothing => continue,
         };
         let entries = rows.into_iter().map(|row| Entry {
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -29,7 +29,7 @@
     /// What the planner asks of the holder that gets this.
     #[prost(message, repeated, tag = "10")]
     pub jobs: ::prost::alloc::vec::Vec<Job>,
-    /// Version up to which the sender knows the list of servers.
+    /// Version of the newest change of the list of servers that the sender knows.
     #[prost(uint64, tag = "11")]
     pub servers_version: u64,
     /// Changes of that list, from the planner.
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -124,3 +124,23 @@
     };
     assert!(!roster.is_news(&unknown));
 }
+
+/// Guards against a storm of calls to the store: an instance that read the list at a later version of
+/// the whole store, with no change of the list since, made all others read it too.
+#[test]
+fn a_later_version_of_the_store_alone_leaves_nobody_behind() {
+    let mut roster = known();
+    assert_eq!(roster.version(), 10);
+    assert_eq!(roster.changed(), 5);
+    roster.on_batch(ms(0), batch(10, 40, &[]));
+    assert_eq!(roster.version(), 40);
+    assert_eq!(roster.changed(), 5);
+    roster.on_batch(ms(0), batch(0, 50, &[("a", 3, true)]));
+    assert_eq!(
+        roster.changed(),
+        5,
+        "an entry that is missing tells no version"
+    );
+    roster.on_batch(ms(0), batch(50, 60, &[("c", 55, true)]));
+    assert_eq!(roster.changed(), 55);
+}
--- a/tests/matrix/main.rs
+++ b/tests/matrix/main.rs
@@ -6,6 +6,7 @@
 mod claim;
 mod lease;
 mod ledger;
+mod notice;
 mod retry;
 mod rollout;
 mod schedule;
