Draw workers by the level to which arrivals fill them, and tell no whole list in part

Load: hundreds of instances choose by news 100 to 400 ms old, and all choose the worker that was least busy. Whole lists are not told now, and who counts as holder follows from leases that are heard. Test: servers_stay_known_when_another_instance_follows_the_list, failing with the condition taken out.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -3,6 +3,7 @@
 //! What runs where is known exactly for requests of this instance, and as last told for those of
 //! its peers. How fast a server works is learned from the answers it gives.
 
+use super::level;
 use super::notice::Notices;
 use super::retry::backoff;
 use super::speed::Speeds;
@@ -31,6 +32,10 @@
 const FASTEST: f64 = 0.5;
 /// What a peer told of its requests counts for this long.
 const PEER_MEMORY: Duration = Duration::from_secs(2);
+/// How old the word of a peer is when it comes, and that of a sum: half of the time between datagrams at
+/// each step, and their way.
+const PEER_AGE: Duration = Duration::from_millis(100);
+const SUM_AGE: Duration = Duration::from_millis(300);
 /// A server that could not be reached rests this long; twice as long each further time.
 const REST: Duration = Duration::from_millis(400);
 const LONGEST_REST: Duration = Duration::from_secs(4);
@@ -175,7 +180,7 @@
     speeds: Speeds,
     notices: Notices,
     /// Servers at which each peer last told that it has anything running.
-    busy: Map<id::Instance, Vec<id::Worker>>,
+    busy: Map<id::Instance, (Duration, Vec<id::Worker>)>,
     /// Servers by what they are called in datagrams.
     keys: Map<u64, id::Worker>,
 }
@@ -280,7 +285,8 @@
         loads: &BTreeMap<id::Worker, Running>,
     ) {
         let busy = loads.keys().cloned().collect();
-        for worker in self.busy.insert(peer.clone(), busy).unwrap_or_default() {
+        let before = self.busy.insert(peer.clone(), (now, busy));
+        for worker in before.unwrap_or_default().1 {
             if let Some(view) = self.views.get_mut(&worker) {
                 view.peers.remove(peer);
             }
@@ -304,7 +310,7 @@
     /// What one peer told that it has running, at all servers.
     #[must_use]
     pub fn of_peer(&self, peer: &id::Instance) -> BTreeMap<id::Worker, Running> {
-        let servers = self.busy.get(peer).into_iter().flatten();
+        let servers = self.busy.get(peer).into_iter().flat_map(|(_, busy)| busy);
         let told = servers.filter_map(|server| {
             let (_, running) = self.views.get(server)?.peers.get(peer)?;
             Some((server.clone(), *running))
@@ -550,14 +556,36 @@
         };
         let costs = candidates.into_iter().map(|view| {
             let expected = self.expected(now, need, view);
-            (expected + self.surcharge(need, view), expected, view)
+            (expected + self.surcharge(need, view), expected, *view)
         });
-        let best = costs.min_by(|(a, ..), (b, ..)| a.total_cmp(b));
-        best.map_or(Choice::Nobody, |(_, expected, view)| {
+        let costs: Vec<(f64, f64, &View)> = costs.collect();
+        let totals: Vec<f64> = costs.iter().map(|(cost, ..)| *cost).collect();
+        let busy = costs.iter().map(|(.., view)| busy(now, need, view));
+        let arriving = busy.sum::<f64>() * self.news_age(now).as_secs_f64();
+        let draw = float(need.draw >> 11) / float(1 << 53);
+        let drawn = level::draw(&totals, arriving, draw);
+        drawn.map_or(Choice::Nobody, |index| {
+            let (_, expected, view) = costs[index];
             Choice::Send(view.backend.id.clone(), expected)
         })
     }
 
+    /// How old the news of other instances is, as requests are sent: on average over those that tell.
+    fn news_age(&self, now: Duration) -> Duration {
+        let told = self
+            .busy
+            .iter()
+            .filter(|(_, (at, _))| now < *at + PEER_MEMORY);
+        let ages = told.map(|(peer, (at, _))| {
+            let is_sum = peer.as_str().starts_with(SUM);
+            now.saturating_sub(*at) + if is_sum { SUM_AGE } else { PEER_AGE }
+        });
+        let (sum, count) = ages.fold((Duration::ZERO, 0), |(sum, count), age| {
+            (sum + age, count + 1)
+        });
+        sum.checked_div(count).unwrap_or_default()
+    }
+
     /// Expected seconds to the first byte.
     fn expected(&self, now: Duration, need: &Need, view: &View) -> f64 {
         let running = view.running(now);
@@ -616,6 +644,17 @@
     }
 }
 
+/// Part of its time that a server is kept busy, as far as one look at it tells: whether its engine reads,
+/// or the part of its places that is taken.
+fn busy(now: Duration, need: &Need, view: &View) -> f64 {
+    let running = view.running(now);
+    if need.generation.is_some() {
+        return f64::from(u8::from(running.reading_us > 0));
+    }
+    let places = f64::from(view.backend.places.max(1));
+    (f64::from(running.requests) / places).min(1.0)
+}
+
 /// Prompt tokens that a server has to read: those after the parts it is expected to keep.
 fn unread(view: &View, generation: &Generation) -> u64 {
     let keys = part_keys(generation);
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -77,6 +77,7 @@
         "instance": traffic.deployment.instance,
         "at_ms": traffic.clock.now().as_millis(),
         "version": site.as_ref().map(|site| site.version),
+        "plans": traffic.is_planner(),
         "open": traffic.open.get(),
         "stopping": traffic.is_stopping.get(),
         "instances": traffic.instances(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -66,7 +66,7 @@
         self.on_crashes(now, &gossip.crashes);
         self.on_told_leaving(&gossip.leaving);
         let batch = gossip.batch.as_ref();
-        if let Some(batch) = batch.filter(|batch| !(batch.partial && self.is_holder.get())) {
+        if let Some(batch) = batch.filter(|batch| !(batch.partial && self.is_holder())) {
             self.on_batch(batch);
         }
         if concerns_placer(&gossip) {
@@ -144,7 +144,6 @@
     /// Takes the word of this instance's own placer.
     pub fn on_word(&self, word: &Word) {
         let now = self.clock.now();
-        self.is_holder.set(!word.leads.is_empty());
         self.set_interest(now);
         self.on_leads(now, &word.leads, None);
         self.on_holdings(&word.holdings);
@@ -249,6 +248,15 @@
         }
     }
 
+    /// Whether this instance holds a shard.
+    #[must_use]
+    pub fn is_holder(&self) -> bool {
+        let now = self.clock.now();
+        let holders = self.holders.borrow();
+        let mut heard = holders.values().filter(|holder| holder.is_heard(now));
+        heard.any(|holder| holder.address.is_none())
+    }
+
     /// Addresses of the other instances that hold shards.
     #[must_use]
     pub fn other_holders(&self) -> Vec<SocketAddr> {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -82,7 +82,6 @@
     pub(super) is_site_news: Cell<bool>,
     /// Whether peers are to hear at once that a server leaves.
     pub(super) is_leaving_news: Cell<bool>,
-    pub(super) is_holder: Cell<bool>,
     pub(super) interest: watch::Sender<Interest>,
     /// Tokens that this instance's callers asked for.
     pub(super) demands: RefCell<BTreeMap<Target, Asked>>,
@@ -192,7 +191,6 @@
             heard_version: Cell::default(),
             heard_configuration: Cell::new(0),
             lags: RefCell::default(),
-            is_holder: Cell::new(false),
             interest,
             demands: RefCell::default(),
             sums: RefCell::default(),
@@ -253,7 +251,8 @@
             News::Site(site, written) => self.on_site(site, written),
             News::Servers(batch) => {
                 let news = self.on_batch(&batch);
-                if self.follows_servers(self.clock.now()) {
+                let is_whole_list = batch.from == 0;
+                if !is_whole_list && self.follows_servers(self.clock.now()) {
                     let told = ListNews { whole: batch, news };
                     self.batches.borrow_mut().push(told);
                     self.to_tell.notify_one();
@@ -379,6 +378,10 @@
         let (heard, heard_at) = self.heard_version.get();
         let mut lags = self.lags.borrow_mut();
         let misses_servers = lags.servers.is_late(now, known, heard, CATCH_UP);
+        if misses_servers {
+            let values = json!({"list": "servers", "known": known, "heard": heard});
+            self.journal.note("behind", &values);
+        }
         let (in_force, newest) = (self.configuration(), self.heard_configuration.get());
         let misses_site = lags.site.is_late(now, in_force, newest, CATCH_UP);
         drop(lags);
@@ -451,7 +454,7 @@
         }
         self.set_interest(now);
         self.pool.tick(now);
-        if self.is_holder.get() {
+        if self.is_holder() {
             let speeds = self.balance.borrow().speeds().clone();
             self.hand(Heard::Speeds(speeds));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
     pub mod lag;
     pub mod lease;
     pub mod ledger;
+    pub mod level;
     pub mod member;
     pub mod notice;
     pub mod orders;
--- /dev/null
+++ b/tests/gateway/herd.rs
@@ -0,0 +1,158 @@
+//! Many instances that choose by old news: how evenly the requests for one model arrive.
+//!
+//! Each data centre has one view of the workers, as all its instances are told; their own requests are
+//! too few to tell them more. Workers read prompts one after the other.
+
+use super::build::{SERVICE, backend, deployment, generation, ms, site, worker};
+use poplarseam::decide::balance::{Balance, Choice, Need, Running};
+use poplarseam::world::id;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+
+const CENTRES: usize = 6;
+const WORKERS: usize = 36;
+/// Time to read one prompt, and requests a second for which workers read 60% of their time.
+const READING_MS: f64 = 70.0;
+const RATE: f64 = 0.6 * 36.0 / 0.07;
+/// How old the word of the own data centre is, and that of others.
+const NEAR_MS: usize = 150;
+const FAR_MS: usize = 400;
+const LASTS_MS: usize = 20_000;
+/// Beyond this backlog, streams that run at a worker are late.
+const PAUSE_MS: f64 = 400.0;
+/// Share of requests that may find such a backlog at workers that are busy for 60% of their time.
+const MOST_LATE: f64 = 0.02;
+
+/// Requests that each data centre has waiting at each worker.
+type Waiting = Vec<Vec<u32>>;
+
+struct Play {
+    draw: SmallRng,
+    views: Vec<Balance>,
+    /// Data centres of the requests that wait at each worker, and what is left of the first.
+    queues: Vec<(Vec<usize>, f64)>,
+    history: Vec<Waiting>,
+}
+
+impl Play {
+    fn new(seed: u64) -> Self {
+        let view = |_| {
+            let mut balance = Balance::new(&deployment("north-1"));
+            balance.on_site(&site());
+            for number in 0..WORKERS {
+                balance.on_listed(backend(&format!("w{number:02}"), "north-1", "m1"));
+            }
+            balance
+        };
+        Self {
+            draw: SmallRng::seed_from_u64(seed),
+            views: (0..CENTRES).map(view).collect(),
+            queues: vec![(Vec::new(), 0.0); WORKERS],
+            history: Vec::new(),
+        }
+    }
+
+    /// Share of the arrivals that found so long a backlog that streams there are late.
+    fn late(mut self) -> f64 {
+        let (mut arrivals, mut late) = (0.0, 0.0);
+        for at in 0..LASTS_MS {
+            self.read();
+            self.note();
+            if at % 100 == 0 {
+                self.tell(at);
+            }
+            if self.draw.random_bool(RATE / 1e3) {
+                let chosen = self.send(at);
+                arrivals += 1.0;
+                late += f64::from(u8::from(self.backlog(chosen) > PAUSE_MS));
+            }
+        }
+        late / arrivals
+    }
+
+    fn backlog(&self, worker: usize) -> f64 {
+        let (queue, left) = &self.queues[worker];
+        let behind = queue.len().saturating_sub(1);
+        left + READING_MS * f64::from(u32::try_from(behind).unwrap())
+    }
+
+    /// One millisecond of all workers.
+    fn read(&mut self) {
+        for (queue, left) in &mut self.queues {
+            if queue.is_empty() {
+                continue;
+            }
+            *left -= 1.0;
+            if *left <= 0.0 {
+                queue.remove(0);
+                *left = if queue.is_empty() { 0.0 } else { READING_MS };
+            }
+        }
+    }
+
+    fn note(&mut self) {
+        let of = |centre: usize| {
+            let waiting = self.queues.iter().map(|(queue, _)| {
+                let here = queue.iter().filter(|from| **from == centre);
+                u32::try_from(here.count()).unwrap()
+            });
+            waiting.collect()
+        };
+        self.history.push((0..CENTRES).map(of).collect());
+    }
+
+    fn tell(&mut self, at: usize) {
+        for (here, view) in self.views.iter_mut().enumerate() {
+            for there in 0..CENTRES {
+                let age = if here == there { NEAR_MS } else { FAR_MS };
+                let waiting = &self.history[at.saturating_sub(age)][there];
+                let peer: id::Instance = format!("sum.{there}").parse().unwrap();
+                let now = ms(at as u64);
+                view.on_peer(now, &peer, &loads(waiting));
+            }
+        }
+    }
+
+    fn send(&mut self, at: usize) -> usize {
+        let centre = self.draw.random_range(0..CENTRES);
+        let need = Need {
+            service: SERVICE.parse().unwrap(),
+            generation: Some(generation("m1", 1_400)),
+            draw: self.draw.random(),
+        };
+        let choice = self.views[centre].choose(ms(at as u64), &need, |_| true);
+        let Choice::Send(chosen, _) = choice else {
+            panic!("{choice:?}");
+        };
+        let chosen: usize = chosen.as_str()[1..].parse().unwrap();
+        let (queue, left) = &mut self.queues[chosen];
+        if queue.is_empty() {
+            *left = READING_MS;
+        }
+        queue.push(centre);
+        chosen
+    }
+}
+
+fn loads(waiting: &[u32]) -> BTreeMap<id::Worker, Running> {
+    let busy = waiting.iter().enumerate().filter(|(_, count)| **count > 0);
+    let loads = busy.map(|(number, count)| {
+        let running = Running {
+            requests: *count,
+            reading_us: u64::from(*count) * 70_000,
+            kept: 0,
+        };
+        (worker(&format!("w{number:02}")), running)
+    });
+    loads.collect()
+}
+
+/// Load: hundreds of instances, all of which know the same least busy worker.
+#[test]
+fn requests_of_many_instances_do_not_all_go_to_the_same_worker() {
+    for seed in 0..3 {
+        let late = Play::new(seed).late();
+        assert!(late < MOST_LATE, "seed {seed}: {late}");
+    }
+}
--- a/tests/gateway_processes/operators.rs
+++ b/tests/gateway_processes/operators.rs
@@ -14,6 +14,8 @@
 const CALLERS: usize = 8;
 /// Promise of the stand-in's settings: orders of two holders lie this far apart.
 const LEASE: Duration = Duration::from_secs(3);
+/// Looks at the list of servers after a hand-over, with a pause before each.
+const ASKED_AFTER: usize = 40;
 /// What a holder sends right after it was thawed is forgiven.
 const THAW: Duration = Duration::from_millis(300);
 
@@ -265,3 +267,30 @@
     orders.sort();
     orders
 }
+
+/// Guards against a hand-over of the list of servers after which peers take its news for the whole list.
+#[test]
+fn servers_stay_known_when_another_instance_follows_the_list() {
+    let mut site = Site::start(3);
+    site.wait_until_ready();
+    let planner = || (0..3).find(|instance| site.state(*instance)["plans"] == true);
+    wait_for("a planner", || planner().is_some());
+    let planner = planner().unwrap();
+    site.instances[planner].1.kill();
+    let others: Vec<usize> = (0..3).filter(|instance| *instance != planner).collect();
+    wait_for("another planner", || {
+        for instance in &others {
+            let servers = site.state(*instance)["servers"].clone();
+            assert_eq!(servers.as_array().map_or(0, Vec::len), 4, "{servers}");
+        }
+        let mut states = others.iter().map(|instance| site.state(*instance));
+        states.any(|state| state["plans"] == true)
+    });
+    for _ in 0..ASKED_AFTER {
+        std::thread::sleep(PAUSE);
+        for instance in &others {
+            let servers = site.state(*instance)["servers"].clone();
+            assert_eq!(servers.as_array().map_or(0, Vec::len), 4, "{servers}");
+        }
+    }
+}
