Count the time until a copy serves in what it gains

Load: demand moves to a model while memory is full. Change: a gain counts for the part of 20 s in which the copy serves; unloads of models in use cost 3 s of them. The plain reckoning of the tests changes alike. Test: a_rising_model_takes_the_place_of_one_that_is_ not_in_use.

--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -8,9 +8,14 @@
 use crate::world::id;
 use crate::world::unit::{Bytes, float};
 
-/// Part of its gain that a load from a worker's own copies has over one from the weight store,
-/// which takes several times as long.
-const NEAR: f64 = 0.1;
+/// Part of a load's time that one from a worker's own copies takes; the users' sheets.
+const OWN_COPY: f64 = 0.2;
+/// Seconds that an unload waits for requests that run, where a model is in use: as long as streams last.
+const DRAIN: f64 = 3.0;
+/// Work of one copy below which a model is not in use at a worker, in workers.
+const IDLE: f64 = 0.01;
+/// Seconds over which demand lasts: a copy gains the less of them, the later it serves.
+const LASTS: f64 = 20.0;
 
 /// A worker that may hold models.
 #[derive(Debug, Clone)]
@@ -33,6 +38,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Wanted {
     pub size: Bytes,
+    /// Time that a load from the weight store takes.
+    pub load: Duration,
     /// Work asked for, in workers that would be busy all the time.
     pub work: f64,
     /// Whether anybody asked for it lately.
@@ -95,6 +102,13 @@
         self.work() / float(copies as u64)
     }
 
+    /// Seconds until a copy serves that is decided on now.
+    fn delay(&self, has_copy: bool, drains: bool) -> f64 {
+        let load = self.wanted.as_ref().map_or(0.0, |it| it.load.as_secs_f64());
+        let load = if has_copy { load * OWN_COPY } else { load };
+        load + if drains { DRAIN } else { 0.0 }
+    }
+
     /// Whether anything is gained by a first copy.
     fn is_missed(&self) -> bool {
         let wanted = self.wanted.as_ref();
@@ -124,6 +138,8 @@
     /// Work that goes with them, and what their loss costs.
     work: f64,
     loss: f64,
+    /// Whether one of them is in use.
+    drains: bool,
 }
 
 /// A worker that may get a job: its models in the order in which they would go.
@@ -264,9 +280,11 @@
         order.sort_by(|a, b| losses[*a].total_cmp(&losses[*b]).then(a.cmp(b)));
         let rooms = order.iter().scan(Room::default(), |room, model| {
             let held = &self.models[*model];
+            let share = held.share(held.holders.len());
             room.evicted += 1;
             room.freed += held.size();
-            room.work += held.share(held.holders.len());
+            room.work += share;
+            room.drains |= share > IDLE;
             room.loss += losses[*model];
             Some(*room)
         });
@@ -283,8 +301,7 @@
         let reliefs = candidates.iter().flat_map(|candidate| {
             let work = self.places[candidate.place].work;
             let rooms = candidate.rooms.iter();
-            let near = 1.0 + NEAR;
-            rooms.map(move |room| near * (work.powi(2) - (work - room.work).powi(2)) - room.loss)
+            rooms.map(move |room| work.powi(2) - (work - room.work).powi(2) - room.loss)
         });
         reliefs.fold(0.0, f64::max)
     }
@@ -292,10 +309,9 @@
     /// More than a copy of a model can gain at any worker.
     fn bound(&self, model: usize, relief: f64) -> f64 {
         let model = &self.models[model];
-        let near = 1.0 + NEAR;
         match model.wanted {
-            Some(_) if !model.holders.is_empty() => near * self.relieved(model) + relief,
-            Some(_) if model.is_missed() => near * (self.policy.missing + model.work()),
+            Some(_) if !model.holders.is_empty() => self.relieved(model) + relief,
+            Some(_) if model.is_missed() => self.policy.missing + model.work(),
             _ => f64::NEG_INFINITY,
         }
     }
@@ -323,8 +339,8 @@
             let own = place.work.powi(2) - (place.work - room.work + taken).powi(2);
             self.relieved(model) + own
         };
-        let near = if has_copy { gain.max(0.0) * NEAR } else { 0.0 };
-        Some(gain - room.loss + near)
+        let lasts = 1.0 - model.delay(has_copy, room.drains) / LASTS;
+        Some(gain.max(0.0) * lasts.max(0.0) - room.loss)
     }
 
     /// The least to unload so that `size` fits.
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -340,6 +340,7 @@
         let wanted = models.map(|(id, model)| {
             let wanted = Wanted {
                 size: model.size,
+                load: model.load,
                 work: self.work(id, model.load),
                 asked: self.appetite.is_asked(now, id),
             };
--- a/tests/gateway/arrange.rs
+++ b/tests/gateway/arrange.rs
@@ -8,6 +8,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 fn models(text: &str) -> BTreeSet<id::Model> {
     text.split_whitespace().map(model).collect()
@@ -27,11 +28,15 @@
     workers.collect()
 }
 
+/// Time that a load takes from the weight store.
+const LOAD: Duration = Duration::from_secs(4);
+
 /// Models of 40 bytes with their work; those with work were asked for.
 fn wanted(work: &[(&str, f64)]) -> BTreeMap<id::Model, Wanted> {
     let wanted = work.iter().map(|(name, work)| {
         let wanted = Wanted {
             size: Bytes(40),
+            load: LOAD,
             work: *work,
             asked: *work > 0.0,
         };
@@ -103,6 +108,16 @@
     assert_eq!(next(&work, &workers), None);
 }
 
+/// Load: demand moves to a model while all memory is in use. An unload of a model that serves waits for
+/// its streams, so one that nobody asks for goes first.
+#[test]
+fn a_rising_model_takes_the_place_of_one_that_is_not_in_use() {
+    let work = [("m1", 6.0), ("m2", 0.5), ("m3", 0.0), ("m4", 0.0)];
+    let job = next(&work, &workers(&["m1 m2", "m2 m2", "m2 m3", "m3 m4"])).unwrap();
+    assert_eq!(job.load, model("m1"));
+    assert_eq!(job.evict, [model("m3")]);
+}
+
 /// Gains that differ by less are the same but for rounding.
 const ROUNDING: f64 = 1e-9;
 
@@ -118,11 +133,13 @@
         };
         let asked = draw.random_bool(0.7);
         let work = if asked { work } else { 0.0 };
-        let size = Bytes(draw.random_range(30..80));
-        (
-            model(&format!("m{number:02}")),
-            Wanted { size, work, asked },
-        )
+        let wanted = Wanted {
+            size: Bytes(draw.random_range(30..80)),
+            load: LOAD.mul_f64(draw.random_range(0.2..2.0)),
+            work,
+            asked,
+        };
+        (model(&format!("m{number:02}")), wanted)
     });
     let wanted: BTreeMap<id::Model, Wanted> = wanted.collect();
     let names: Vec<&id::Model> = wanted.keys().collect();
--- a/tests/gateway/reference.rs
+++ b/tests/gateway/reference.rs
@@ -5,8 +5,12 @@
 use poplarseam::world::unit::Bytes;
 use std::collections::BTreeMap;
 
-/// Part of its gain that a load from a worker's own copies has on top.
-const NEAR: f64 = 0.1;
+/// Seconds: an unload of a model in use, and the time over which demand lasts.
+const DRAIN: f64 = 3.0;
+const LASTS: f64 = 20.0;
+/// Part of a load's time that one from own copies takes, and work below which a model is not in use.
+const OWN_COPY: f64 = 0.2;
+const IDLE: f64 = 0.01;
 
 /// Weighs every model at every worker, with all sums made anew for each pair.
 pub struct Reference<'a> {
@@ -90,14 +94,23 @@
         } else {
             self.relief(index, model, wanted.work, copies, freed)
         };
-        let near = if has_copy { gain.max(0.0) * NEAR } else { 0.0 };
+        let mut in_use = evict
+            .iter()
+            .filter_map(|model| Some(self.wanted.get(model)?.work / self.copies[model]));
+        let drain = if in_use.any(|share| share > IDLE) {
+            DRAIN
+        } else {
+            0.0
+        };
+        let load = wanted.load.as_secs_f64() * if has_copy { OWN_COPY } else { 1.0 };
+        let lasts = (1.0 - (load + drain) / LASTS).max(0.0);
         let job = Job {
             worker: worker.id.clone(),
             load: model.clone(),
             evict,
             from_store: !has_copy,
         };
-        Some((gain - loss + near, job))
+        Some((gain.max(0.0) * lasts - loss, job))
     }
 
     /// Fall of the sum of squares when a worker takes a share of a model.
