--- a/src/decide/speed.rs
+++ b/src/decide/speed.rs
@@ -16,7 +16,7 @@
 const FASTEST: f64 = 200_000.0;
 /// Bounds of how far one answer counts as off.
 const LEAST_RATIO: f64 = 0.2;
-const MOST_RATIO: f64 = 1.5;
+const MOST_RATIO: f64 = 5.0;
 
 /// Tokens a second that engines read, for each model.
 #[derive(Debug, Clone, Default, Serialize)]
