Draw by level only where more than the request itself arrives before the next news

Cause: in the time between two news less than one other request comes to a model's workers there; nobody follows anybody. Change: the work of one request is taken off what arrives. The herd of 295 instances stays broken up (tests/gateway/herd).

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -562,6 +562,7 @@
         let totals: Vec<f64> = costs.iter().map(|(cost, ..)| *cost).collect();
         let busy = costs.iter().map(|(.., view)| busy(now, need, view));
         let arriving = busy.sum::<f64>() * self.news_age(now).as_secs_f64();
+        let arriving = (arriving - self.own_work(need, &costs)).max(0.0);
         let draw = float(need.draw >> 11) / float(1 << 53);
         let drawn = level::draw(&totals, arriving, draw);
         drawn.map_or(Choice::Nobody, |index| {
@@ -570,6 +571,19 @@
         })
     }
 
+    /// Work of the request itself, in seconds. Where no more than that arrives before the next news, hardly
+    /// another request comes in between, and the least busy server is right.
+    fn own_work(&self, need: &Need, costs: &[(f64, f64, &View)]) -> f64 {
+        if let Some(generation) = &need.generation {
+            let reading = self
+                .speeds
+                .reading(&generation.target.model, generation.prompt);
+            return reading.as_secs_f64();
+        }
+        let times = costs.iter().map(|(.., view)| view.service_time);
+        times.sum::<f64>() / float(costs.len().max(1) as u64)
+    }
+
     /// How old the news of other instances is, as requests are sent: on average over those that tell.
     fn news_age(&self, now: Duration) -> Duration {
         let told = self
