Log and count the rate limits that servers name, and show them in the state

The incident's hypotheses (header not read; kept to by each instance alone; passed by some kinds of sending) can't be told apart by the logs: nothing said that a limit was named. Now: the header is read (lowest of several, a value that is no rate is counted and not taken), a limit line for each change of belief, a counter, limits in /state. Requests still go where they went: no decision uses the limit yet. The stand-in worker can name one.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -4,6 +4,7 @@
 //! its peers. How fast a server works is learned from the answers it gives.
 
 use super::level;
+use super::limit::Limits;
 use super::notice::Notices;
 use super::retry::backoff;
 use super::speed::Speeds;
@@ -13,7 +14,7 @@
 use crate::world::id;
 use crate::world::message::{Generation, Load, Target};
 use crate::world::site::{Service, Site};
-use crate::world::unit::{Incarnation, Tokens, float};
+use crate::world::unit::{Incarnation, Rate, Tokens, float};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time to a server and back, within a region and to another one; both sites' sheets.
@@ -179,6 +180,7 @@
     services: BTreeMap<id::Service, Service>,
     speeds: Speeds,
     notices: Notices,
+    limits: Limits,
     /// Servers at which each peer last told that it has anything running.
     busy: Map<id::Instance, (Duration, Vec<id::Worker>)>,
     /// Servers by what they are called in datagrams.
@@ -246,6 +248,23 @@
         self.notices.on_rest(now, worker, boot, asked)
     }
 
+    /// Notes the limit that an answer of a server named, or that it named none; whether that is news.
+    pub fn on_limit(
+        &mut self,
+        now: Duration,
+        worker: &id::Worker,
+        boot: Incarnation,
+        rate: Option<Rate>,
+    ) -> bool {
+        self.limits.on_said(now, worker, boot, rate)
+    }
+
+    /// Limits that servers named in their answers.
+    #[must_use]
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     /// What servers said of themselves in their answers.
     #[must_use]
     pub fn notices(&self) -> &Notices {
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -84,6 +84,7 @@
         "sharers": traffic.sharers(),
         "budgets": &*traffic.budgets.borrow(),
         "convicted": traffic.crashes.borrow().convicted(traffic.clock.now()).collect::<Vec<_>>(),
+        "limits": balance.limits().named().collect::<BTreeMap<_, _>>(),
         "servers": balance.views().collect::<Vec<_>>(),
     })
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -184,6 +184,13 @@
         if answer.outcome != Outcome::Foreign {
             traffic.on_notice(&worker, ticket.boot, answer.notice);
         }
+        let has_run = matches!(
+            answer.outcome,
+            Outcome::Success | Outcome::Rejected | Outcome::Failed
+        );
+        if has_run && answer.notice.limit.is_none() && !answer.notice.is_limit_unclear {
+            traffic.on_limit(&worker, ticket.boot, None);
+        }
         match answer.outcome {
             Outcome::Full => {
                 traffic.balance.borrow_mut().on_unreachable(now, &worker);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -18,6 +18,7 @@
     first_sends: Family<Labels, Counter>,
     repeats: Family<Labels, Counter>,
     rests: Family<Labels, Counter>,
+    limits: Family<Labels, Counter>,
     pub first_byte: Histogram,
     pub connections: Counter,
 }
@@ -30,6 +31,7 @@
         let first_sends = Family::<Labels, Counter>::default();
         let repeats = Family::<Labels, Counter>::default();
         let rests = Family::<Labels, Counter>::default();
+        let limits = Family::<Labels, Counter>::default();
         let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 14));
         let connections = Counter::default();
         registry.register(
@@ -57,6 +59,11 @@
             "Rests that servers asked for, by whether they were taken",
             rests.clone(),
         );
+        registry.register(
+            "limits",
+            "Changes of the rate limits that servers name, by kind",
+            limits.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time to the first byte",
@@ -74,6 +81,7 @@
             first_sends,
             repeats,
             rests,
+            limits,
             first_byte,
             connections,
         }
@@ -112,6 +120,12 @@
         self.rests.get_or_create(&labels).inc();
     }
 
+    /// Counts a change of the limit that a server names.
+    pub fn on_limit(&self, outcome: &'static str) {
+        let labels = vec![("outcome", outcome.into())];
+        self.limits.get_or_create(&labels).inc();
+    }
+
     /// Everything, as text.
     #[must_use]
     pub fn text(&self) -> String {
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -7,7 +7,7 @@
 use crate::wire::generated_gossip::Start;
 use crate::world::id;
 use crate::world::message::Notice;
-use crate::world::unit::Incarnation;
+use crate::world::unit::{Incarnation, Rate};
 
 impl Traffic {
     /// Takes what an answer said about the server that gave it.
@@ -25,11 +25,30 @@
             self.journal.note("rest", &values);
             self.hand(Heard::Rest(worker.clone(), boot, until));
         }
-        if notice.is_unclear {
+        if notice.is_rest_unclear {
             self.metrics.on_rest("unclear");
             let values = json!({"server": worker, "error": "its Retry-After is no time"});
             self.journal.note("bad_rest", &values);
         }
+        if notice.limit.is_some() {
+            self.on_limit(worker, boot, notice.limit);
+        }
+        if notice.is_limit_unclear {
+            self.metrics.on_limit("unclear");
+            let values = json!({"server": worker, "error": "its limit is no rate"});
+            self.journal.note("bad_limit", &values);
+        }
+    }
+
+    /// Takes the limit that an answer to a request named, or that it named none.
+    pub(super) fn on_limit(&self, worker: &id::Worker, boot: Incarnation, rate: Option<Rate>) {
+        let now = self.clock.now();
+        if self.balance.borrow_mut().on_limit(now, worker, boot, rate) {
+            let outcome = if rate.is_some() { "named" } else { "lifted" };
+            self.metrics.on_limit(outcome);
+            let values = json!({"server": worker, "boot": boot, "rate": rate});
+            self.journal.note("limit", &values);
+        }
     }
 
     /// Takes what peers heard from servers that leave.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
     pub mod lease;
     pub mod ledger;
     pub mod level;
+    pub mod limit;
     pub mod member;
     pub mod notice;
     pub mod orders;
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -3,7 +3,7 @@
 use crate::common::*;
 use crate::world::id;
 use crate::world::message::{Answer, Generation, Load, Notice, Outcome, Part, Request};
-use crate::world::unit::Tokens;
+use crate::world::unit::{Rate, Tokens};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{StatusCode, request, response};
 
@@ -21,6 +21,8 @@
 const LAST_EVENT: &str = "last-event-id";
 const LEAVING: &str = "server-leaving";
 const RETRY_AFTER: &str = "retry-after";
+/// Requests a second that a server takes from all instances together.
+const LIMIT: &str = "server-limit";
 
 /// Headers that are the system's to set: a caller's own are dropped.
 const SYSTEM: [&str; 9] = [
@@ -172,19 +174,29 @@
 }
 
 /// Reads what any answer of a backend server says about that server. Of several rests the longest
-/// counts.
+/// counts, of several limits the lowest.
 #[must_use]
 pub fn decode_notice(status: StatusCode, headers: &HeaderMap) -> Notice {
     let is_full = status == StatusCode::SERVICE_UNAVAILABLE;
     let asked = headers.get_all(RETRY_AFTER).iter().filter(|_| is_full);
     let rests: Vec<Option<Duration>> = asked.map(seconds).collect();
+    let limits: Vec<Option<Rate>> = headers.get_all(LIMIT).iter().map(rate).collect();
+    let named = limits.iter().flatten().copied();
     Notice {
         leaves: text(headers, LEAVING).is_some_and(|value| value.trim() == "1"),
         rest: rests.iter().flatten().max().copied(),
-        is_unclear: rests.contains(&None),
+        is_rest_unclear: rests.contains(&None),
+        limit: named.reduce(|a, b| if b < a { b } else { a }),
+        is_limit_unclear: limits.contains(&None),
     }
 }
 
+/// Requests a second; none where they are negative or no number.
+fn rate(value: &HeaderValue) -> Option<Rate> {
+    let rate: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    (rate.is_finite() && rate >= 0.0).then_some(Rate(rate))
+}
+
 /// Seconds, fractions too; none where they are negative or no number.
 fn seconds(value: &HeaderValue) -> Option<Duration> {
     let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
--- a/src/world/message.rs
+++ b/src/world/message.rs
@@ -1,7 +1,7 @@
 //! Requests and answers, as much of them as decisions need.
 
 use super::id;
-use super::unit::Tokens;
+use super::unit::{Rate, Tokens};
 use crate::common::*;
 
 /// A model, or an adapter on top of it.
@@ -67,7 +67,7 @@
 }
 
 /// What the head of a backend server's answer says about the request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Answer {
     pub outcome: Outcome,
     pub load: Option<Load>,
@@ -81,14 +81,18 @@
 }
 
 /// What an answer's head says about the server itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize)]
 pub struct Notice {
     /// Whether the server is about to end.
     pub leaves: bool,
     /// How long it wants no requests.
     pub rest: Option<Duration>,
     /// Whether it says something about a rest that can't be read.
-    pub is_unclear: bool,
+    pub is_rest_unclear: bool,
+    /// Requests that it takes from all instances together.
+    pub limit: Option<Rate>,
+    /// Whether it says something about a limit that can't be read.
+    pub is_limit_unclear: bool,
 }
 
 /// Kind of an answer's head.
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -135,6 +135,12 @@
         self.state().says = vec![("server-leaving".into(), "1".into())];
     }
 
+    /// Names this limit in all answers from now on, or none.
+    pub fn limit(&self, rate: Option<&str>) {
+        let says = rate.map(|rate| ("server-limit".into(), rate.into()));
+        self.state().says = says.into_iter().collect();
+    }
+
     /// Turns requests away from now on, with these values of `Retry-After`.
     pub fn turn_away(&self, rests: &[&str]) {
         let mut state = self.state();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod lag;
 mod lease;
 mod level;
+mod limit;
 mod names;
 mod notice;
 mod orders;
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -7,7 +7,7 @@
 use poplarseam::world::order::{Action, Order};
 use poplarseam::world::site::Repeat;
 use poplarseam::world::table::Txn;
-use poplarseam::world::unit::{Bytes, Fence, Incarnation};
+use poplarseam::world::unit::{Bytes, Fence, Incarnation, Rate};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -252,7 +252,32 @@
     let (head, ()) = head.body(()).unwrap().into_parts();
     let notice = request::decode_notice(head.status, &head.headers);
     assert_eq!(notice.rest, rest.map(ms));
-    assert_eq!(notice.is_unclear, is_unclear);
+    assert_eq!(notice.is_rest_unclear, is_unclear);
+}
+
+#[rstest]
+#[case::decimal(&["1.9"], Some(1.9), false)]
+#[case::none_at_all(&["0"], Some(0.0), false)]
+#[case::lowest(&["3", "2.5"], Some(2.5), false)]
+#[case::negative(&["-1"], None, true)]
+#[case::text(&["few"], None, true)]
+#[case::no_number(&["NaN"], None, true)]
+#[case::endless(&["inf"], None, true)]
+#[case::one_is_wrong(&["x", "2"], Some(2.0), true)]
+#[case::none(&[], None, false)]
+fn servers_name_a_limit(
+    #[case] values: &[&str],
+    #[case] limit: Option<f64>,
+    #[case] is_unclear: bool,
+) {
+    let mut head = Response::builder();
+    for value in values {
+        head = head.header("server-limit", *value);
+    }
+    let (head, ()) = head.body(()).unwrap().into_parts();
+    let notice = request::decode_notice(head.status, &head.headers);
+    assert_eq!(notice.limit, limit.map(Rate));
+    assert_eq!(notice.is_limit_unclear, is_unclear);
 }
 
 #[rstest]
