--- /dev/null
+++ b/tests/gateway_processes/limits.rs
@@ -0,0 +1,111 @@
+//! Rate limits that servers name, as the servers count what comes to them.
+
+use super::site::{Site, exchange, request, status, wait_for};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// Servers count what comes to them over this span.
+const SPAN: Duration = Duration::from_secs(4);
+/// A limit is to be kept from this long after a server first named it.
+const SETTLED: Duration = Duration::from_secs(4);
+/// What may come in a span, as a multiple of the limit and on top.
+const TOLERANCE: f64 = 1.5;
+const EXTRA: f64 = 5.0;
+/// Time between requests to each instance.
+const PAUSE: Duration = Duration::from_millis(200);
+const RATE: f64 = 2.0;
+const INSTANCES: u8 = 4;
+
+/// Answers to a steady load on each instance, while `meanwhile` runs.
+fn load(site: &Site, path: &'static str, meanwhile: impl FnOnce()) -> Vec<(Duration, String)> {
+    let goes_on = Arc::new(AtomicBool::new(true));
+    let callers = (0..site.instances.len()).map(|instance| {
+        let (address, goes_on) = (site.callers(instance), Arc::clone(&goes_on));
+        std::thread::spawn(move || {
+            let mut answers = Vec::new();
+            while goes_on.load(Ordering::SeqCst) {
+                let id = format!("c{instance}-{}", answers.len());
+                let asked = Instant::now();
+                let answer = exchange(address, &request(path, &id, ""));
+                answers.push((asked.elapsed(), answer.unwrap_or_default()));
+                std::thread::sleep(PAUSE);
+            }
+            answers
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    meanwhile();
+    goes_on.store(false, Ordering::SeqCst);
+    let answers = callers.into_iter().map(|caller| caller.join().unwrap());
+    answers.flatten().collect()
+}
+
+/// Most requests that came to a server within any span that began after some time.
+fn most_in_a_span(site: &Site, worker: &str, after: Instant) -> usize {
+    let arrivals = site.platform.worker(worker).arrivals();
+    let times: Vec<Instant> = arrivals.iter().map(|(at, _)| *at).collect();
+    let starts = times.iter().filter(|at| **at >= after);
+    let counts = starts.map(|start| {
+        let within = times
+            .iter()
+            .filter(|at| *at >= start && **at < *start + SPAN);
+        within.count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+fn assert_kept(site: &Site, worker: &str, named: Instant) {
+    let most = most_in_a_span(site, worker, named + SETTLED);
+    let allowed = TOLERANCE * RATE * SPAN.as_secs_f64() + EXTRA;
+    let came = f64::from(u32::try_from(most).unwrap());
+    assert!(
+        came <= allowed,
+        "{worker}: {most} in {SPAN:?}, {allowed} allowed"
+    );
+}
+
+fn ready() -> Site {
+    let site = Site::start(INSTANCES);
+    site.wait_until_ready();
+    wait_for("all instances hear each other", || {
+        (0..site.instances.len()).all(|instance| site.state(instance)["instances"] == INSTANCES)
+    });
+    site
+}
+
+/// Guards against a server in need that gets what it always got, from all instances together.
+#[test]
+fn instances_together_keep_to_the_limit_that_a_server_names() {
+    let site = ready();
+    site.platform.worker("p").limit(Some("2.0"));
+    let named = Instant::now();
+    let answers = load(&site, "/issue/x", || std::thread::sleep(SETTLED + 2 * SPAN));
+    assert_kept(&site, "p", named);
+    for (_, answer) in answers {
+        assert_eq!(status(&answer), 200, "{answer}");
+    }
+    assert!(most_in_a_span(&site, "p", named + SETTLED) > 0);
+}
+
+/// Guards against a limit that is passed by where no other server is left; callers are told at once
+/// when to come back, and what was refused did not run.
+#[test]
+fn where_all_servers_name_a_limit_callers_are_refused_at_once() {
+    let site = ready();
+    for worker in ["p", "q"] {
+        site.platform.worker(worker).limit(Some("2.0"));
+    }
+    let named = Instant::now();
+    let answers = load(&site, "/issue/x", || std::thread::sleep(SETTLED + 2 * SPAN));
+    for worker in ["p", "q"] {
+        assert_kept(&site, worker, named);
+    }
+    let refused = answers.iter().filter(|(_, answer)| status(answer) == 503);
+    let refused: Vec<_> = refused.collect();
+    assert!(!refused.is_empty());
+    for (took, answer) in refused {
+        assert!(*took < Duration::from_secs(1), "{took:?}");
+        assert!(answer.contains("retry-after: "), "{answer}");
+    }
+}
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod caller;
+mod limits;
 mod lookalike;
 mod notices;
 mod operators;
