Keep to the rate limits that servers name, all instances together

Callers saw nothing; servers in need got up to 17 requests in 4 s where 16 were allowed, and on our own processes 80 of 17.

Cause: a server's limit for all instances together was no part of what the balance knows; what servers say in answers was taken header by header, and this one had no reader. Class: a bound that all instances share and none of them counts.

Now each instance counts what it sent to each server over the span in which servers count (4 s, longer for limits that allow less than one in it), tells peers in the loads that it tells anyway (so sums, hubs and relays carry it), and a server that got what its limit allows takes no request until some of them leave the span, as if it rested: others get it, or the caller hears at once when to come back. Limits are told to peers when they change and every 2 s; they end with an answer that names none half a second after the last that did, or with the start that named them. What others send before their next news is not known: the chance to send falls with the room that is left against the requests that others are likely to have meanwhile. Instances that can't be heard keep their part.

Ruled out: a static part for each instance (a limit of 1.5 over 295 instances is one request in 200 s each), and waiting in the gateway for room (requests that wait at all instances would all be sent at the same news).

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -4,7 +4,7 @@
 //! its peers. How fast a server works is learned from the answers it gives.
 
 use super::level;
-use super::limit::Limits;
+use super::limit::{Crowd, Limits, Sent, Usage};
 use super::notice::Notices;
 use super::retry::backoff;
 use super::speed::Speeds;
@@ -14,7 +14,7 @@
 use crate::world::id;
 use crate::world::message::{Generation, Load, Target};
 use crate::world::site::{Service, Site};
-use crate::world::unit::{Incarnation, Rate, Tokens, float};
+use crate::world::unit::{Incarnation, Tokens, float};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time to a server and back, within a region and to another one; both sites' sheets.
@@ -75,7 +75,8 @@
     NoModel,
     /// Servers hold the model, but none of them the adapter.
     NoAdapter,
-    /// All servers that could serve it asked for a rest; the first one ends at this time.
+    /// All servers that could serve it asked for a rest, or got what their limits allow; the first one
+    /// takes requests again at this time.
     Resting(Duration),
     /// No server of the service can be used.
     Nobody,
@@ -89,6 +90,8 @@
     pub reading_us: u64,
     /// Tokens that running requests may keep in memory.
     pub kept: u64,
+    /// Requests sent over the span of the server's limit; none where it named no limit.
+    pub recent: u32,
 }
 
 impl Running {
@@ -97,9 +100,15 @@
             requests: self.requests + other.requests,
             reading_us: self.reading_us + other.reading_us,
             kept: self.kept + other.kept,
+            recent: self.recent.saturating_add(other.recent),
         }
     }
 
+    /// Whether peers are to hear of it.
+    fn is_told(self) -> bool {
+        self.requests > 0 || self.recent > 0
+    }
+
     /// Without what is counted elsewhere.
     #[must_use]
     pub fn minus(self, other: Self) -> Self {
@@ -107,6 +116,7 @@
             requests: self.requests.saturating_sub(other.requests),
             reading_us: self.reading_us.saturating_sub(other.reading_us),
             kept: self.kept.saturating_sub(other.kept),
+            recent: self.recent.saturating_sub(other.recent),
         }
     }
 }
@@ -116,6 +126,11 @@
 pub struct View {
     pub backend: Backend,
     pub own: Running,
+    #[serde(skip)]
+    sent: Sent,
+    /// Requests that could go there, whether they did or not; noted while it names a limit.
+    #[serde(skip)]
+    asked: Sent,
     /// Peers that have anything running there.
     peers: BTreeMap<id::Instance, (Duration, Running)>,
     reported: Option<(Duration, Load)>,
@@ -137,6 +152,8 @@
         Self {
             backend,
             own: Running::default(),
+            sent: Sent::default(),
+            asked: Sent::default(),
             peers: BTreeMap::new(),
             reported: None,
             closing: BTreeSet::new(),
@@ -153,9 +170,14 @@
     /// Everything that runs there, of this instance and of its peers.
     #[must_use]
     pub fn running(&self, now: Duration) -> Running {
-        let fresh = self.peers.values();
-        let fresh = fresh.filter(|(at, _)| now < *at + PEER_MEMORY);
-        fresh.fold(self.own, |sum, (_, peer)| sum.plus(*peer))
+        let fresh = self.fresh_peers(now);
+        fresh.fold(self.own, |sum, (_, peer)| sum.plus(peer))
+    }
+
+    fn fresh_peers(&self, now: Duration) -> impl Iterator<Item = (&id::Instance, Running)> {
+        let peers = self.peers.iter();
+        let fresh = peers.filter(move |(_, (at, _))| now < *at + PEER_MEMORY);
+        fresh.map(|(peer, (_, running))| (peer, *running))
     }
 
     fn holds(&self, target: &Target) -> bool {
@@ -181,6 +203,7 @@
     speeds: Speeds,
     notices: Notices,
     limits: Limits,
+    crowd: Crowd,
     /// Servers at which each peer last told that it has anything running.
     busy: Map<id::Instance, (Duration, Vec<id::Worker>)>,
     /// Servers by what they are called in datagrams.
@@ -248,23 +271,38 @@
         self.notices.on_rest(now, worker, boot, asked)
     }
 
-    /// Notes the limit that an answer of a server named, or that it named none; whether that is news.
-    pub fn on_limit(
-        &mut self,
-        now: Duration,
-        worker: &id::Worker,
-        boot: Incarnation,
-        rate: Option<Rate>,
-    ) -> bool {
-        self.limits.on_said(now, worker, boot, rate)
-    }
-
     /// Limits that servers named in their answers.
     #[must_use]
     pub fn limits(&self) -> &Limits {
         &self.limits
     }
 
+    /// The same, to take what is heard of them.
+    pub fn limits_mut(&mut self) -> &mut Limits {
+        &mut self.limits
+    }
+
+    /// Notes how many instances share what servers take.
+    pub fn on_crowd(&mut self, crowd: Crowd) {
+        self.crowd = crowd;
+    }
+
+    /// What is known of the requests to a server that named a limit.
+    #[must_use]
+    pub fn usage(&self, now: Duration, worker: &id::Worker) -> Option<Usage> {
+        let view = self.views.get(worker)?;
+        let limit = self.limits.of(worker, view.backend.boot)?;
+        let peers = view.fresh_peers(now);
+        Some(Usage {
+            limit,
+            own: view.sent.recent(now, limit),
+            asked: view.asked.recent(now, limit),
+            others: peers.fold(0, |sum, (_, peer)| sum.saturating_add(peer.recent)),
+            crowd: self.crowd,
+            news_age: self.news_age(now),
+        })
+    }
+
     /// What servers said of themselves in their answers.
     #[must_use]
     pub fn notices(&self) -> &Notices {
@@ -319,11 +357,19 @@
 
     /// What this instance has running, at all servers.
     #[must_use]
-    pub fn own(&self) -> BTreeMap<id::Worker, Running> {
-        let busy = self.views.iter();
-        let busy = busy.filter(|(_, view)| view.own.requests > 0);
-        busy.map(|(worker, view)| (worker.clone(), view.own))
-            .collect()
+    pub fn own(&self, now: Duration) -> BTreeMap<id::Worker, Running> {
+        let views = self.views.iter();
+        let own = views.map(|(worker, view)| (worker.clone(), self.own_at(now, view)));
+        own.filter(|(_, running)| running.is_told()).collect()
+    }
+
+    fn own_at(&self, now: Duration, view: &View) -> Running {
+        let Backend { id, boot, .. } = &view.backend;
+        let limit = self.limits.of(id, *boot);
+        Running {
+            recent: limit.map_or(0, |limit| view.sent.recent(now, limit)),
+            ..view.own
+        }
     }
 
     /// What one peer told that it has running, at all servers.
@@ -341,17 +387,36 @@
     #[must_use]
     pub fn near(&self, now: Duration) -> BTreeMap<id::Worker, Running> {
         let views = self.views.iter().map(|(worker, view)| {
-            let peers = view.peers.iter();
+            let peers = view.fresh_peers(now);
             let peers = peers.filter(|(peer, _)| !peer.as_str().starts_with(SUM));
-            let fresh = peers.filter(|(_, (at, _))| now < *at + PEER_MEMORY);
-            let near = fresh.fold(view.own, |sum, (_, (_, running))| sum.plus(*running));
+            let own = self.own_at(now, view);
+            let near = peers.fold(own, |sum, (_, running)| sum.plus(running));
             (worker.clone(), near)
         });
-        views.filter(|(_, running)| running.requests > 0).collect()
+        views.filter(|(_, running)| running.is_told()).collect()
+    }
+
+    /// Notes that a request came, at servers with a limit that could serve it.
+    pub fn on_asked(&mut self, now: Duration, need: &Need) {
+        if self.limits.named().next().is_none() {
+            return;
+        }
+        let model = need.generation.as_ref().map(|it| &it.target.model);
+        for view in self.views.values_mut() {
+            let Backend {
+                id, boot, service, ..
+            } = &view.backend;
+            let could_serve = *service == need.service
+                && model.is_none_or(|model| view.has_model(model))
+                && self.limits.of(id, *boot).is_some();
+            if could_serve {
+                view.asked.add(now);
+            }
+        }
     }
 
     /// Notes that a request was sent; what it adds is to be given back by [`Self::on_ended`].
-    pub fn on_sent(&mut self, worker: &id::Worker, need: &Need) -> Running {
+    pub fn on_sent(&mut self, now: Duration, worker: &id::Worker, need: &Need) -> Running {
         let Some(view) = self.views.get_mut(worker) else {
             return Running::default();
         };
@@ -361,7 +426,9 @@
             requests: 1,
             reading_us: microseconds(reading.unwrap_or_default()),
             kept: need.generation.as_ref().map_or(0, kept),
+            recent: 0,
         };
+        view.sent.add(now);
         view.own.requests += added.requests;
         view.own.reading_us += added.reading_us;
         view.own.kept += added.kept;
@@ -484,7 +551,7 @@
         let usable = self.usable(need);
         let usable = usable.filter(|view| is_allowed(&view.backend.id));
         let (resting, usable): (Vec<&View>, Vec<&View>) =
-            usable.partition(|view| self.rests(now, view));
+            usable.partition(|view| self.opens_at(now, need, view).is_some());
         let choice = self.choose_of(now, need, usable);
         let is_missing = matches!(choice, Choice::NoModel | Choice::Nobody);
         if resting.is_empty() || !is_missing {
@@ -493,7 +560,7 @@
         let would_serve =
             |view: &&&View| matches!(self.choose_of(now, need, vec![**view]), Choice::Send(..));
         let ends = resting.iter().filter(would_serve);
-        match ends.map(|view| self.rest_ends(view)).min() {
+        match ends.filter_map(|view| self.opens_at(now, need, view)).min() {
             Some(first) => Choice::Resting(first),
             None if choice == Choice::Nobody => self.choose_of(now, need, resting),
             None => choice,
@@ -537,7 +604,8 @@
         let target = &need.generation.as_ref()?.target;
         let service = self.services.get(&need.service)?;
         let places = service.engine.as_ref()?.adapter_places;
-        let views = self.usable(need).filter(|view| !self.rests(now, view));
+        let views = self.usable(need);
+        let views = views.filter(|view| self.opens_at(now, need, view).is_none());
         let views = views.filter(|view| view.has_model(&target.model));
         let views = views.filter(|view| has_holder(&view.backend.id));
         let costs = views.map(|view| {
@@ -555,14 +623,15 @@
         views.filter(|view| view.backend.service == need.service && !view.backend.leaving)
     }
 
-    /// When the rest ends that a server asked for.
-    fn rest_ends(&self, view: &View) -> Duration {
+    /// When a server takes a request again that asked for a rest, or got what its limit allows; none where
+    /// it takes the request now.
+    fn opens_at(&self, now: Duration, need: &Need, view: &View) -> Option<Duration> {
         let Backend { id, boot, .. } = &view.backend;
-        self.notices.rests_until(id, *boot)
-    }
-
-    fn rests(&self, now: Duration, view: &View) -> bool {
-        now < self.rest_ends(view)
+        let rest = Some(self.notices.rests_until(id, *boot)).filter(|until| now < *until);
+        let usage = self.usage(now, id);
+        let draw = xxh3_64_with_seed(id.as_str().as_bytes(), need.draw);
+        let wait = usage.and_then(|usage| usage.wait(unit(draw)));
+        rest.max(wait.map(|wait| now + wait))
     }
 
     fn best(&self, now: Duration, need: &Need, views: &[&View]) -> Choice {
@@ -582,8 +651,7 @@
         let busy = costs.iter().map(|(.., view)| busy(now, need, view));
         let arriving = busy.sum::<f64>() * self.news_age(now).as_secs_f64();
         let arriving = (arriving - self.own_work(need, &costs)).max(0.0);
-        let draw = float(need.draw >> 11) / float(1 << 53);
-        let drawn = level::draw(&totals, arriving, draw);
+        let drawn = level::draw(&totals, arriving, unit(need.draw));
         drawn.map_or(Choice::Nobody, |index| {
             let (_, expected, view) = costs[index];
             Choice::Send(view.backend.id.clone(), expected)
@@ -677,6 +745,11 @@
     }
 }
 
+/// A draw as a number in `0..1`.
+fn unit(draw: u64) -> f64 {
+    float(draw >> 11) / float(1 << 53)
+}
+
 /// Part of its time that a server is kept busy, as far as one look at it tells: whether its engine reads,
 /// or the part of its places that is taken.
 fn busy(now: Duration, need: &Need, view: &View) -> f64 {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -52,11 +52,13 @@
         };
         self.traffic.metrics.on_send(outcome);
         let expected_ms = (expected * 1e3).round();
-        self.note(
-            "sent",
-            json!({"server": worker, "service": self.need.service, "expected_ms": expected_ms,
-                "outcome": outcome}),
-        );
+        let mut values = json!({"server": worker, "service": self.need.service,
+            "expected_ms": expected_ms, "outcome": outcome});
+        let usage = self.traffic.balance.borrow().usage(self.now(), worker);
+        if let Some(usage) = usage {
+            values["usage"] = json!(usage);
+        }
+        self.note("sent", values);
     }
 
     /// Sends the request to a server; `may_go_on` says whether another one may be tried after it.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -65,6 +65,7 @@
         self.on_holdings(&gossip.holdings);
         self.on_crashes(now, &gossip.crashes);
         self.on_told_leaving(&gossip.leaving);
+        self.on_told_limits(&gossip.limits);
         let batch = gossip.batch.as_ref();
         if let Some(batch) = batch.filter(|batch| !(batch.partial && self.is_holder())) {
             self.on_batch(batch);
@@ -159,7 +160,7 @@
         let loads = if is_sum {
             self.balance.borrow().near(now)
         } else {
-            self.balance.borrow().own()
+            self.balance.borrow().own(now)
         };
         let tells_demand = tier != Tier::Here || self.topology.borrow().is_speaker(now);
         let demands = tells_demand.then(|| self.take_demands(now, tier));
@@ -369,6 +370,7 @@
         requests: running.requests,
         reading_us: running.reading_us,
         kept: running.kept,
+        recent: running.recent,
     });
     Loads {
         loads: loads.collect(),
@@ -382,6 +384,7 @@
             requests: load.requests,
             reading_us: load.reading_us,
             kept: load.kept,
+            recent: load.recent,
         };
         Some((balance.server(load.server)?.clone(), running))
     });
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -208,6 +208,10 @@
     async fn place(&self) -> Result<(id::Worker, f64), End> {
         let began = self.now();
         let left = self.left_to_begin(began);
+        self.traffic
+            .balance
+            .borrow_mut()
+            .on_asked(began, &self.need);
         loop {
             let now = self.now();
             let (longest, cause, back) = match self.choose(now) {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -133,6 +133,12 @@
             gossip.leaving = traffic.leaving();
             broadcast(&traffic, &socket, gossip).await;
         }
+        let limits = traffic.take_limits();
+        if !limits.is_empty() {
+            let mut gossip = traffic.envelope();
+            gossip.limits = limits;
+            broadcast(&traffic, &socket, gossip).await;
+        }
         if traffic.is_site_news.take() {
             send(&socket, &traffic.envelope(), &traffic.near()).await;
         }
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -4,7 +4,7 @@
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::roster::Change;
-use crate::wire::generated_gossip::Start;
+use crate::wire::generated_gossip::{Limit, Start};
 use crate::world::id;
 use crate::world::message::Notice;
 use crate::world::unit::{Incarnation, Rate};
@@ -43,12 +43,50 @@
     /// Takes the limit that an answer to a request named, or that it named none.
     pub(super) fn on_limit(&self, worker: &id::Worker, boot: Incarnation, rate: Option<Rate>) {
         let now = self.clock.now();
-        if self.balance.borrow_mut().on_limit(now, worker, boot, rate) {
-            let outcome = if rate.is_some() { "named" } else { "lifted" };
-            self.metrics.on_limit(outcome);
-            let values = json!({"server": worker, "boot": boot, "rate": rate});
-            self.journal.note("limit", &values);
+        let mut balance = self.balance.borrow_mut();
+        let change = balance.limits_mut().on_said(now, worker, boot, rate);
+        drop(balance);
+        if change.is_news {
+            self.note_limit(worker, boot, rate, "answer");
         }
+        if change.is_due {
+            let limit = Limit {
+                worker: worker.to_string(),
+                boot: boot.0,
+                rate: rate.map(|rate| rate.0),
+            };
+            self.new_limits.borrow_mut().push(limit);
+            self.to_tell.notify_one();
+        }
+    }
+
+    /// Takes what peers heard of limits.
+    pub(super) fn on_told_limits(&self, told: &[Limit]) {
+        let now = self.clock.now();
+        for limit in told {
+            let Ok(worker) = limit.worker.parse() else {
+                continue;
+            };
+            let (boot, rate) = (Incarnation(limit.boot), limit.rate.map(Rate));
+            let mut balance = self.balance.borrow_mut();
+            let is_news = balance.limits_mut().on_told(now, &worker, boot, rate);
+            drop(balance);
+            if is_news {
+                self.note_limit(&worker, boot, rate, "peer");
+            }
+        }
+    }
+
+    fn note_limit(&self, worker: &id::Worker, boot: Incarnation, rate: Option<Rate>, source: &str) {
+        let outcome = if rate.is_some() { "named" } else { "lifted" };
+        self.metrics.on_limit(outcome);
+        let values = json!({"server": worker, "boot": boot, "rate": rate, "source": source});
+        self.journal.note("limit", &values);
+    }
+
+    /// Limits of which peers are to hear now.
+    pub(super) fn take_limits(&self) -> Vec<Limit> {
+        std::mem::take(&mut *self.new_limits.borrow_mut())
     }
 
     /// Takes what peers heard from servers that leave.
--- a/src/gateway/ticket.rs
+++ b/src/gateway/ticket.rs
@@ -26,11 +26,15 @@
     /// Counts the request in, until this is dropped.
     pub fn new(case: &Case, worker: &id::Worker, expected: f64) -> Self {
         let traffic = Rc::clone(&case.traffic);
-        let added = traffic.balance.borrow_mut().on_sent(worker, &case.need);
+        let sent = traffic.clock.now();
+        let added = traffic
+            .balance
+            .borrow_mut()
+            .on_sent(sent, worker, &case.need);
         let boot = traffic.boot(worker);
         let generation = case.need.generation.as_ref();
         Self {
-            sent: traffic.clock.now(),
+            sent,
             traffic,
             worker: worker.clone(),
             boot,
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -9,6 +9,7 @@
 use crate::decide::balance::{Balance, Need};
 use crate::decide::crash::Crashes;
 use crate::decide::lag::Lag;
+use crate::decide::limit::Crowd;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
 use crate::decide::suspect::Fingerprint;
@@ -17,7 +18,7 @@
 use crate::decide::topology::{self, Topology};
 use crate::node::clock::Clock;
 use crate::platform::worker;
-use crate::wire::generated_gossip::{Batch, Entry};
+use crate::wire::generated_gossip::{Batch, Entry, Limit};
 use crate::world::backend::Backend;
 use crate::world::deployment::Deployment;
 use crate::world::id;
@@ -82,6 +83,8 @@
     pub(super) is_site_news: Cell<bool>,
     /// Whether peers are to hear at once that a server leaves.
     pub(super) is_leaving_news: Cell<bool>,
+    /// Limits of servers of which peers are to hear at once.
+    pub(super) new_limits: RefCell<Vec<Limit>>,
     pub(super) interest: watch::Sender<Interest>,
     /// Tokens that this instance's callers asked for.
     pub(super) demands: RefCell<BTreeMap<Target, Asked>>,
@@ -173,6 +176,7 @@
             reaches_store: Cell::new(true),
             is_site_news: Cell::new(false),
             is_leaving_news: Cell::new(false),
+            new_limits: RefCell::default(),
             balance: RefCell::new(balance),
             pool: Pool::default(),
             metrics: Metrics::default(),
@@ -471,6 +475,11 @@
         }
         self.set_interest(now);
         self.pool.tick(now);
+        let crowd = Crowd {
+            heard: self.instances(),
+            all: self.sharers(),
+        };
+        self.balance.borrow_mut().on_crowd(crowd);
         if self.is_holder() {
             let speeds = self.balance.borrow().speeds().clone();
             self.hand(Heard::Speeds(speeds));
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -62,6 +62,20 @@
     /// Part of a sum over the receiver's data centre that the receiver itself told.
     #[prost(message, optional, tag = "21")]
     pub included: ::core::option::Option<Loads>,
+    /// Rate limits that servers named to the sender, or lifted.
+    #[prost(message, repeated, tag = "22")]
+    pub limits: ::prost::alloc::vec::Vec<Limit>,
+}
+/// What one start of a server last said of the requests that it takes.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Limit {
+    #[prost(string, tag = "1")]
+    pub worker: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
+    /// Requests a second from all instances together; absent once the limit was lifted.
+    #[prost(double, optional, tag = "3")]
+    pub rate: ::core::option::Option<f64>,
 }
 /// One start of a server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -135,6 +149,9 @@
     pub reading_us: u64,
     #[prost(uint64, tag = "4")]
     pub kept: u64,
+    /// Requests sent over the span of the server's limit.
+    #[prost(uint32, tag = "5")]
+    pub recent: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Demand {
--- a/tests/gateway/herd.rs
+++ b/tests/gateway/herd.rs
@@ -142,6 +142,7 @@
             requests: *count,
             reading_us: u64::from(*count) * 70_000,
             kept: 0,
+            recent: 0,
         };
         (worker(&format!("w{number:02}")), running)
     });
