Spare servers that name a rate limit, and load their models elsewhere

Cause: the balance spent a limited server's few requests on those that others could serve as well, and the planner saw a sound server. Now a request must gain 0.3 s to use up what a server in need takes, and the planner counts two workers' work on it, so that a model in use gets a copy elsewhere and new ones go to others.

Tests failed before: a_model_whose_only_server_names_a_limit_is_loaded_elsewhere (not within 20 s without the burden), a_server_with_a_limit_gets_nothing_where_others_have_room, a_model_that_only_a_burdened_worker_holds_gets_a_copy_elsewhere. The plan's reference reckoning has the burden too, and drawn fleets have burdened workers.

--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -32,6 +32,8 @@
     pub copies: BTreeSet<id::Model>,
     /// Whether it may get a job now.
     pub open: bool,
+    /// Work that it is to be spared beside that of its models, in workers.
+    pub burden: f64,
 }
 
 /// A model with its demand.
@@ -126,6 +128,8 @@
     models: Vec<usize>,
     copies: Vec<usize>,
     open: bool,
+    burden: f64,
+    /// All its work, its burden included.
     work: f64,
 }
 
@@ -193,6 +197,7 @@
                 models: held,
                 copies: copies.copied().collect(),
                 open: worker.open,
+                burden: worker.burden,
                 work: 0.0,
             });
         }
@@ -265,7 +270,7 @@
         for place in &mut self.places {
             let models = place.models.iter().map(|model| &self.models[*model]);
             let shares = models.map(|model| model.share(model.holders.len()));
-            place.work = shares.sum();
+            place.work = place.burden + shares.sum::<f64>();
         }
     }
 
--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -53,6 +53,9 @@
 /// Share of failed answers beyond which a server is avoided, and what it then costs.
 const GREY: f64 = 0.3;
 const GREY_COST: f64 = 1.0;
+/// Seconds that a request should gain before it uses up what a server in need takes: others may have
+/// nowhere else to go.
+const LIMITED_COST: f64 = 0.3;
 
 /// Prefix of the peers that stand for all instances of another data centre.
 pub const SUM: &str = "sum.";
@@ -728,9 +731,14 @@
             PAID_LINK
         };
         let grey = (view.failures - GREY).max(0.0) * GREY_COST;
+        let is_limited = self
+            .limits
+            .of(&view.backend.id, view.backend.boot)
+            .is_some();
+        let limited = if is_limited { LIMITED_COST } else { 0.0 };
         let spread = xxh3_64_with_seed(view.backend.id.as_str().as_bytes(), need.draw);
         let jitter = float(spread >> 54) * 2e-6;
-        paid + grey + jitter
+        paid + grey + limited + jitter
     }
 
     fn link(&self, view: &View) -> f64 {
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -21,6 +21,9 @@
 
 /// Part of its time that a worker may read prompts in and still answer in time.
 const COMFORT: f64 = 0.7;
+/// Work that a worker with a rate limit is to be spared: a model in use that only such workers hold gets
+/// a copy elsewhere, if it takes a twentieth of a worker.
+const LIMITED: f64 = 2.0;
 /// How often placement is looked at.
 const LOOK: Duration = Duration::from_millis(200);
 /// A job that its holder does not begin is planned anew after this time.
@@ -69,6 +72,8 @@
     counts_earlier: bool,
     /// When rests end that workers asked for, with the start that did.
     rests: Map<id::Worker, (Incarnation, Duration)>,
+    /// Workers that named a rate limit, with the start that did.
+    limited: Map<id::Worker, Incarnation>,
     /// Jobs that were asked of other holders.
     asked: BTreeMap<id::Worker, (Duration, Job)>,
     looked_at: Duration,
@@ -189,6 +194,15 @@
         self.rests.insert(worker, (boot, until));
     }
 
+    /// Notes that a worker named a rate limit, or lifted it.
+    pub fn on_limit(&mut self, worker: id::Worker, boot: Incarnation, is_limited: bool) {
+        if is_limited {
+            self.limited.insert(worker, boot);
+        } else {
+            self.limited.remove(&worker);
+        }
+    }
+
     /// Takes a job from the planner, if it fits what the worker does.
     pub fn on_job(&mut self, now: Duration, job: &Job) -> bool {
         let Some(ledger) = self.ledgers.get_mut(&job.worker) else {
@@ -386,6 +400,7 @@
             models.insert(job.load.clone());
         }
         let coming = models.iter().filter(|model| !held.contains_key(*model));
+        let is_limited = self.limited.get(&backend.id) == Some(&backend.boot);
         Worker {
             coming: coming.cloned().collect(),
             id: backend.id.clone(),
@@ -394,6 +409,7 @@
             models,
             copies: backend.copies.clone(),
             open: open && asked.is_none(),
+            burden: if is_limited { LIMITED } else { 0.0 },
         }
     }
 }
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -74,6 +74,8 @@
     Former(Vec<Row>),
     /// A server wants no orders until some time.
     Rest(id::Worker, Incarnation, Duration),
+    /// A server named a rate limit, or lifted it.
+    Limit(id::Worker, Incarnation, bool),
     /// The process stops: give the lease up.
     Stop,
 }
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -82,6 +82,7 @@
         self.metrics.on_limit(outcome);
         let values = json!({"server": worker, "boot": boot, "rate": rate, "source": source});
         self.journal.note("limit", &values);
+        self.hand(Heard::Limit(worker.clone(), boot, rate.is_some()));
     }
 
     /// Limits of which peers are to hear now.
--- a/tests/gateway/arrange.rs
+++ b/tests/gateway/arrange.rs
@@ -24,6 +24,7 @@
         coming: models(""),
         copies: models(""),
         open: true,
+        burden: 0.0,
     });
     workers.collect()
 }
@@ -118,6 +119,17 @@
     assert_eq!(job.evict, [model("m3")]);
 }
 
+/// Load: the only worker with a model names a rate limit below what callers ask of it.
+#[test]
+fn a_model_that_only_a_burdened_worker_holds_gets_a_copy_elsewhere() {
+    let work = [("m1", 0.1), ("m2", 0.1), ("m3", 0.1)];
+    let mut workers = workers(&["m1 m2", "m3"]);
+    assert_eq!(next(&work, &workers), None);
+    workers[0].burden = 2.0;
+    let job = next(&work, &workers).unwrap();
+    assert_eq!(job.worker, worker("w1"));
+}
+
 /// Gains that differ by less are the same but for rounding.
 const ROUNDING: f64 = 1e-9;
 
@@ -158,6 +170,7 @@
             coming: coming.cloned().collect(),
             copies: some(draw, 5),
             open: draw.random_bool(0.8),
+            burden: if draw.random_bool(0.1) { 2.0 } else { 0.0 },
             models: held,
         }
     });
--- a/tests/gateway/limit.rs
+++ b/tests/gateway/limit.rs
@@ -146,9 +146,9 @@
     limits.on_said(ms(at), &worker("a"), BOOT, Some(Rate(rate)));
 }
 
-/// Load: one of two servers names a limit below what it gets.
-#[test]
-fn what_a_server_with_a_limit_does_not_get_goes_to_another() {
+/// Requests that each of two servers gets, the first with a limit of one a second, if ten a second come
+/// for four seconds and stay that long.
+fn sent_to_both(stays: bool) -> BTreeMap<id::Worker, u32> {
     let mut balance = balance(&["a", "b"]);
     name_limit(&mut balance, 0, 1.0);
     let mut sent: BTreeMap<id::Worker, u32> = BTreeMap::new();
@@ -158,10 +158,27 @@
             panic!("nobody for request {number}");
         };
         let added = balance.on_sent(ms(number * 100), &server, &need);
-        balance.on_ended(&server, added);
+        if !stays {
+            balance.on_ended(&server, added);
+        }
         *sent.entry(server).or_default() += 1;
     }
+    sent
+}
+
+/// Load: one of two servers names a limit below what it gets, and the other one is soon full.
+#[test]
+fn a_server_with_a_limit_gets_what_it_takes_where_others_are_busy() {
+    let sent = sent_to_both(true);
     assert_eq!(sent[&worker("a")], 4);
+    assert_eq!(sent[&worker("b")], 36);
+}
+
+/// Load: one of two servers names a limit, and the other one has room. What the first one takes is
+/// left to requests that only it can serve.
+#[test]
+fn a_server_with_a_limit_gets_nothing_where_others_have_room() {
+    assert_eq!(sent_to_both(false).get(&worker("a")), None);
 }
 
 #[test]
--- a/tests/gateway/reference.rs
+++ b/tests/gateway/reference.rs
@@ -41,7 +41,7 @@
         let work = workers.iter().map(|worker| {
             let models = worker.models.iter();
             let shares = models.filter_map(|model| Some(wanted.get(model)?.work / copies[model]));
-            shares.sum()
+            worker.burden + shares.sum::<f64>()
         });
         let work = work.collect();
         Self {
--- a/tests/gateway_processes/limits.rs
+++ b/tests/gateway_processes/limits.rs
@@ -110,3 +110,24 @@
         assert!(answer.contains("retry-after: "), "{answer}");
     }
 }
+
+/// Guards against callers who are refused for as long as a limit lasts, since the only server of their
+/// model named it: the model is loaded elsewhere.
+#[test]
+fn a_model_whose_only_server_names_a_limit_is_loaded_elsewhere() {
+    let site = ready();
+    let ask = |number: u32| site.ask("/draft/x", &format!("r{number}"), "m2");
+    assert_eq!(status(&ask(0)), 200);
+    site.platform.worker("b").limit(Some("0.5"));
+    let mut number = 0;
+    wait_for("the other worker serves", || {
+        number += 1;
+        ask(number);
+        let ran = site.platform.worker("a").ran();
+        ran.iter().any(|id| id.starts_with('r'))
+    });
+    let answers: Vec<String> = (number + 1..number + 10).map(ask).collect();
+    for answer in answers {
+        assert_eq!(status(&answer), 200, "{answer}");
+    }
+}
