Let one instance take no more than its part of the room that was left at the last news

Found by the new matrix (six instances, cuts, restarts, bursts, limits that change; 3,000 schedules): 19 requests that come to three instances within one news interval all passed for a limit of 2 a second, 17 are allowed: each instance saw the whole room. Now an instance sends one request, or as many as its part of the room, before others hear of it.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -296,13 +296,15 @@
         let view = self.views.get(worker)?;
         let limit = self.limits.of(worker, view.backend.boot)?;
         let peers = view.fresh_peers(now);
+        let news_age = self.news_age(now);
         Some(Usage {
             limit,
             own: view.sent.recent(now, limit),
             asked: view.asked.recent(now, limit),
             others: peers.fold(0, |sum, (_, peer)| sum.saturating_add(peer.recent)),
+            unheard: view.sent.within(now, news_age),
             crowd: self.crowd,
-            news_age: self.news_age(now),
+            news_age,
         })
     }
 
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -7,7 +7,8 @@
 //! Instances count what all of them sent over the span in which servers count: each knows its own
 //! requests exactly, and those of others as last told. What others send before the next news is not
 //! known, so the nearer the limit and the more instances there are, the smaller the chance that a
-//! request goes there.
+//! request goes there; and of the room that was left at the last news, one instance takes no more than
+//! its part.
 
 use crate::common::*;
 use crate::world::id;
@@ -140,8 +141,14 @@
     /// Requests over the span of a limit.
     #[must_use]
     pub fn recent(&self, now: Duration, limit: Rate) -> u32 {
-        let span = span(limit);
-        let recent = self.0.iter().rev().take_while(|at| now < **at + span);
+        self.within(now, span(limit))
+    }
+
+    /// Requests over the last while.
+    #[must_use]
+    pub fn within(&self, now: Duration, while_ago: Duration) -> u32 {
+        let recent = self.0.iter().rev();
+        let recent = recent.take_while(|at| now < **at + while_ago);
         u32::try_from(recent.count()).unwrap_or(u32::MAX)
     }
 }
@@ -185,6 +192,8 @@
     /// Requests over the span of the limit: of this instance, and of all others as last told.
     pub own: u32,
     pub others: u32,
+    /// Requests of this instance since the last news, of which others may not know.
+    pub unheard: u32,
     /// Requests of this instance that could have gone there.
     pub asked: u32,
     pub crowd: Crowd,
@@ -205,7 +214,7 @@
     pub fn wait(&self, draw: f64) -> Option<Duration> {
         let sent = float(u64::from(self.own) + u64::from(self.others));
         let room = self.allowed() - sent;
-        if draw * self.rivals().max(1.0) < room {
+        if draw * self.rivals().max(1.0) < room && self.has_part(room) {
             return None;
         }
         let span = span(self.limit);
@@ -214,6 +223,14 @@
         Some(Duration::try_from_secs_f64(behind * apart).map_or(span, |wait| wait.min(span)))
     }
 
+    /// Whether this instance has left some of its part of the room at the last news; one request it may
+    /// always send.
+    fn has_part(&self, room: f64) -> bool {
+        let unheard = f64::from(self.unheard);
+        let part = (room + unheard) / f64::from(self.crowd.heard.max(1));
+        self.unheard == 0 || unheard + 1.0 <= part
+    }
+
     /// Requests of others that are likely to come before their next news, if each has as many as this
     /// instance.
     fn rivals(&self) -> f64 {
--- a/tests/gateway/limit.rs
+++ b/tests/gateway/limit.rs
@@ -84,6 +84,7 @@
         own,
         others,
         asked: own,
+        unheard: 0,
         crowd,
         news_age: Duration::ZERO,
     }
--- a/tests/matrix/main.rs
+++ b/tests/matrix/main.rs
@@ -6,6 +6,7 @@
 mod claim;
 mod lease;
 mod ledger;
+mod limit;
 mod notice;
 mod retry;
 mod rollout;
