Answer callers whose stream breaks off before its first event

What callers saw: a closed connection without a head, at once. The gateway passed on the head of a stream and then its body; a body that failed before its first bytes took the head with it, which the server library had not written yet.

Now the first bytes are awaited before the head goes out, and a stream that breaks off before them is answered: 502, or 504 where its time is over.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -275,28 +275,16 @@
 
     /// Serves the request to its answer.
     pub async fn serve(self: Rc<Self>) -> Response<Body> {
-        let end = self.dispatch(None).await;
-        let (response, cause) = match end {
-            End::Live(live) => {
-                let mut head = Response::from_parts(live.head.clone(), ());
-                *head.headers_mut() = request::end_to_end(&live.head.headers);
-                let relay = Relay::new(Rc::clone(&self), *live);
-                (head.map(|()| Body::Relay(Box::new(relay))), "passed on")
-            }
+        let (response, cause) = match self.dispatch(None).await {
+            End::Live(live) => self.stream(*live).await,
             End::Whole(response) => (response, "passed on"),
             End::Refused { cause, back } => {
                 let spread = xxh3_64(self.request.id.as_bytes()) % 1_000;
                 let back = back.mul_f64(1.0 + f64::from(u32::try_from(spread).unwrap_or(0)) / 1e3);
                 (reply::refusal(&self.request.id, cause, back), cause)
             }
-            End::Unknown { cause } => (
-                reply::own(&self.request.id, StatusCode::BAD_GATEWAY, cause),
-                cause,
-            ),
-            End::Late => (
-                reply::own(&self.request.id, StatusCode::GATEWAY_TIMEOUT, "late"),
-                "late",
-            ),
+            End::Unknown { cause } => (self.own(StatusCode::BAD_GATEWAY, cause), cause),
+            End::Late => (self.own(StatusCode::GATEWAY_TIMEOUT, "late"), "late"),
         };
         let status = response.status().as_u16();
         self.traffic.metrics.on_answer(status, cause);
@@ -311,6 +299,28 @@
         );
         response
     }
+
+    /// A stream that is passed on from its first bytes; an answer of the system's own where it breaks off
+    /// before.
+    async fn stream(self: &Rc<Self>, live: Live) -> (Response<Body>, &'static str) {
+        let mut head = Response::from_parts(live.head.clone(), ());
+        *head.headers_mut() = request::end_to_end(&live.head.headers);
+        let mut relay = Relay::new(Rc::clone(self), live);
+        match relay.begin().await {
+            Ok(()) => (head.map(|()| Body::Relay(Box::new(relay))), "passed on"),
+            Err(_) if self.left().is_zero() => {
+                (self.own(StatusCode::GATEWAY_TIMEOUT, "late"), "late")
+            }
+            Err(_) => {
+                let cause = "stream broke off";
+                (self.own(StatusCode::BAD_GATEWAY, cause), cause)
+            }
+        }
+    }
+
+    fn own(&self, status: StatusCode, cause: &'static str) -> Response<Body> {
+        reply::own(&self.request.id, status, cause)
+    }
 }
 
 /// Waits a moment before something is tried again.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,7 +12,7 @@
 use crate::world::site::Repeat;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body as _, Incoming};
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -53,6 +53,8 @@
     flow: Flow,
     /// Wakes when the stream may have stalled.
     stall: Pin<Box<Sleep>>,
+    /// Bytes that came before the head of the answer was passed on.
+    first: Option<Bytes>,
     /// How the stream ended, as far as it has.
     outcome: &'static str,
 }
@@ -74,12 +76,31 @@
             partial: BytesMut::new(),
             last_event: None,
             deadline,
+            first: None,
             outcome: "caller left",
         }
     }
 
+    /// Waits for the first bytes, or for the end of a stream that has none.
+    ///
+    /// # Errors
+    /// Where the stream breaks off before: the caller can still be answered.
+    pub async fn begin(&mut self) -> io::Result<()> {
+        self.first = poll_fn(|context| self.poll_next(context))
+            .await
+            .transpose()?;
+        Ok(())
+    }
+
     /// The next bytes for the caller.
     pub fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(first)));
+        }
+        self.poll_next(context)
+    }
+
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         if self.deadline.as_mut().poll(context).is_ready() {
             return self.fail("late");
         }
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -9,6 +9,7 @@
 mod site;
 mod soak;
 
+use lookalike::{Lookalike, stream_head};
 use serde_json::json;
 use site::{GRACE_S, PAUSE, SOON, Site, config, exchange, request, status, wait_for};
 use standins::platform::Platform;
@@ -341,3 +342,19 @@
         assert_eq!(status(&other), 200, "{other}");
     }
 }
+
+/// Guards against a caller whose connection closes without an answer: the stream's head had come, and its
+/// connection broke before the first event.
+#[test]
+fn a_stream_that_breaks_off_before_its_first_event_is_answered() {
+    let lookalike = Lookalike::start(|asked| {
+        let head = stream_head(&asked.id);
+        asked.write(&head);
+        false
+    });
+    let site = Site::ready();
+    lookalike.replace(&site, "llm", &["m1"]);
+    let answer = site.ask("/draft/x", "r1", "m1");
+    assert_eq!(status(&answer), 502, "{answer}");
+    assert_eq!(lookalike.ids(), ["r1"]);
+}
