Count an instance that has just started as asked for as much as the others

Only the team's limit answers 429. By reading: an entry that starts anew hears its peers' demand, has measured none, and lowers its part of the limit to 3% of an even one, 5 requests a second of 500; it counts as ready as soon as it has a part, and callers come. Ruled out: a limit reached by all together (6 callers, 500 a second).

Now it counts the average of the others as its own for its first 3 s, as long as its measurement averages. Sums stay within the limit as before: room is what the row leaves.

--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -15,6 +15,9 @@
 const HYSTERESIS: f64 = 0.02;
 /// Part of the limit that is divided evenly whatever the demand.
 const FLOOR: f64 = 0.03;
+/// Time after its start in which an instance can't tell its demand yet: callers come as soon as it is
+/// ready, and what it measured of them is averaged over seconds.
+const UNMEASURED: Duration = Duration::from_secs(3);
 
 /// Value of a division's row: requests per second that each instance may admit.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -46,6 +49,17 @@
     even * FLOOR + limit.0 * (1.0 - FLOOR) * mine / total
 }
 
+/// What an instance counts as its own demand at some time after its start: at first no less than the
+/// others have on average.
+#[must_use]
+pub fn own_demand(now: Duration, measured: f64, others: &Demand) -> f64 {
+    if now >= UNMEASURED || others.is_empty() {
+        return measured;
+    }
+    let average = others.values().sum::<f64>() / float(others.len() as u64);
+    measured.max(average)
+}
+
 /// One instance's part of one team's limit.
 #[derive(Debug, Clone)]
 pub struct Share {
--- a/src/node/limits.rs
+++ b/src/node/limits.rs
@@ -2,7 +2,7 @@
 
 use crate::common::*;
 use crate::decide::member::Role;
-use crate::decide::share::Demand;
+use crate::decide::share::{self, Demand};
 use crate::node::duty::{self, lock};
 use crate::node::entry::Entry;
 use crate::node::input::{Adjustment, Input};
@@ -84,15 +84,17 @@
     };
     let asked = lock(&entry.asked);
     let of = |instance: &id::Instance| asked.get(instance)?.get(team).copied();
-    let mut demand: Demand = live
-        .into_iter()
+    let me = &entry.node.name.instance;
+    let others = live.into_iter().filter(|instance| instance != me);
+    let mut demand: Demand = others
         .map(|instance| (instance.clone(), of(&instance).unwrap_or(0.0)))
         .collect();
-    demand.insert(entry.node.name.instance.clone(), own_demand(entry, team));
+    let own = share::own_demand(now, measured(entry, team), &demand);
+    demand.insert(me.clone(), own);
     demand
 }
 
-fn own_demand(entry: &Entry, team: &id::Team) -> f64 {
+fn measured(entry: &Entry, team: &id::Team) -> f64 {
     let gauge = lock(&entry.node.gauge);
     let count = gauge.asked.iter().find(|count| count.name == team.as_str());
     count.map_or(0.0, rate)
--- a/tests/matrix/share.rs
+++ b/tests/matrix/share.rs
@@ -4,7 +4,7 @@
 use super::schedule;
 use super::store::{self, Fault, Store};
 use super::tally::Tally;
-use poplarseam::decide::share::{Demand, Share};
+use poplarseam::decide::share::{Demand, Share, fair_part, own_demand};
 use poplarseam::world::id::Instance;
 use poplarseam::world::table::{Commit, Failure};
 use poplarseam::world::unit::Rate;
@@ -160,6 +160,21 @@
     tally.check("share");
 }
 
+/// Guards against callers who are turned away by an instance that has just started: it was ready, and its
+/// part had shrunk to that of an instance without callers.
+#[test]
+fn an_instance_that_has_just_started_keeps_an_average_part() {
+    let others: Demand = [(name(1), 10.0), (name(2), 20.0)].into();
+    let part = |at| {
+        let own = own_demand(Duration::from_millis(at), 0.0, &others);
+        let mut demand = others.clone();
+        demand.insert(name(0), own);
+        fair_part(Rate(LIMIT), &name(0), &demand)
+    };
+    assert!(part(100) > LIMIT * 0.3, "{}", part(100));
+    assert!(part(3_000) < LIMIT * 0.05, "{}", part(3_000));
+}
+
 /// With demand at one instance, all but a twentieth of the limit gets there.
 #[test]
 fn parts_follow_demand() {
