Plan as if servers with a rate limit held only models of little work

The burden of two workers' work did not help where all were busy.

Now in a plan a limited server gets no models and holds only those that take a twentieth of a worker; others are loaded elsewhere as if nobody held them.

--- a/src/decide/arrange.rs
+++ b/src/decide/arrange.rs
@@ -14,6 +14,8 @@
 const DRAIN: f64 = 3.0;
 /// Work of one copy below which a model is not in use at a worker, in workers.
 const IDLE: f64 = 0.01;
+/// Work of a model that a worker with a rate limit serves, in workers: about a request in two seconds.
+const LITTLE: f64 = 0.05;
 /// Seconds over which demand lasts: a copy gains the less of them, the later it serves.
 const LASTS: f64 = 20.0;
 
@@ -32,8 +34,8 @@
     pub copies: BTreeSet<id::Model>,
     /// Whether it may get a job now.
     pub open: bool,
-    /// Work that it is to be spared beside that of its models, in workers.
-    pub burden: f64,
+    /// Whether it named a rate limit: it gets no models, and serves only those that take little work.
+    pub limited: bool,
 }
 
 /// A model with its demand.
@@ -128,8 +130,6 @@
     models: Vec<usize>,
     copies: Vec<usize>,
     open: bool,
-    burden: f64,
-    /// All its work, its burden included.
     work: f64,
 }
 
@@ -181,14 +181,16 @@
         let mut models: Vec<Model> = models.collect();
         let mut places = Vec::with_capacity(workers.len());
         for (index, worker) in workers.iter().enumerate() {
-            for id in &worker.models {
-                let model = &mut models[numbers[id]];
+            let held = worker.models.iter().map(|id| numbers[id]);
+            let held = held.filter(|held| !worker.limited || models[*held].work() <= LITTLE);
+            let held: Vec<usize> = held.collect();
+            for number in &held {
+                let model = &mut models[*number];
                 model.holders.push(index);
-                if !worker.coming.contains(id) {
+                if !worker.coming.contains(&model.id) {
                     model.servers.push(index);
                 }
             }
-            let held: Vec<usize> = worker.models.iter().map(|id| numbers[id]).collect();
             let copies = worker.copies.iter().filter_map(|id| numbers.get(id));
             places.push(Place {
                 id: worker.id.clone(),
@@ -196,8 +198,7 @@
                 used: worker.reserved.0 + held.iter().map(|held| models[*held].size()).sum::<u64>(),
                 models: held,
                 copies: copies.copied().collect(),
-                open: worker.open,
-                burden: worker.burden,
+                open: worker.open && !worker.limited,
                 work: 0.0,
             });
         }
@@ -270,7 +271,7 @@
         for place in &mut self.places {
             let models = place.models.iter().map(|model| &self.models[*model]);
             let shares = models.map(|model| model.share(model.holders.len()));
-            place.work = place.burden + shares.sum::<f64>();
+            place.work = shares.sum();
         }
     }
 
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -21,9 +21,6 @@
 
 /// Part of its time that a worker may read prompts in and still answer in time.
 const COMFORT: f64 = 0.7;
-/// Work that a worker with a rate limit is to be spared: a model in use that only such workers hold gets
-/// a copy elsewhere, if it takes a twentieth of a worker.
-const LIMITED: f64 = 2.0;
 /// How often placement is looked at.
 const LOOK: Duration = Duration::from_millis(200);
 /// A job that its holder does not begin is planned anew after this time.
@@ -400,7 +397,6 @@
             models.insert(job.load.clone());
         }
         let coming = models.iter().filter(|model| !held.contains_key(*model));
-        let is_limited = self.limited.get(&backend.id) == Some(&backend.boot);
         Worker {
             coming: coming.cloned().collect(),
             id: backend.id.clone(),
@@ -409,7 +405,7 @@
             models,
             copies: backend.copies.clone(),
             open: open && asked.is_none(),
-            burden: if is_limited { LIMITED } else { 0.0 },
+            limited: self.limited.get(&backend.id) == Some(&backend.boot),
         }
     }
 }
