Wake placers that hold no shard less often, and let six instances of a data centre be heard by all

Cause, by a sampled profile of 60 instances: most time is spent on being woken. Each placer woke a hundred times a second, though only holders have orders that are due; and where a data centre has hubs each instance still told all 48 others every 700 ms that it is there. Now a placer without a shard wakes ten times a second and with each news; six heralds, the first by name that the store answers, are heard by all, the rest by hubs, who tell how many they hear. Speakers, hubs and readers are chosen among heralds as before.

Ruled out: handing demand to holders only. A planner that begins cold after an outage of the store would plan by no demand. Tests: the_first_instances_by_name_let_all_others_hear_them, instances_that_only_hubs_hear_are_counted (new rules).

--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -19,6 +19,9 @@
 const MOST_DIRECT: u32 = 8;
 /// Hubs of a data centre: one may be lost, and the other's word goes on.
 const HUBS: usize = 2;
+/// Instances of a data centre with hubs that all others there hear: hubs, speakers and readers are chosen
+/// among them, and several may be lost at once. The rest are heard by hubs only.
+const HERALDS: usize = 6;
 
 /// Instances of a data centre that read the configuration from the store; the others get it from
 /// them.
@@ -90,6 +93,8 @@
     here: id::DataCentre,
     members: BTreeMap<id::Instance, Member>,
     summaries: BTreeMap<id::DataCentre, Summary>,
+    /// Instances of this data centre, as a hub counted them last.
+    near_sum: Option<(Duration, u32)>,
     turn: usize,
     /// Whether the list of instances in the store was read.
     is_list_read: bool,
@@ -106,6 +111,7 @@
             here: deployment.data_centre.clone(),
             members: BTreeMap::new(),
             summaries: BTreeMap::new(),
+            near_sum: None,
             turn: 0,
             is_list_read: false,
             most: 1,
@@ -194,6 +200,19 @@
         self.summaries.insert(sender.data_centre.clone(), summary);
     }
 
+    /// Takes the number of instances of this data centre that a hub hears.
+    pub fn on_near_sum(&mut self, now: Duration, instances: u32) {
+        self.near_sum = Some((now, instances));
+    }
+
+    /// Whether this instance lets all others of its data centre hear that it is there: it is among the
+    /// first by name of those that the store answers.
+    #[must_use]
+    pub fn is_herald(&self, now: Duration) -> bool {
+        let before = self.heard_near(now).filter(|(peer, _)| **peer < self.me);
+        before.filter(|(_, member)| member.reaches_store).count() < HERALDS
+    }
+
     /// Whether this instance speaks for its data centre: the first by name of those heard.
     #[must_use]
     pub fn is_speaker(&self, now: Duration) -> bool {
@@ -264,15 +283,23 @@
         best.map(|(_, member)| member.address)
     }
 
-    /// Instances of this data centre that are heard, this one included.
+    /// Instances of this data centre that are heard here, this one included.
     #[must_use]
-    pub fn near_count(&self, now: Duration) -> u32 {
+    pub fn heard_count(&self, now: Duration) -> u32 {
         let near = self.members.values();
         let near = near.filter(|member| member.data_centre == self.here);
         let heard = near.filter(|member| is_within(now, member.heard, GONE));
         u32::try_from(heard.count()).unwrap_or(u32::MAX - 1) + 1
     }
 
+    /// Instances of this data centre that are heard, here or by a hub, this one included.
+    #[must_use]
+    pub fn near_count(&self, now: Duration) -> u32 {
+        let by_hub = self.near_sum.filter(|(at, _)| now < *at + SILENT);
+        let by_hub = by_hub.map_or(0, |(_, instances)| instances);
+        self.heard_count(now).max(by_hub)
+    }
+
     /// Instances of the site that are heard or summed up, this one included.
     #[must_use]
     pub fn count(&self, now: Duration) -> u32 {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -46,6 +46,10 @@
             let mut topology = self.topology.borrow_mut();
             topology.on_summary(now, &sender, gossip.instances);
         }
+        if gossip.is_sum && !is_far {
+            let mut topology = self.topology.borrow_mut();
+            topology.on_near_sum(now, gossip.instances);
+        }
         let counts_twice = gossip.is_sum && !is_far && self.hears_all();
         if hearing.standing == Standing::Newest && !counts_twice {
             self.on_running(now, &sender, &gossip);
@@ -169,7 +173,7 @@
             demands: demands.unwrap_or_default(),
             is_sum,
             pass_on: matches!(tier, Tier::Region | Tier::Far),
-            instances: self.topology.borrow().near_count(now),
+            instances: self.topology.borrow().heard_count(now),
             leaving: self.leaving(),
             ..self.envelope()
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -90,13 +90,13 @@
     }
 }
 
-/// Where instances tell hubs what runs at them: lets all others hear that this one is there, and tells
-/// them the sum if this one is a hub. Each hears two hubs, one as often as `OFTEN` together.
+/// Where instances tell hubs what runs at them: lets all others hear that this one is there if it is a
+/// herald, and tells them the sum if it is a hub. Each hears two hubs, one as often as `OFTEN` together.
 pub async fn tell_sums(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
     let mut beat_at = Instant::now();
     loop {
         sleep(pace(Tier::Here)).await;
-        if traffic.has_hubs() && beat_at.elapsed() >= BEAT {
+        if traffic.has_hubs() && traffic.is_herald() && beat_at.elapsed() >= BEAT {
             beat_at = Instant::now();
             send(&socket, &traffic.envelope(), &traffic.near()).await;
         }
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -28,15 +28,17 @@
 use hyper::Method;
 use std::cell::RefCell;
 use std::rc::Rc;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Others may take a lease over that stood unchanged this long.
 const TERM: Duration = Duration::from_secs(2);
 /// The holder stops this much before the end of its term.
 const MARGIN: Duration = Duration::from_millis(500);
-/// Time between looks at what is to be done.
+/// Longest time between looks at what is to be done: at a holder, whose orders are due to the millisecond,
+/// and at others, who only wait for a shard to become free.
 const TICK: Duration = Duration::from_millis(10);
+const IDLE_TICK: Duration = Duration::from_millis(100);
 /// A holder that was heard of within this time needs no look at its row.
 const HEARD: Duration = Duration::from_millis(1_100);
 /// Time between looks at the row while nobody is heard to hold it.
@@ -114,15 +116,15 @@
 ) {
     let placer = Placer::new(deployment, clock, incarnation, journal);
     let placer = Rc::new(RefCell::new(placer));
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        let is_holder = placer.borrow().held_count() > 0;
+        let pause = if is_holder { TICK } else { IDLE_TICK };
         tokio::select! {
             event = heard.recv_async() => match event {
                 Ok(event) => on_heard(&placer, event, &calls),
                 Err(_) => return,
             },
-            _ = ticks.tick() => {}
+            () = sleep(pause) => {}
         }
         while let Ok(event) = heard.try_recv() {
             on_heard(&placer, event, &calls);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -535,6 +535,12 @@
         self.topology.borrow().has_hubs(self.clock.now())
     }
 
+    /// Whether all others of this data centre are to hear that this instance is there.
+    #[must_use]
+    pub fn is_herald(&self) -> bool {
+        self.topology.borrow().is_herald(self.clock.now())
+    }
+
     /// Whether this instance is told what runs at all others of its data centre.
     #[must_use]
     pub fn hears_all(&self) -> bool {
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -181,3 +181,38 @@
     assert!(!hearing(&fleet(3, 4)).has_hubs(ms(0)));
     assert!(hearing(&fleet(4, 4)).has_hubs(ms(0)));
 }
+
+/// Names of instances that stand before "one" in the order of names.
+fn before(count: u16) -> Vec<Sender> {
+    let names = (0..count).map(|number| sender(&format!("a{number:02}"), number + 1));
+    names.collect()
+}
+
+/// Load: 49 instances of a data centre, of which each need not hear each.
+#[test]
+fn the_first_instances_by_name_let_all_others_hear_them() {
+    assert!(hearing(&before(5)).is_herald(ms(0)));
+    assert!(!hearing(&before(6)).is_herald(ms(0)));
+    assert!(hearing(&before(6)).is_herald(ms(1_600)), "they fell silent");
+    let mut refused = before(6);
+    refused[0].reaches_store = false;
+    assert!(
+        hearing(&refused).is_herald(ms(0)),
+        "readers are chosen among heralds"
+    );
+}
+
+#[test]
+fn instances_that_only_hubs_hear_are_counted() {
+    let mut topology = hearing(&before(6));
+    assert_eq!(topology.near_count(ms(0)), 7);
+    topology.on_near_sum(ms(0), 49);
+    assert_eq!(topology.near_count(ms(0)), 49);
+    assert!(topology.has_hubs(ms(0)));
+    assert_eq!(
+        topology.heard_count(ms(0)),
+        7,
+        "what a hub tells is what it hears itself"
+    );
+    assert_eq!(topology.near_count(ms(1_600)), 7, "the hubs fell silent");
+}
