--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -177,6 +177,15 @@
         fresh.fold(self.own, |sum, (_, peer)| sum.plus(peer))
     }
 
+    fn on_peer(&mut self, now: Duration, peer: &id::Instance, running: Running) {
+        match self.peers.get_mut(peer) {
+            Some(known) => *known = (now, running),
+            None => {
+                self.peers.insert(peer.clone(), (now, running));
+            }
+        }
+    }
+
     fn fresh_peers(&self, now: Duration) -> impl Iterator<Item = (&id::Instance, Running)> {
         let peers = self.peers.iter();
         let fresh = peers.filter(move |(_, (at, _))| now < *at + PEER_MEMORY);
@@ -293,8 +302,11 @@
     /// What is known of the requests to a server that named a limit.
     #[must_use]
     pub fn usage(&self, now: Duration, worker: &id::Worker) -> Option<Usage> {
-        let view = self.views.get(worker)?;
-        let limit = self.limits.of(worker, view.backend.boot)?;
+        self.usage_of(now, self.views.get(worker)?)
+    }
+
+    fn usage_of(&self, now: Duration, view: &View) -> Option<Usage> {
+        let limit = self.limits.of(&view.backend.id, view.backend.boot)?;
         let peers = view.fresh_peers(now);
         let news_age = self.news_age(now);
         Some(Usage {
@@ -348,14 +360,18 @@
     ) {
         let busy = loads.keys().cloned().collect();
         let before = self.busy.insert(peer.clone(), (now, busy));
+        let mut told = loads.keys().peekable();
         for worker in before.unwrap_or_default().1 {
-            if let Some(view) = self.views.get_mut(&worker) {
+            while told.next_if(|it| **it < worker).is_some() {}
+            if told.peek() != Some(&&worker)
+                && let Some(view) = self.views.get_mut(&worker)
+            {
                 view.peers.remove(peer);
             }
         }
         for (worker, running) in loads {
             if let Some(view) = self.views.get_mut(worker) {
-                view.peers.insert(peer.clone(), (now, *running));
+                view.on_peer(now, peer, *running);
             }
         }
     }
@@ -633,9 +649,10 @@
     fn opens_at(&self, now: Duration, need: &Need, view: &View) -> Option<Duration> {
         let Backend { id, boot, .. } = &view.backend;
         let rest = Some(self.notices.rests_until(id, *boot)).filter(|until| now < *until);
-        let usage = self.usage(now, id);
-        let draw = xxh3_64_with_seed(id.as_str().as_bytes(), need.draw);
-        let wait = usage.and_then(|usage| usage.wait(unit(draw)));
+        let wait = self.usage_of(now, view).and_then(|usage| {
+            let draw = xxh3_64_with_seed(id.as_str().as_bytes(), need.draw);
+            usage.wait(unit(draw))
+        });
         rest.max(wait.map(|wait| now + wait))
     }
 
