--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -59,7 +59,7 @@
 const FIRST_TURNS: Duration = Duration::from_secs(2);
 /// Power of the draw for the first turn. Few of hundreds of instances have an early one: the others hear of
 /// the holder before they look at the row.
-const FIRST_TURN_POWER: f64 = 0.3;
+const FIRST_TURN_POWER: f64 = 0.15;
 /// Longest time for a worker's answer to an order or a question.
 const ANSWER: Duration = Duration::from_millis(700);
 /// How often the planner notes what it sees, and of how many models.
