--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -144,11 +144,11 @@
         self.within(now, span(limit))
     }
 
-    /// Requests over the last while.
+    /// Requests that were sent no longer ago than `age`.
     #[must_use]
-    pub fn within(&self, now: Duration, while_ago: Duration) -> u32 {
+    pub fn within(&self, now: Duration, age: Duration) -> u32 {
         let recent = self.0.iter().rev();
-        let recent = recent.take_while(|at| now < **at + while_ago);
+        let recent = recent.take_while(|at| now < **at + age);
         u32::try_from(recent.count()).unwrap_or(u32::MAX)
     }
 }
