Look at each resting server once, and copy only the names that are told

Read again as a newcomer: an instance that tells its peers what runs copied the names of all servers ten times a second before it left out the idle ones (own, since limits are counted; near, before that); choosing a server worked out twice when it opens; the look-up of a server's limit stood four times. No behaviour changes; module tests and matrix pass as they are.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -14,7 +14,7 @@
 use crate::world::id;
 use crate::world::message::{Generation, Load, Target};
 use crate::world::site::{Service, Site};
-use crate::world::unit::{Incarnation, Tokens, float};
+use crate::world::unit::{Incarnation, Rate, Tokens, float};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time to a server and back, within a region and to another one; both sites' sheets.
@@ -305,8 +305,12 @@
         self.usage_of(now, self.views.get(worker)?)
     }
 
+    fn limit(&self, view: &View) -> Option<Rate> {
+        self.limits.of(&view.backend.id, view.backend.boot)
+    }
+
     fn usage_of(&self, now: Duration, view: &View) -> Option<Usage> {
-        let limit = self.limits.of(&view.backend.id, view.backend.boot)?;
+        let limit = self.limit(view)?;
         let peers = view.fresh_peers(now);
         let news_age = self.news_age(now);
         Some(Usage {
@@ -379,14 +383,21 @@
     /// What this instance has running, at all servers.
     #[must_use]
     pub fn own(&self, now: Duration) -> BTreeMap<id::Worker, Running> {
+        self.told(|view| self.own_at(now, view))
+    }
+
+    /// Servers at which there is anything to tell, with what `running` finds there.
+    fn told(&self, running: impl Fn(&View) -> Running) -> BTreeMap<id::Worker, Running> {
         let views = self.views.iter();
-        let own = views.map(|(worker, view)| (worker.clone(), self.own_at(now, view)));
-        own.filter(|(_, running)| running.is_told()).collect()
+        let told = views.filter_map(|(worker, view)| {
+            let running = running(view);
+            running.is_told().then(|| (worker.clone(), running))
+        });
+        told.collect()
     }
 
     fn own_at(&self, now: Duration, view: &View) -> Running {
-        let Backend { id, boot, .. } = &view.backend;
-        let limit = self.limits.of(id, *boot);
+        let limit = self.limit(view);
         Running {
             recent: limit.map_or(0, |limit| view.sent.recent(now, limit)),
             ..view.own
@@ -407,14 +418,12 @@
     /// What this instance and its peers in the data centre have running, at all servers.
     #[must_use]
     pub fn near(&self, now: Duration) -> BTreeMap<id::Worker, Running> {
-        let views = self.views.iter().map(|(worker, view)| {
+        self.told(|view| {
             let peers = view.fresh_peers(now);
             let peers = peers.filter(|(peer, _)| !peer.as_str().starts_with(SUM));
             let own = self.own_at(now, view);
-            let near = peers.fold(own, |sum, (_, running)| sum.plus(running));
-            (worker.clone(), near)
-        });
-        views.filter(|(_, running)| running.is_told()).collect()
+            peers.fold(own, |sum, (_, running)| sum.plus(running))
+        })
     }
 
     /// Notes that a request came, at servers with a limit that could serve it.
@@ -570,20 +579,26 @@
         is_allowed: impl Fn(&id::Worker) -> bool,
     ) -> Choice {
         let usable = self.usable(need);
-        let usable = usable.filter(|view| is_allowed(&view.backend.id));
-        let (resting, usable): (Vec<&View>, Vec<&View>) =
-            usable.partition(|view| self.opens_at(now, need, view).is_some());
-        let choice = self.choose_of(now, need, usable);
+        let (mut resting, mut open) = (Vec::new(), Vec::new());
+        for view in usable.filter(|view| is_allowed(&view.backend.id)) {
+            match self.opens_at(now, need, view) {
+                Some(at) => resting.push((at, view)),
+                None => open.push(view),
+            }
+        }
+        let choice = self.choose_of(now, need, open);
         let is_missing = matches!(choice, Choice::NoModel | Choice::Nobody);
         if resting.is_empty() || !is_missing {
             return choice;
         }
-        let would_serve =
-            |view: &&&View| matches!(self.choose_of(now, need, vec![**view]), Choice::Send(..));
-        let ends = resting.iter().filter(would_serve);
-        match ends.filter_map(|view| self.opens_at(now, need, view)).min() {
+        let would_serve = |view| matches!(self.choose_of(now, need, vec![view]), Choice::Send(..));
+        let ends = resting.iter().filter(|(_, view)| would_serve(*view));
+        match ends.map(|(at, _)| *at).min() {
             Some(first) => Choice::Resting(first),
-            None if choice == Choice::Nobody => self.choose_of(now, need, resting),
+            None if choice == Choice::Nobody => {
+                let resting = resting.into_iter().map(|(_, view)| view);
+                self.choose_of(now, need, resting.collect())
+            }
             None => choice,
         }
     }
@@ -750,11 +765,7 @@
             PAID_LINK
         };
         let grey = (view.failures - GREY).max(0.0) * GREY_COST;
-        let is_limited = self
-            .limits
-            .of(&view.backend.id, view.backend.boot)
-            .is_some();
-        let limited = if is_limited { LIMITED_COST } else { 0.0 };
+        let limited = self.limit(view).map_or(0.0, |_| LIMITED_COST);
         let spread = xxh3_64_with_seed(view.backend.id.as_str().as_bytes(), need.draw);
         let jitter = float(spread >> 54) * 2e-6;
         paid + grey + limited + jitter
