Keep limits in the plan by the same type as in the balance

The planner kept a copy of its own, a map of limited workers that followed news only: it was never forgotten with the worker, nor after ten minutes without a word, as the balance does. Now the fleet holds the same Limits and takes each word with the time at which traffic took it, so whatever lifts a limit there lifts it here. Behaviour is the same until a limit is forgotten. Module tests and the three process tests of limits pass as they are.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -6,6 +6,7 @@
 
 use super::appetite::Appetite;
 use super::arrange::{Job, Planner, Policy, Wanted, Worker};
+use super::limit::Limits;
 use super::orders::{Ledger, Step};
 use super::speed::Speeds;
 use super::told::Told;
@@ -17,7 +18,7 @@
 use crate::world::order::{Action, Reply};
 use crate::world::shard::Shard;
 use crate::world::site::{Engine, Site};
-use crate::world::unit::{Incarnation, float};
+use crate::world::unit::{Incarnation, Rate, float};
 
 /// Part of its time that a worker may read prompts in and still answer in time.
 const COMFORT: f64 = 0.7;
@@ -69,8 +70,8 @@
     counts_earlier: bool,
     /// When rests end that workers asked for, with the start that did.
     rests: Map<id::Worker, (Incarnation, Duration)>,
-    /// Workers that named a rate limit, with the start that did.
-    limited: Map<id::Worker, Incarnation>,
+    /// Rate limits that workers named.
+    limits: Limits,
     /// Jobs that were asked of other holders.
     asked: BTreeMap<id::Worker, (Duration, Job)>,
     looked_at: Duration,
@@ -192,12 +193,14 @@
     }
 
     /// Notes that a worker named a rate limit, or lifted it.
-    pub fn on_limit(&mut self, worker: id::Worker, boot: Incarnation, is_limited: bool) {
-        if is_limited {
-            self.limited.insert(worker, boot);
-        } else {
-            self.limited.remove(&worker);
-        }
+    pub fn on_limit(
+        &mut self,
+        at: Duration,
+        worker: &id::Worker,
+        boot: Incarnation,
+        rate: Option<Rate>,
+    ) {
+        self.limits.on_told(at, worker, boot, rate);
     }
 
     /// Takes a job from the planner, if it fits what the worker does.
@@ -405,7 +408,7 @@
             models,
             copies: backend.copies.clone(),
             open: open && asked.is_none(),
-            limited: self.limited.get(&backend.id) == Some(&backend.boot),
+            limited: self.limits.of(&backend.id, backend.boot).is_some(),
         }
     }
 }
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -8,7 +8,7 @@
 use crate::world::message::Notice;
 use crate::world::site::Site;
 use crate::world::table::{Commit, Failure, Row, Txn};
-use crate::world::unit::Incarnation;
+use crate::world::unit::{Incarnation, Rate};
 use bytes::Bytes;
 
 /// Messages that a ring between duties holds.
@@ -74,8 +74,8 @@
     Former(Vec<Row>),
     /// A server wants no orders until some time.
     Rest(id::Worker, Incarnation, Duration),
-    /// A server named a rate limit, or lifted it.
-    Limit(id::Worker, Incarnation, bool),
+    /// A server named a rate limit at this time, or lifted it.
+    Limit(Duration, id::Worker, Incarnation, Option<Rate>),
     /// The process stops: give the lease up.
     Stop,
 }
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -50,6 +50,7 @@
             self.note_limit(worker, boot, rate, "answer");
         }
         if change.is_due {
+            self.hand(Heard::Limit(now, worker.clone(), boot, rate));
             let limit = Limit {
                 worker: worker.to_string(),
                 boot: boot.0,
@@ -71,6 +72,7 @@
             let mut balance = self.balance.borrow_mut();
             let is_news = balance.limits_mut().on_told(now, &worker, boot, rate);
             drop(balance);
+            self.hand(Heard::Limit(now, worker.clone(), boot, rate));
             if is_news {
                 self.note_limit(&worker, boot, rate, "peer");
             }
@@ -82,7 +84,6 @@
         self.metrics.on_limit(outcome);
         let values = json!({"server": worker, "boot": boot, "rate": rate, "source": source});
         self.journal.note("limit", &values);
-        self.hand(Heard::Limit(worker.clone(), boot, rate.is_some()));
     }
 
     /// Limits of which peers are to hear now.
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -149,7 +149,7 @@
         Heard::Speeds(speeds) => this.fleet.speeds = speeds,
         Heard::Former(rows) => this.on_former(&rows),
         Heard::Rest(worker, boot, until) => this.fleet.on_rest(worker, boot, until),
-        Heard::Limit(worker, boot, is_limited) => this.fleet.on_limit(worker, boot, is_limited),
+        Heard::Limit(at, worker, boot, rate) => this.fleet.on_limit(at, &worker, boot, rate),
         Heard::Stop => {
             this.is_stopping = true;
             let resigned = this.parts.iter_mut().filter_map(|part| part.lease.resign());
