Log the prompt parts of requests that run on a server when its connection breaks

Cause for the change: the log couldn't tell the hypotheses of the incident of deadly parts apart: no line named the parts of a prompt, stream_cut named no server, and nothing counted suspicions. Each break now writes a `suspect` line (server, route, shared parts, whether an event had arrived), and the counter `crashes` tells how many requests were suspected and how many suspicions the end of a server confirmed. Ruled out: putting parts on each `sent` line, which would double the log for one rare question. No decision changes.

--- a/src/decide/progress.rs
+++ b/src/decide/progress.rs
@@ -34,6 +34,8 @@
     has_field: bool,
     /// Whether the last byte ended an event, or no byte has arrived.
     is_complete: bool,
+    /// Number of complete events that have arrived.
+    event_count: u64,
 }
 
 impl Progress {
@@ -53,6 +55,7 @@
             is_at_line_start: true,
             has_field: false,
             is_complete: true,
+            event_count: 0,
         }
     }
 
@@ -64,6 +67,7 @@
                 b'\n' if self.is_at_line_start => {
                     if self.has_field {
                         self.last_event_at = now;
+                        self.event_count += 1;
                     }
                     self.has_field = false;
                     self.is_complete = true;
@@ -84,6 +88,12 @@
         self.is_complete
     }
 
+    /// Returns whether a complete event has arrived.
+    #[must_use]
+    pub const fn has_event(&self) -> bool {
+        self.event_count > 0
+    }
+
     /// Returns when the stream counts as stalled unless a complete event arrives.
     #[must_use]
     pub fn stalls_at(&self) -> Duration {
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -22,8 +22,10 @@
     pub fn on_broken(&self, fingerprint: Fingerprint, worker: &id::Worker) {
         let balance = self.balance.borrow();
         let Some(view) = balance.view(worker) else {
+            self.metrics.on_crash_evidence("unknown server", 1);
             return;
         };
+        self.metrics.on_crash_evidence("suspected", 1);
         let start = (worker.clone(), view.backend.boot);
         let now = self.clock.now();
         self.crashes
@@ -38,6 +40,8 @@
         if suspects.is_empty() {
             return;
         }
+        let count = u64::try_from(suspects.len()).unwrap_or(u64::MAX);
+        self.metrics.on_crash_evidence("confirmed", count);
         let convicted = suspects
             .iter()
             .filter(|print| self.is_convicted(|| **print));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,7 +14,7 @@
 use crate::decide::{progress, shed};
 use crate::platform::request;
 use crate::world::id;
-use crate::world::message::{Answer, Request};
+use crate::world::message::{Answer, Generation, Request};
 use crate::world::site::{Route, Site};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -116,6 +116,20 @@
         self.traffic.journal.note(event, &values);
     }
 
+    /// Records that the connection to a server broke while the request ran there; `has_event` says
+    /// whether a complete event of its answer had arrived.
+    pub(super) fn on_broken(&self, worker: &id::Worker, has_event: bool) {
+        let parts = self.need.generation.as_ref().map(Generation::shared_parts);
+        let parts: Vec<String> = parts
+            .unwrap_or_default()
+            .iter()
+            .map(|part| format!("{:x}", part.id))
+            .collect();
+        let values = json!({"server": worker, "route": self.route.name, "parts": parts, "event_arrived": has_event});
+        self.note("suspect", values);
+        self.traffic.on_broken(self.fingerprint(), worker);
+    }
+
     /// Sends the request to servers until one answers or no further attempt is allowed.
     pub async fn dispatch(self: &Rc<Self>, last_event: Option<&str>) -> Outcome {
         let mut failed: Option<Response<Body>> = None;
@@ -167,7 +181,7 @@
                 self.attempts.borrow_mut().on_possible_run(&worker);
             }
             if matches!(attempt, Attempt::Unknown(BROKEN | CUT)) {
-                self.traffic.on_broken(self.fingerprint(), &worker);
+                self.on_broken(&worker, false);
             }
             match attempt {
                 Attempt::Stream(stream) => return Outcome::Stream(stream),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -19,6 +19,7 @@
     repeats: Family<Labels, Counter>,
     rests: Family<Labels, Counter>,
     limits: Family<Labels, Counter>,
+    crashes: Family<Labels, Counter>,
     pub first_byte: Histogram,
     pub connections: Counter,
 }
@@ -32,6 +33,7 @@
         let repeats = Family::<Labels, Counter>::default();
         let rests = Family::<Labels, Counter>::default();
         let limits = Family::<Labels, Counter>::default();
+        let crashes = Family::<Labels, Counter>::default();
         let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 14));
         let connections = Counter::default();
         registry.register(
@@ -64,6 +66,11 @@
             "Changes of the rate limits that servers name, by kind",
             limits.clone(),
         );
+        registry.register(
+            "crashes",
+            "Requests that ran on a server when the connection broke, by what became of the suspicion",
+            crashes.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time to the first byte",
@@ -82,6 +89,7 @@
             repeats,
             rests,
             limits,
+            crashes,
             first_byte,
             connections,
         }
@@ -126,6 +134,12 @@
         self.limits.get_or_create(&labels).inc();
     }
 
+    /// Counts requests that became suspects, or whose suspicion the end of their server confirmed.
+    pub fn on_crash_evidence(&self, outcome: &'static str, requests: u64) {
+        let labels = vec![("outcome", outcome.into())];
+        self.crashes.get_or_create(&labels).inc_by(requests);
+    }
+
     /// Encodes all metrics in the text format.
     #[must_use]
     pub fn text(&self) -> String {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -183,8 +183,7 @@
     fn on_broken(&self) {
         if let State::Reading { teardown, .. } = &self.state {
             let worker = &teardown.guard.worker;
-            let traffic = &self.exchange.traffic;
-            traffic.on_broken(self.exchange.fingerprint(), worker);
+            self.exchange.on_broken(worker, self.progress.has_event());
         }
     }
 
--- a/src/world/message.rs
+++ b/src/world/message.rs
@@ -51,6 +51,18 @@
     pub parts: Vec<Part>,
 }
 
+/// Limit on the parts of one prompt that are examined.
+const MAX_SHARED_PARTS: usize = 16;
+
+impl Generation {
+    /// Returns the parts that other prompts may share; the last part is the request's own.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[Part] {
+        let count = self.parts.len().saturating_sub(1);
+        &self.parts[..count.min(MAX_SHARED_PARTS)]
+    }
+}
+
 /// Head of a caller's request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Request {
