Reproduce servers that crash one after the other under one prompt part

What callers see: requests with the part get 502 "stream broke off" and end a server each; nothing refuses them. The stand-in's workers can crash on a part of a prompt: all runs break off, the worker returns as a new incarnation.

--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -209,6 +209,20 @@
         self.write(table, key, Some(value));
     }
 
+    /// Removes a row, as an operator by hand would.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, None);
+    }
+
+    /// Keys of a table's rows that begin with a prefix.
+    #[must_use]
+    pub fn keys(&self, table: &str, prefix: &str) -> Vec<String> {
+        let store = self.store();
+        let rows = store.rows.values().filter(|row| row.table == table);
+        let rows = rows.filter(|row| row.value.is_some() && row.key.starts_with(prefix));
+        rows.map(|row| row.key.clone()).collect()
+    }
+
     /// Changes what the link to a worker or to the store does.
     pub fn disturb(&self, name: &str, mode: Mode) {
         self.links[name].set(mode);
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -27,6 +27,10 @@
     /// Ids of the requests whose connection closed before their end.
     dropped: Vec<String>,
     fault: Fault,
+    /// Id of a part of prompts that crashes the worker as it begins an answer on it.
+    deadly_part: Option<String>,
+    /// Number of crashes; each ends all runs.
+    crashes: u64,
     /// Headers of all answers, and of those that turn a request away.
     says: Vec<(String, String)>,
     says_full: Vec<(String, String)>,
@@ -151,6 +155,17 @@
         state.says_full = rests.collect();
     }
 
+    /// Crashes from now on when it begins an answer on this part of a prompt, in hexadecimal.
+    pub fn crash_on(&self, part: Option<&str>) {
+        self.state().deadly_part = part.map(str::to_owned);
+    }
+
+    /// Number of crashes.
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        self.state().crashes
+    }
+
     /// Replaces the fault in force.
     pub fn set(&self, fault: Fault) {
         self.state().fault = fault;
@@ -161,7 +176,7 @@
     pub fn entry(&self, state: &str) -> Value {
         json!({"Service": self.service, "Address": self.address, "Zone": "north-1",
             "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0, "Sequence": 5,
-            "Models": self.models(), "born": 1_000})
+            "Models": self.models(), "born": 1_000 + self.crashes()})
     }
 
     fn models(&self) -> Vec<Value> {
@@ -199,6 +214,14 @@
         202
     }
 
+    /// Whether a prompt has the part that crashes this worker.
+    fn is_deadly(&self, parts: &str) -> bool {
+        let state = self.state();
+        let mut parts = parts.split(',').filter_map(|part| part.split(':').next());
+        let deadly = state.deadly_part.as_deref();
+        deadly.is_some_and(|deadly| parts.any(|part| part == deadly))
+    }
+
     fn holds(&self, target: &str) -> bool {
         let (model, adapter) = target.split_once('/').unwrap_or((target, ""));
         let state = self.state();
@@ -298,7 +321,12 @@
         return plain(200, &signed, "done");
     }
     let after = text(headers, "last-event-id").parse().unwrap_or(0);
+    let start = worker.crashes();
+    if worker.is_deadly(text(headers, "x-prompt-prefix")) {
+        worker.state().crashes += 1;
+    }
     let stream = Stream {
+        start,
         watch: Watch(Arc::clone(worker), id.clone(), false),
         next: after + 1,
         last: worker.events,
@@ -341,6 +369,8 @@
 #[derive(Debug)]
 pub struct Stream {
     watch: Watch,
+    /// Number of the worker's crashes when the run began.
+    start: u64,
     next: u32,
     last: u32,
     cut_after: Option<u32>,
@@ -386,7 +416,8 @@
             return Poll::Ready(None);
         }
         std::task::ready!(self.sleep.as_mut().poll(context));
-        if self.cut_after.is_some_and(|cut| self.next > cut) {
+        let has_crashed = self.watch.0.crashes() != self.start;
+        if has_crashed || self.cut_after.is_some_and(|cut| self.next > cut) {
             self.watch.2 = true;
             return Poll::Ready(Some(Err(std::io::Error::other("cut"))));
         }
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod notices;
 mod operators;
+mod parts;
 mod raw_server;
 mod site;
 mod soak;
--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -234,10 +234,15 @@
 }
 
 pub fn request(path: &str, id: &str, model: &str) -> String {
+    request_with_parts(path, id, model, "1:100")
+}
+
+/// A request whose prompt has these parts, as pairs of an id and its tokens.
+pub fn request_with_parts(path: &str, id: &str, model: &str, parts: &str) -> String {
     let model = if model.is_empty() {
         String::new()
     } else {
-        format!("X-Model-Name: {model}\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: 1:100\r\n")
+        format!("X-Model-Name: {model}\r\nX-Token-Usage: 100,20\r\nX-Prompt-Prefix: {parts}\r\n")
     };
     format!(
         "POST {path} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: 4000\r\n{model}\
