Quarantine prompt parts that crash the servers which begin an answer on them

Cause: crashes were attributed to a hash of path and body. Class of fault: the unit by which repetition is recognised is narrower than the unit that does the harm. Ruled out: lost or late crash evidence (each end has a crash line within seconds), and sound requests that clear the guilty ones (records are per body, nothing cleared them). Change: decide/quarantine keeps crashes with the prompts that had hardly begun, per part; three crashes without an answer in between quarantine it. Parts that can't be told apart are refused only together, an answer removes the innocent ones, a part with more crashes explains those beside it. Evidence and entries go to all instances, a digest in each datagram finds instances that differ, and rows in the store outlive a restart of all. After ten minutes, doubling with each crash, single prompts are let through. Every send is checked, retries too.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -879,7 +879,7 @@
     let target = generation.target.to_string();
     let mut key = xxh3_64_with_seed(target.as_bytes(), 0);
     generation.parts.iter().map(move |part| {
-        key = xxh3_64_with_seed(&part.id.to_le_bytes(), key);
+        key = xxh3_64_with_seed(&part.id.0.to_le_bytes(), key);
         (key, part.tokens.0)
     })
 }
--- a/src/decide/progress.rs
+++ b/src/decide/progress.rs
@@ -34,8 +34,8 @@
     has_field: bool,
     /// Whether the last byte ended an event, or no byte has arrived.
     is_complete: bool,
-    /// Number of complete events that have arrived.
-    event_count: u64,
+    /// Arrival of the first complete event.
+    first_event_at: Option<Duration>,
 }
 
 impl Progress {
@@ -55,7 +55,7 @@
             is_at_line_start: true,
             has_field: false,
             is_complete: true,
-            event_count: 0,
+            first_event_at: None,
         }
     }
 
@@ -67,7 +67,7 @@
                 b'\n' if self.is_at_line_start => {
                     if self.has_field {
                         self.last_event_at = now;
-                        self.event_count += 1;
+                        self.first_event_at.get_or_insert(now);
                     }
                     self.has_field = false;
                     self.is_complete = true;
@@ -88,10 +88,10 @@
         self.is_complete
     }
 
-    /// Returns whether a complete event has arrived.
+    /// Returns when the first complete event arrived.
     #[must_use]
-    pub const fn has_event(&self) -> bool {
-        self.event_count > 0
+    pub const fn first_event_at(&self) -> Option<Duration> {
+        self.first_event_at
     }
 
     /// Returns when the stream counts as stalled unless a complete event arrives.
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -85,6 +85,7 @@
         "sharers": traffic.sharers(),
         "budgets": &*traffic.budgets.borrow(),
         "convicted": traffic.crashes.borrow().quarantined(traffic.clock.now()).collect::<Vec<_>>(),
+        "quarantine": traffic.quarantine.borrow().entries().map(|(parts, _)| parts).collect::<Vec<_>>(),
         "limits": balance.limits().active().collect::<BTreeMap<_, _>>(),
         "servers": balance.views().collect::<Vec<_>>(),
     })
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -248,7 +248,7 @@
                     traffic.pool_connection(&self.need.service, &worker, channel, answer.keeps);
                 }
                 if answer.outcome == Outcome::Success {
-                    traffic.on_success(|| self.fingerprint());
+                    self.on_success();
                 }
                 let response = reply::forwarded(head, body.to_bytes());
                 if answer.outcome == Outcome::Failed {
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -6,6 +6,7 @@
 use crate::decide::suspect::Fingerprint;
 use crate::wire::generated_gossip::{Crash, Ended};
 use crate::world::id;
+use crate::world::message::PartId;
 use crate::world::unit::Incarnation;
 
 /// Limit on records in one datagram.
@@ -19,7 +20,13 @@
     }
 
     /// Records that the connection to a server broke while it ran a request.
-    pub fn on_broken(&self, fingerprint: Fingerprint, worker: &id::Worker) {
+    pub fn on_broken(
+        &self,
+        fingerprint: Fingerprint,
+        parts: &[PartId],
+        worker: &id::Worker,
+        first_event: Option<Duration>,
+    ) {
         let balance = self.balance.borrow();
         let Some(view) = balance.view(worker) else {
             self.metrics.on_crash_evidence("unknown server", 1);
@@ -28,6 +35,9 @@
         self.metrics.on_crash_evidence("suspected", 1);
         let start = (worker.clone(), view.backend.boot);
         let now = self.clock.now();
+        self.update_quarantine(|quarantine| {
+            quarantine.on_connection_broken(now, parts, &start, first_event);
+        });
         self.crashes
             .borrow_mut()
             .on_connection_broken(now, fingerprint, start);
@@ -36,6 +46,7 @@
     /// Records that a server ended; the requests that it was running may be the cause.
     pub fn on_ended(&self, worker: &id::Worker) {
         let now = self.clock.now();
+        self.update_quarantine(|quarantine| quarantine.on_server_ended(now, worker));
         let suspects = self.crashes.borrow_mut().on_server_ended(now, worker);
         if suspects.is_empty() {
             return;
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -1,6 +1,7 @@
 //! Messages between the gateway's threads, which pass through bounded channels.
 
 use crate::common::*;
+use crate::decide::quarantine::Parts;
 use crate::decide::roster::Change;
 use crate::decide::speed::Speeds;
 use crate::wire::generated_gossip::{Batch, Gossip, Holding, Job, Lead};
@@ -16,6 +17,8 @@
 
 /// Key prefix of the lease rows, one for each shard.
 pub const LEASE_KEY_PREFIX: &str = "lease.shard.";
+/// Key prefix of the rows of quarantined prompt parts, one for each entry.
+pub const QUARANTINE_KEY_PREFIX: &str = "quarantine.";
 
 /// An update from the store thread.
 #[derive(Debug, Clone)]
@@ -28,6 +31,8 @@
     FirstStart,
     /// Registered instances.
     Members(Vec<Member>),
+    /// All rows of the quarantine: the parts of each entry, and the number of its crashes.
+    Quarantine(BTreeMap<Parts, u32>),
     /// Lease rows, some of which this instance may have held before it restarted.
     FormerLeases(Vec<Row>),
     /// The store became reachable or unreachable.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,7 +14,7 @@
 use crate::decide::{progress, shed};
 use crate::platform::request;
 use crate::world::id;
-use crate::world::message::{Answer, Generation, Request};
+use crate::world::message::{Answer, Generation, PartId, Request};
 use crate::world::site::{Route, Site};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -39,6 +39,8 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-After for a caller whose model is missing or being loaded.
 const RETRY_AFTER_LOADING: Duration = Duration::from_millis(1_200);
+/// Cause of a refusal because the request, or a part of its prompt, crashes servers.
+const CRASHES_SERVERS: &str = "crashes servers";
 /// Retry-After for a caller whose request crashes servers.
 const RETRY_AFTER_CRASHES: Duration = Duration::from_mins(1);
 /// Limit on rejections of one request by servers that did not run it.
@@ -116,18 +118,34 @@
         self.traffic.journal.note(event, &values);
     }
 
-    /// Records that the connection to a server broke while the request ran there; `has_event` says
-    /// whether a complete event of its answer had arrived.
-    pub(super) fn on_broken(&self, worker: &id::Worker, has_event: bool) {
-        let parts = self.need.generation.as_ref().map(Generation::shared_parts);
-        let parts: Vec<String> = parts
-            .unwrap_or_default()
-            .iter()
-            .map(|part| format!("{:x}", part.id))
-            .collect();
-        let values = json!({"server": worker, "route": self.route.name, "parts": parts, "event_arrived": has_event});
+    /// Returns the prompt parts that other requests may share.
+    fn shared_parts(&self) -> Vec<PartId> {
+        let generation = self.need.generation.as_ref();
+        generation.map_or_else(Vec::new, Generation::shared_parts)
+    }
+
+    /// Whether the request, or a part of its prompt, is known to crash servers.
+    pub(super) fn crashes_servers(&self) -> bool {
+        self.traffic.is_convicted(|| self.fingerprint())
+            || self.traffic.is_quarantined(|| self.shared_parts())
+    }
+
+    /// Records that the connection to a server broke while the request ran there; `first_event` is
+    /// when the first event of its answer arrived.
+    pub(super) fn on_broken(&self, worker: &id::Worker, first_event: Option<Duration>) {
+        let parts = self.shared_parts();
+        let answered_for = first_event.map(|at| self.now().saturating_sub(at).as_millis());
+        let values = json!({"server": worker, "route": self.route.name, "parts": parts,
+            "answered_for_ms": answered_for});
         self.note("suspect", values);
-        self.traffic.on_broken(self.fingerprint(), worker);
+        self.traffic
+            .on_broken(self.fingerprint(), &parts, worker, first_event);
+    }
+
+    /// Records that a server answered the request, which clears it of having crashed servers.
+    pub(super) fn on_success(&self) {
+        self.traffic.on_success(|| self.fingerprint());
+        self.traffic.on_answered(|| self.shared_parts());
     }
 
     /// Sends the request to servers until one answers or no further attempt is allowed.
@@ -151,17 +169,15 @@
                 Ok(chosen) => chosen,
                 Err(end) if !has_run => return end,
                 Err(_) => {
-                    let cause = "no other server";
+                    let cause = if self.crashes_servers() {
+                        CRASHES_SERVERS
+                    } else {
+                        "no other server"
+                    };
                     return failed.map_or(Outcome::Unknown { cause }, Outcome::Complete);
                 }
             };
             if self.attempts.borrow().is_unsent() {
-                if self.traffic.is_convicted(|| self.fingerprint()) {
-                    return Outcome::Refused {
-                        cause: "crashes servers",
-                        retry_after: RETRY_AFTER_CRASHES,
-                    };
-                }
                 if let Some(retry_after) = self.overload_retry_after(expected) {
                     return Outcome::Refused {
                         cause: "busy",
@@ -173,6 +189,7 @@
             let may_try_another =
                 self.route.repeat.is_allowed() && self.attempts.borrow().may_move_from(&worker);
             self.attempts.borrow_mut().on_sent(&worker);
+            self.traffic.on_prompt_sent(|| self.shared_parts());
             let attempt = self
                 .attempt(&worker, expected, last_event, may_try_another)
                 .await;
@@ -181,7 +198,7 @@
                 self.attempts.borrow_mut().on_possible_run(&worker);
             }
             if matches!(attempt, Attempt::Unknown(BROKEN | CUT)) {
-                self.on_broken(&worker, false);
+                self.on_broken(&worker, None);
             }
             match attempt {
                 Attempt::Stream(stream) => return Outcome::Stream(stream),
@@ -234,6 +251,12 @@
             .on_request(started_at, &self.need);
         loop {
             let now = self.now();
+            if self.crashes_servers() {
+                return Err(Outcome::Refused {
+                    cause: CRASHES_SERVERS,
+                    retry_after: RETRY_AFTER_CRASHES,
+                });
+            }
             let (max_wait, cause, retry_after) = match self.choose(now) {
                 Choice::Send(worker, expected) => return Ok((worker, expected)),
                 Choice::Throttled(until) => {
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -7,7 +7,7 @@
 use super::event::{Announcement, CHANNEL_CAPACITY, Call, PlacerEvent, StoreUpdate, Subscription};
 use super::journal::Journal;
 use super::traffic::{Tier, Traffic};
-use super::{admin, gossip, ingress, placer, store};
+use super::{admin, gossip, ingress, placer, quarantine, store};
 use crate::common::*;
 use crate::node::clock::{Clock, incarnation};
 use crate::platform::settings;
@@ -59,6 +59,7 @@
         let deployment = Arc::clone(&deployment);
         move || store::run(deployment, clock, calls_rx, updates, subscription_rx)
     };
+    let traffic_calls = calls.clone();
     let placer_main = {
         let deployment = Arc::clone(&deployment);
         let journal = journal.clone();
@@ -86,6 +87,7 @@
             journal,
             placer,
             subscription,
+            traffic_calls,
         );
         let served = serve(traffic, updates_rx, announcements_rx, placer_events).await;
         is_ending.store(true, Ordering::SeqCst);
@@ -196,6 +198,7 @@
     ));
     spawn_local(apply_store_updates(Rc::clone(&traffic), updates));
     spawn_local(tick_periodically(Rc::clone(&traffic)));
+    spawn_local(quarantine::keep_in_store(Rc::clone(&traffic)));
     spawn_local(ingress::serve(Rc::clone(&traffic), callers, closing));
     wait_for_stop(&traffic).await?;
     stop(&traffic, &placer, &close).await;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -125,7 +125,8 @@
 }
 
 /// Sends urgent updates at once: adapter requests to holders, new configurations to the data
-/// centre, and departures, rate limits, crash records and server list changes to all instances.
+/// centre, and departures, rate limits, crash records, the quarantine and server list changes to all
+/// instances.
 pub async fn gossip_urgent(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
     loop {
         traffic.gossip_pending.notified().await;
@@ -157,6 +158,16 @@
             gossip.crashes = crashes.to_vec();
             broadcast(&traffic, &socket, gossip).await;
         }
+        for quarantine in traffic.take_quarantine_news() {
+            let mut gossip = traffic.envelope();
+            gossip.quarantine = Some(quarantine);
+            broadcast(&traffic, &socket, gossip).await;
+        }
+        for (peer, quarantine) in traffic.take_quarantine_summaries() {
+            let mut gossip = traffic.envelope();
+            gossip.quarantine = Some(quarantine);
+            send(&socket, &gossip, &[peer]).await;
+        }
         let list_updates = std::mem::take(&mut *traffic.list_updates.borrow_mut());
         for list_update in list_updates.into_iter().filter(|_| traffic.is_planner()) {
             let mut gossip = traffic.envelope();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -20,6 +21,9 @@
     rests: Family<Labels, Counter>,
     limits: Family<Labels, Counter>,
     crashes: Family<Labels, Counter>,
+    quarantine_changes: Family<Labels, Counter>,
+    /// Entries of the quarantine.
+    pub quarantined: Gauge,
     pub first_byte: Histogram,
     pub connections: Counter,
 }
@@ -34,6 +38,8 @@
         let rests = Family::<Labels, Counter>::default();
         let limits = Family::<Labels, Counter>::default();
         let crashes = Family::<Labels, Counter>::default();
+        let quarantine_changes = Family::<Labels, Counter>::default();
+        let quarantined = Gauge::default();
         let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 14));
         let connections = Counter::default();
         registry.register(
@@ -71,6 +77,16 @@
             "Requests that ran on a server when the connection broke, by what became of the suspicion",
             crashes.clone(),
         );
+        registry.register(
+            "quarantine_changes",
+            "Changes of the quarantine of prompt parts, by kind",
+            quarantine_changes.clone(),
+        );
+        registry.register(
+            "quarantined",
+            "Sets of prompt parts in quarantine",
+            quarantined.clone(),
+        );
         registry.register(
             "first_byte_seconds",
             "Time to the first byte",
@@ -90,6 +106,8 @@
             rests,
             limits,
             crashes,
+            quarantine_changes,
+            quarantined,
             first_byte,
             connections,
         }
@@ -140,6 +158,12 @@
         self.crashes.get_or_create(&labels).inc_by(requests);
     }
 
+    /// Counts a change of the quarantine of prompt parts.
+    pub fn on_quarantine_change(&self, change: &'static str) {
+        let labels = vec![("change", change.into())];
+        self.quarantine_changes.get_or_create(&labels).inc();
+    }
+
     /// Encodes all metrics in the text format.
     #[must_use]
     pub fn text(&self) -> String {
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -71,6 +71,7 @@
         self.on_leads(now, &gossip.leads, Some(sender.address));
         self.on_holdings(&gossip.holdings);
         self.on_crashes(now, &gossip.crashes);
+        self.on_peer_quarantine(now, &gossip);
         self.on_peer_leaving(&gossip.leaving);
         self.on_peer_limits(&gossip.limits);
         let batch = gossip.batch.as_ref();
@@ -194,6 +195,7 @@
             servers_version: self.roster.borrow().newest_change(),
             configuration: self.configuration_version(),
             reaches_store: self.reaches_store.get() && !self.is_stopping.get(),
+            quarantine_digest: self.quarantine.borrow().digest(),
             ..Gossip::default()
         }
     }
--- /dev/null
+++ b/src/gateway/quarantine.rs
@@ -0,0 +1,285 @@
+//! Quarantine of prompt parts: what the traffic thread reports to it, its exchange between
+//! instances and its rows in the store.
+
+use super::event::{Call, QUARANTINE_KEY_PREFIX};
+use super::traffic::Traffic;
+use crate::common::*;
+use crate::decide::quarantine::{Crash, Entry, Parts, Quarantine, Report, Write, hash};
+use crate::platform::rows::Row;
+use crate::wire::generated_gossip as wire;
+use crate::wire::generated_gossip::Gossip;
+use crate::world::message::PartId;
+use crate::world::table::{Commit, Txn};
+use crate::world::unit::Incarnation;
+use std::rc::Rc;
+use tokio::time::sleep;
+
+/// Limit on crashes in one datagram.
+const MAX_CRASHES_PER_DATAGRAM: usize = 4;
+/// Shortest interval at which an instance sends its whole quarantine to peers that have another
+/// one.
+const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between checks for rows to write.
+const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Value of a row.
+#[derive(Debug, Serialize, Deserialize)]
+struct Stored {
+    parts: Parts,
+    crashes: u32,
+}
+
+impl Traffic {
+    /// Whether a prompt with these parts is refused.
+    pub fn is_quarantined(&self, parts: impl FnOnce() -> Vec<PartId>) -> bool {
+        let quarantine = self.quarantine.borrow();
+        !quarantine.is_empty() && quarantine.is_refused(self.clock.now(), &parts())
+    }
+
+    /// Records that a prompt is sent to a server.
+    pub fn on_prompt_sent(&self, parts: impl FnOnce() -> Vec<PartId>) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        if !quarantine.is_empty() {
+            quarantine.on_sent(self.clock.now(), &parts());
+        }
+    }
+
+    /// Records that a server answered a prompt.
+    pub fn on_answered(&self, parts: impl FnOnce() -> Vec<PartId>) {
+        if self.quarantine.borrow().accuses_none() {
+            return;
+        }
+        let now = self.clock.now();
+        self.update_quarantine(|quarantine| quarantine.on_answered(now, &parts()));
+    }
+
+    /// Applies the rows that were read from the store.
+    pub(super) fn on_quarantine_rows(&self, rows: &BTreeMap<Parts, u32>) {
+        let now = self.clock.now();
+        self.update_quarantine(|quarantine| quarantine.on_rows(now, rows));
+    }
+
+    /// Applies a change, logs the entries that it added or dropped, and tells peers.
+    pub(super) fn update_quarantine(&self, change: impl FnOnce(&mut Quarantine)) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        let before: BTreeMap<Parts, Entry> = quarantine.entries().collect();
+        change(&mut quarantine);
+        let after: BTreeMap<Parts, Entry> = quarantine.entries().collect();
+        for (parts, entry) in &after {
+            let is_new = !before.contains_key(parts);
+            let is_renewed = before
+                .get(parts)
+                .is_some_and(|known| known.crashes < entry.crashes);
+            if is_new || is_renewed {
+                let change = if is_new { "added" } else { "renewed" };
+                self.log_quarantine_change(change, parts, entry);
+            }
+        }
+        for (parts, entry) in before
+            .iter()
+            .filter(|(parts, _)| !after.contains_key(*parts))
+        {
+            self.log_quarantine_change("dropped", parts, entry);
+        }
+        let entries = i64::try_from(after.len()).unwrap_or(i64::MAX);
+        self.metrics.quarantined.set(entries);
+        if quarantine.has_news() {
+            self.gossip_pending.notify_one();
+        }
+    }
+
+    fn log_quarantine_change(&self, change: &'static str, parts: &Parts, entry: &Entry) {
+        self.metrics.on_quarantine_change(change);
+        let age = self.clock.now().saturating_sub(entry.last_crash);
+        let values = json!({"change": change, "parts": parts, "crashes": entry.crashes,
+            "last_crash_age_ms": age.as_millis(), "stored": entry.is_stored});
+        self.journal.note("quarantine", &values);
+    }
+
+    /// Applies a peer's report. A peer with other entries is sent those of this instance.
+    pub(super) fn on_peer_quarantine(&self, now: Duration, gossip: &Gossip) {
+        if let Some(report) = &gossip.quarantine {
+            let report = decode(now, report);
+            self.update_quarantine(|quarantine| quarantine.merge(now, &report));
+        }
+        let is_same = gossip.quarantine_digest == self.quarantine.borrow().digest();
+        if is_same || now < self.quarantine_sent_at.get() + SUMMARY_INTERVAL {
+            return;
+        }
+        if let Ok(peer) = gossip.address.parse() {
+            self.quarantine_sent_at.set(now);
+            self.peers_with_other_quarantine.borrow_mut().insert(peer);
+            self.gossip_pending.notify_one();
+        }
+    }
+
+    /// Takes the evidence and entries that all peers must receive without delay.
+    pub fn take_quarantine_news(&self) -> Vec<wire::Quarantine> {
+        let now = self.clock.now();
+        let mut news = self.quarantine.borrow_mut().take_news();
+        let crashes: Vec<_> = std::mem::take(&mut news.crashes).into_iter().collect();
+        let mut datagrams: Vec<wire::Quarantine> = crashes
+            .chunks(MAX_CRASHES_PER_DATAGRAM)
+            .map(|crashes| {
+                let crashes = crashes.iter().cloned().collect();
+                let report = Report {
+                    crashes,
+                    ..Report::default()
+                };
+                encode(now, &report)
+            })
+            .collect();
+        if !news.is_empty() {
+            datagrams.push(encode(now, &news));
+        }
+        datagrams
+    }
+
+    /// Takes the peers that have other entries, and what to send to them.
+    pub fn take_quarantine_summaries(&self) -> Vec<(SocketAddr, wire::Quarantine)> {
+        let peers = std::mem::take(&mut *self.peers_with_other_quarantine.borrow_mut());
+        if peers.is_empty() {
+            return Vec::new();
+        }
+        let summary = encode(self.clock.now(), &self.quarantine.borrow().summary());
+        let peers = peers.into_iter();
+        peers.map(|peer| (peer, summary.clone())).collect()
+    }
+
+    /// Writes a change of the quarantine to the store; returns whether the row is now as it should
+    /// be.
+    async fn write_quarantine(&self, write: &Write) -> bool {
+        let (Write::Insert(parts, _) | Write::Remove(parts)) = write;
+        let key = format!("{QUARANTINE_KEY_PREFIX}{:016x}", hash(0, parts));
+        let txn = match write {
+            Write::Insert(parts, crashes) => {
+                let row = json!(Stored {
+                    parts: parts.clone(),
+                    crashes: *crashes,
+                });
+                Txn::default().put(key, 0, row)
+            }
+            Write::Remove(_) => Txn::default().remove(key),
+        };
+        let (reply, committed) = flume::bounded(1);
+        if self
+            .calls
+            .send_async(Call::Commit(txn, reply))
+            .await
+            .is_err()
+        {
+            return false;
+        }
+        // A conflict means that another instance has written the same row.
+        matches!(
+            committed.recv_async().await,
+            Ok(Ok(Commit::Done(_) | Commit::Conflict(_)))
+        )
+    }
+}
+
+/// Keeps the rows in the store in line with the quarantine.
+pub async fn keep_in_store(traffic: Rc<Traffic>) {
+    loop {
+        sleep(WRITE_CHECK_INTERVAL).await;
+        let now = traffic.clock.now();
+        let writes = traffic.quarantine.borrow_mut().take_writes(now);
+        for write in writes {
+            let is_written = traffic.write_quarantine(&write).await;
+            let values = json!({"write": format!("{write:?}"), "done": is_written});
+            traffic.journal.note("quarantine_row", &values);
+            if is_written {
+                traffic.update_quarantine(|quarantine| quarantine.on_written(&write));
+            }
+        }
+    }
+}
+
+/// Decodes the rows of the quarantine among others; those that can't be decoded are logged and
+/// skipped.
+pub(super) fn decode_rows(rows: &[Row]) -> BTreeMap<Parts, u32> {
+    let rows = rows
+        .iter()
+        .filter(|row| row.key.starts_with(QUARANTINE_KEY_PREFIX));
+    let stored = rows.filter_map(|row| {
+        let value = row.value.as_deref()?;
+        let stored: Result<Stored, _> = serde_json::from_slice(value);
+        stored
+            .inspect_err(|error| log::error!("row {} is invalid: {error}; remove it", row.key))
+            .ok()
+    });
+    stored
+        .map(|stored| (stored.parts, stored.crashes))
+        .collect()
+}
+
+fn age_ms(now: Duration, at: Duration) -> u64 {
+    u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)
+}
+
+fn time_of(now: Duration, age_ms: u64) -> Duration {
+    now.saturating_sub(Duration::from_millis(age_ms))
+}
+
+fn encode_parts(parts: &Parts) -> wire::Parts {
+    wire::Parts {
+        ids: parts.iter().map(|part| part.0).collect(),
+    }
+}
+
+fn decode_parts(parts: &wire::Parts) -> Parts {
+    parts.ids.iter().copied().map(PartId).collect()
+}
+
+fn encode(now: Duration, report: &Report) -> wire::Quarantine {
+    let crashes = report.crashes.iter();
+    let crashes = crashes.map(|((worker, boot), crash)| wire::CrashedServer {
+        worker: worker.to_string(),
+        boot: boot.0,
+        age_ms: age_ms(now, crash.at),
+        prompts: crash.prompts.iter().map(encode_parts).collect(),
+    });
+    let cleared = report.cleared.iter();
+    let cleared = cleared.map(|(part, until)| wire::ClearedPart {
+        id: part.0,
+        age_ms: age_ms(now, *until),
+    });
+    let entries = report.entries.iter();
+    let entries = entries.map(|(parts, entry)| wire::QuarantinedParts {
+        parts: Some(encode_parts(parts)),
+        age_ms: age_ms(now, entry.last_crash),
+        crashes: entry.crashes,
+        is_stored: entry.is_stored,
+    });
+    wire::Quarantine {
+        crashes: crashes.collect(),
+        cleared: cleared.collect(),
+        entries: entries.collect(),
+    }
+}
+
+fn decode(now: Duration, report: &wire::Quarantine) -> Report {
+    let crashes = report.crashes.iter().filter_map(|crashed| {
+        let worker = crashed.worker.parse().ok()?;
+        let crash = Crash {
+            at: time_of(now, crashed.age_ms),
+            prompts: crashed.prompts.iter().map(decode_parts).collect(),
+        };
+        Some(((worker, Incarnation(crashed.boot)), crash))
+    });
+    let cleared = report.cleared.iter();
+    let cleared = cleared.map(|it| (PartId(it.id), time_of(now, it.age_ms)));
+    let entries = report.entries.iter().filter_map(|it| {
+        let entry = Entry {
+            last_crash: time_of(now, it.age_ms),
+            crashes: it.crashes,
+            is_stored: it.is_stored,
+        };
+        Some((decode_parts(it.parts.as_ref()?), entry))
+    });
+    Report {
+        crashes: crashes.collect(),
+        cleared: cleared.collect(),
+        entries: entries.collect(),
+    }
+}
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -1,6 +1,8 @@
-//! Registers this instance in the store and reads the rows of the other instances.
+//! Registers this instance in the store and reads the rows of the other instances. The same reads
+//! return the rows of the quarantine, whose keys are greater.
 
 use super::event::{LEASE_KEY_PREFIX, Member, StoreUpdate};
+use super::quarantine;
 use super::store::{MAX_RETRY_DELAY, RETRY_DELAY, Store, commit, decode_row};
 use crate::common::*;
 use crate::decide::retry::backoff;
@@ -57,6 +59,8 @@
         store
             .send_update(StoreUpdate::Members(members(&page)))
             .await;
+        let entries = quarantine::decode_rows(&page.rows);
+        store.send_update(StoreUpdate::Quarantine(entries)).await;
         sleep(match (is_written, has_read_after_write) {
             (false, _) => RETRY_DELAY,
             (true, false) => SECOND_READ_DELAY,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -183,7 +183,8 @@
     fn on_broken(&self) {
         if let State::Reading { teardown, .. } = &self.state {
             let worker = &teardown.guard.worker;
-            self.exchange.on_broken(worker, self.progress.has_event());
+            self.exchange
+                .on_broken(worker, self.progress.first_event_at());
         }
     }
 
@@ -216,7 +217,7 @@
         let traffic = &self.exchange.traffic;
         let allowed = self.is_resumable
             && self.resumptions < MAX_RESUMPTIONS
-            && !traffic.is_convicted(|| self.exchange.fingerprint())
+            && !self.exchange.crashes_servers()
             && self.exchange.try_take_retry("stream broke off");
         if !allowed {
             return false;
@@ -250,9 +251,7 @@
         let state = std::mem::replace(&mut self.state, State::Over);
         self.outcome = "whole";
         if let State::Reading { teardown, .. } = state {
-            self.exchange
-                .traffic
-                .on_success(|| self.exchange.fingerprint());
+            self.exchange.on_success();
             let worker = teardown.guard.worker.clone();
             if teardown.is_reusable {
                 let traffic = &self.exchange.traffic;
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -2,7 +2,7 @@
 //! is sent to peers by gossip.
 
 use super::channel::Channel;
-use super::event::{self, CHANNEL_CAPACITY, PlacerEvent, StoreUpdate, Subscription};
+use super::event::{self, CHANNEL_CAPACITY, Call, PlacerEvent, StoreUpdate, Subscription};
 use super::journal::Journal;
 use super::metrics::Metrics;
 use super::pool::Pool;
@@ -11,6 +11,7 @@
 use crate::decide::crash::Crashes;
 use crate::decide::lag::Lag;
 use crate::decide::limit::Sharers;
+use crate::decide::quarantine::Quarantine;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
 use crate::decide::snapshot::Snapshot;
@@ -31,6 +32,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Minimum interval between requests for the same adapter to the holder.
 const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_millis(60);
@@ -73,6 +75,12 @@
     pub(super) crashes: RefCell<Crashes>,
     /// Requests whose crash records peers must receive, whether they incriminate or clear them.
     pub(super) new_crashes: RefCell<BTreeSet<Fingerprint>>,
+    pub(super) quarantine: RefCell<Quarantine>,
+    /// When this instance last sent its quarantine to peers that have another one.
+    pub(super) quarantine_sent_at: Cell<Duration>,
+    pub(super) peers_with_other_quarantine: RefCell<BTreeSet<SocketAddr>>,
+    /// Changes of the quarantine's rows, for the store thread.
+    pub(super) calls: flume::Sender<Call>,
     pub(super) topology: RefCell<Topology>,
     pub(super) roster: RefCell<Roster>,
     /// Newest version of the server list at a peer, and when a holder last announced its
@@ -171,7 +179,9 @@
         journal: Journal,
         placer: flume::Sender<PlacerEvent>,
         subscription: watch::Sender<Subscription>,
+        calls: flume::Sender<Call>,
     ) -> Rc<Self> {
+        let seed = xxh3_64(deployment.instance.as_str().as_bytes());
         let balance = Balancer::new(&deployment);
         let topology = RefCell::new(Topology::new(&deployment));
         Rc::new(Self {
@@ -197,6 +207,10 @@
             is_first_start: Cell::new(false),
             crashes: RefCell::default(),
             new_crashes: RefCell::default(),
+            quarantine: RefCell::new(Quarantine::new(seed)),
+            quarantine_sent_at: Cell::default(),
+            peers_with_other_quarantine: RefCell::default(),
+            calls,
             topology,
             roster: RefCell::default(),
             peer_servers_version: Cell::default(),
@@ -274,6 +288,7 @@
                 }
             }
             StoreUpdate::FormerLeases(rows) => self.notify_placer(PlacerEvent::FormerLeases(rows)),
+            StoreUpdate::Quarantine(rows) => self.on_quarantine_rows(&rows),
             StoreUpdate::FirstStart => self.on_first_start(),
             StoreUpdate::Members(members) => self.on_members(members),
             StoreUpdate::Store { up } => {
@@ -497,6 +512,9 @@
         }
         self.update_subscription(now);
         self.pool.tick(now);
+        if !self.quarantine.borrow().is_empty() {
+            self.update_quarantine(|quarantine| quarantine.tick(now));
+        }
         let instance_counts = Sharers {
             reachable: self.instances(),
             total: self.sharers(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
     pub mod planner;
     pub mod pool;
     pub mod progress;
+    pub mod quarantine;
     pub mod queue;
     pub mod retry;
     pub mod rollout;
@@ -120,6 +121,7 @@
     mod peer_state;
     mod placer;
     mod pool;
+    mod quarantine;
     mod registration;
     mod relay;
     mod reply;
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -84,7 +84,7 @@
 
 fn parse_part(text: &str) -> Option<Part> {
     let (id, count) = text.trim().split_once(':')?;
-    let id = u64::from_str_radix(id, 16).ok()?;
+    let id = id.parse().ok()?;
     Some(Part {
         id,
         tokens: parse_tokens(count),
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -65,6 +65,63 @@
     /// Rate limits that servers announced to the sender or lifted.
     #[prost(message, repeated, tag = "22")]
     pub limits: ::prost::alloc::vec::Vec<Limit>,
+    /// Evidence on prompt parts that crash servers.
+    #[prost(message, optional, tag = "23")]
+    pub quarantine: ::core::option::Option<Quarantine>,
+    /// Hash of the parts that the sender has in quarantine; 0 if there are none.
+    #[prost(fixed64, tag = "24")]
+    pub quarantine_digest: u64,
+}
+/// Changes of the evidence on prompt parts that crash servers, and of the quarantined parts.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Quarantine {
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: ::prost::alloc::vec::Vec<CrashedServer>,
+    #[prost(message, repeated, tag = "2")]
+    pub cleared: ::prost::alloc::vec::Vec<ClearedPart>,
+    #[prost(message, repeated, tag = "3")]
+    pub entries: ::prost::alloc::vec::Vec<QuarantinedParts>,
+}
+/// A set of prompt parts.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Parts {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub ids: ::prost::alloc::vec::Vec<u64>,
+}
+/// A server that ended, and the prompts that it had hardly begun to answer.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct CrashedServer {
+    #[prost(string, tag = "1")]
+    pub worker: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub boot: u64,
+    /// How long ago the first connection to it broke.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub prompts: ::prost::alloc::vec::Vec<Parts>,
+}
+/// A part whose crashes up to a time have another cause, since a prompt with it was answered.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ClearedPart {
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// How long ago that time was.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+}
+/// Parts that prompts must not contain together.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuarantinedParts {
+    #[prost(message, optional, tag = "1")]
+    pub parts: ::core::option::Option<Parts>,
+    /// Time since the last crash.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    #[prost(uint32, tag = "3")]
+    pub crashes: u32,
+    #[prost(bool, tag = "4")]
+    pub is_stored: bool,
 }
 /// Rate limit that an incarnation of a server last announced.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/src/world/message.rs
+++ b/src/world/message.rs
@@ -3,6 +3,7 @@
 use super::id;
 use super::unit::{Rate, Tokens};
 use crate::common::*;
+use serde::{Deserializer, Serializer};
 
 /// A model, or an adapter on top of it, written `MODEL` or `MODEL/ADAPTER`.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
@@ -33,10 +34,43 @@
     }
 }
 
+/// Identifier of a prompt part, written in hexadecimal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PartId(pub u64);
+
+impl Display for PartId {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PartId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let id = u64::from_str_radix(text, 16);
+        id.map(Self)
+            .map_err(|_| Error::Number { text: text.into() })
+    }
+}
+
+impl Serialize for PartId {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for PartId {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        text.parse().map_err(serde::de::Error::custom)
+    }
+}
+
 /// A part of a prompt; requests with a common prefix share its parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Part {
-    pub id: u64,
+    pub id: PartId,
     pub tokens: Tokens,
 }
 
@@ -57,9 +91,10 @@
 impl Generation {
     /// Returns the parts that other prompts may share; the last part is the request's own.
     #[must_use]
-    pub fn shared_parts(&self) -> &[Part] {
+    pub fn shared_parts(&self) -> Vec<PartId> {
         let count = self.parts.len().saturating_sub(1);
-        &self.parts[..count.min(MAX_SHARED_PARTS)]
+        let shared = self.parts.iter().take(count.min(MAX_SHARED_PARTS));
+        shared.map(|part| part.id).collect()
     }
 }
 
--- a/src/world/table.rs
+++ b/src/world/table.rs
@@ -53,6 +53,14 @@
         self.puts.push(Put { key, value });
         self
     }
+
+    /// Adds the unconditional removal of a row.
+    #[must_use]
+    pub fn remove(mut self, key: impl Into<String>) -> Self {
+        let (key, value) = (key.into(), Value::Null);
+        self.puts.push(Put { key, value });
+        self
+    }
 }
 
 /// Result of a transaction that the table service answered.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod planner;
 mod platform;
 mod progress;
+mod quarantine;
 mod reference;
 mod retry;
 mod roster;
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -3,7 +3,7 @@
 use super::build::{holdings, model, ms, target, worker};
 use hyper::{Request, Response};
 use poplarseam::platform::{config, request, rows, settings, worker as worker_format};
-use poplarseam::world::message::Outcome;
+use poplarseam::world::message::{Outcome, PartId};
 use poplarseam::world::order::{Action, Order};
 use poplarseam::world::site::Repeat;
 use poplarseam::world::table::Txn;
@@ -188,7 +188,7 @@
     assert_eq!(read.host, "h");
     assert_eq!((generation.prompt.0, generation.output.0), (1_460, 80));
     assert_eq!(generation.parts.len(), 2);
-    assert_eq!(generation.parts[0].id, 0x5c1e_07a2);
+    assert_eq!(generation.parts[0].id, PartId(0x5c1e_07a2));
 }
 
 #[rstest]
