Confirm the end of a server at once when a connection to it breaks

Class: evidence that waits for unrelated traffic. Ruled out: a lower threshold, which would quarantine sound parts after two crashes with another cause. Change: a break opens one connection to that server; a refusal confirms its end, an accepted one is pooled. Test: the_end_of_a_server_is_confirmed_without_another_request failed before ("not in time: the crash", 20 s).

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -1,5 +1,6 @@
 //! Records of requests that crash servers, and their exchange between instances.
 
+use super::channel;
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::crash::Record;
@@ -8,6 +9,9 @@
 use crate::world::id;
 use crate::world::message::PartId;
 use crate::world::unit::Incarnation;
+use std::io::ErrorKind;
+use std::rc::Rc;
+use tokio::task::spawn_local;
 
 /// Limit on records in one datagram.
 pub(super) const MAX_CRASHES_PER_DATAGRAM: usize = 200;
@@ -43,6 +47,28 @@
             .on_connection_broken(now, fingerprint, start);
     }
 
+    /// Finds out whether a server to which a connection broke has ended, by opening another one. It is
+    /// kept for later requests if the server accepts it.
+    pub fn check_server(self: &Rc<Self>, service: &id::Service, worker: &id::Worker) {
+        let is_first = self.checked_servers.borrow_mut().insert(worker.clone());
+        let Some(address) = self.address(worker).filter(|_| is_first) else {
+            return;
+        };
+        let (traffic, service, worker) = (Rc::clone(self), service.clone(), worker.clone());
+        spawn_local(async move {
+            let opened = channel::connect(address).await;
+            traffic.checked_servers.borrow_mut().remove(&worker);
+            traffic.metrics.connections.inc();
+            match opened {
+                Ok(channel) => traffic.pool_connection(&service, &worker, channel, None),
+                Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                    traffic.on_ended(&worker);
+                }
+                Err(error) => log::info!("server {worker} could not be checked: {error}"),
+            }
+        });
+    }
+
     /// Records that a server ended; the requests that it was running may be the cause.
     pub fn on_ended(&self, worker: &id::Worker) {
         let now = self.clock.now();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -140,6 +140,7 @@
         self.note("suspect", values);
         self.traffic
             .on_broken(self.fingerprint(), &parts, worker, first_event);
+        self.traffic.check_server(&self.need.service, worker);
     }
 
     /// Records that a server answered the request, which clears it of having crashed servers.
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -75,6 +75,8 @@
     pub(super) crashes: RefCell<Crashes>,
     /// Requests whose crash records peers must receive, whether they incriminate or clear them.
     pub(super) new_crashes: RefCell<BTreeSet<Fingerprint>>,
+    /// Servers that are being checked since a connection to them broke.
+    pub(super) checked_servers: RefCell<BTreeSet<id::Worker>>,
     pub(super) quarantine: RefCell<Quarantine>,
     /// When this instance last sent its quarantine to peers that have another one.
     pub(super) quarantine_sent_at: Cell<Duration>,
@@ -207,6 +209,7 @@
             is_first_start: Cell::new(false),
             crashes: RefCell::default(),
             new_crashes: RefCell::default(),
+            checked_servers: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
             quarantine_sent_at: Cell::default(),
             peers_with_other_quarantine: RefCell::default(),
--- a/tests/gateway_processes/parts.rs
+++ b/tests/gateway_processes/parts.rs
@@ -1,8 +1,11 @@
 //! Checks that requests with a prompt part that crashes servers stop reaching servers.
 
+use super::raw_server::replace_servers;
 use super::site::{GRACE_S, Site, exchange, request_with_parts, status, wait_for};
 use standins::platform::Platform;
 use standins::worker::Worker;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
 const SERVERS: [&str; 4] = ["a", "b", "c", "d"];
@@ -164,3 +167,37 @@
     });
     tainted.assert_refused_everywhere();
 }
+
+/// A server that ends as soon as it receives a request, and leaves its entry in the list. It answers
+/// other calls with an error.
+fn start_server_that_ends() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut call = [0; 4_096];
+            let length = stream.read(&mut call).unwrap_or(0);
+            let call = String::from_utf8_lossy(&call[..length]).to_lowercase();
+            if call.contains("x-request-id") {
+                return;
+            }
+            let refusal =
+                b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            let _ = stream.write_all(refusal);
+        }
+    });
+    address
+}
+
+/// Guards against a crash that counts only when the next request finds the server gone: meanwhile
+/// further servers end.
+#[test]
+fn the_end_of_a_server_is_confirmed_without_another_request() {
+    let site = Site::ready();
+    replace_servers(&site, start_server_that_ends(), "llm", &["m1"]);
+    let answer = site.ask("/draft/x", "r1", "m1");
+    assert_eq!(status(&answer), 502, "{answer}");
+    wait_for("the crash", || {
+        site.counter(0, "poplarseam_crashes_total{outcome=\"confirmed\"}") == 1
+    });
+}
--- a/tests/gateway_processes/raw_server.rs
+++ b/tests/gateway_processes/raw_server.rs
@@ -51,27 +51,32 @@
 
     /// Replaces the servers of a service in a site's server list.
     pub fn replace(&self, site: &Site, service: &str, models: &[&str]) {
-        let held = models
-            .iter()
-            .map(|model| json!({"Name": model, "Version": 1, "Adapters": []}));
-        let held: Vec<_> = held.collect();
-        let entry = json!({"Service": service, "Address": self.address, "Zone": "north-1",
-            "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0, "Sequence": 5,
-            "Models": held, "born": 1_000});
-        site.platform.put("servers", "lookalike", &entry);
-        let sound = site.platform.workers();
-        for worker in sound.filter(|worker| worker.service == service) {
-            site.platform.unlist(worker);
-        }
-        wait_for("the new list", || {
-            let servers = site.state(0)["servers"].clone();
-            let servers = servers.as_array().cloned().unwrap_or_default();
-            servers.len() == 3
-                && servers
-                    .iter()
-                    .any(|server| server["backend"]["id"] == "lookalike")
-        });
+        replace_servers(site, self.address, service, models);
+    }
+}
+
+/// Replaces the servers of a service in a site's server list by one at this address.
+pub fn replace_servers(site: &Site, address: SocketAddr, service: &str, models: &[&str]) {
+    let held = models
+        .iter()
+        .map(|model| json!({"Name": model, "Version": 1, "Adapters": []}));
+    let held: Vec<_> = held.collect();
+    let entry = json!({"Service": service, "Address": address, "Zone": "north-1",
+        "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0, "Sequence": 5,
+        "Models": held, "born": 1_000});
+    site.platform.put("servers", "lookalike", &entry);
+    let sound = site.platform.workers();
+    for worker in sound.filter(|worker| worker.service == service) {
+        site.platform.unlist(worker);
     }
+    wait_for("the new list", || {
+        let servers = site.state(0)["servers"].clone();
+        let servers = servers.as_array().cloned().unwrap_or_default();
+        servers.len() == 3
+            && servers
+                .iter()
+                .any(|server| server["backend"]["id"] == "lookalike")
+    });
 }
 
 fn serve(
