Keep crash records of whole requests in the same quarantine as those of prompt parts

Callers saw: a request that crashes the servers which run it is refused after three crashes, but each restart of all instances let it crash three more; an instance that started or had been cut off knew nothing of it. Cause: records were sent to peers once, when they were new, and kept in memory only. Evidence: a_request_that_crashed_three_servers_is_refused_after_the_restart_of_all_instances failed on the code before ("not in time: the quarantine", read there from the former list). Change: the hash of a request is one more part of it, so decide/quarantine covers whole requests too: evidence, digest, rows, trials. decide/crash and its datagrams go; their tests are kept as tests of the quarantine (an incarnation counts once, an answer refutes, evidence expires). Ruled out: a second copy of digest, rows and trials for the former records.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -1,9 +1,9 @@
-//! Quarantine of prompt parts that crash the servers which begin an answer on them.
+//! Quarantine of requests, and of prompt parts, that crash the servers which begin an answer on them.
 //!
 //! The evidence is a server that ended, together with the prompts that it had hardly begun to
 //! answer. A part that was in such prompts at several crashes, and in no answered prompt since, is
-//! quarantined. Prompts that share a part are otherwise different, so the quarantine of whole
-//! requests ([`super::crash`]) does not recognise them.
+//! quarantined. The hash of a whole request is a part of its own, by which it is recognised when
+//! it is sent again.
 //!
 //! Parts that always occurred together can't be told apart. They share one entry, and only prompts
 //! with all of them are refused: no sound prompt has the cause, and an answer to a prompt with one
@@ -14,9 +14,8 @@
 
 mod evidence;
 
-pub use evidence::{Crash, Parts};
+pub use evidence::{Crash, Parts, Process};
 
-use super::crash::Process;
 use crate::common::*;
 use crate::world::id;
 use crate::world::message::PartId;
@@ -200,6 +199,15 @@
         }
     }
 
+    /// Returns the number of suspicions that the end of a server would confirm.
+    #[must_use]
+    pub fn suspicion_count(&self, now: Duration, worker: &id::Worker) -> u64 {
+        let suspicions = self.suspicions.iter().filter(|suspicion| {
+            suspicion.process.0 == *worker && now < suspicion.at + SUSPICION_WINDOW
+        });
+        suspicions.map(|_| 1).sum()
+    }
+
     /// Records that a server has ended; the prompts that it was working on may be the cause.
     pub fn on_server_ended(&mut self, now: Duration, worker: &id::Worker) {
         self.confirm(now, |suspected| suspected.0 == *worker);
--- a/src/decide/quarantine/evidence.rs
+++ b/src/decide/quarantine/evidence.rs
@@ -2,8 +2,9 @@
 
 use super::hash;
 use crate::common::*;
-use crate::decide::crash::Process;
+use crate::world::id;
 use crate::world::message::PartId;
+use crate::world::unit::Incarnation;
 
 /// Number of crashes after which a part counts as their cause.
 pub(super) const THRESHOLD: usize = 3;
@@ -19,6 +20,9 @@
 const MAX_PROMPTS_PER_CRASH: usize = 64;
 const MAX_CLEARED: usize = 2_000;
 
+/// One incarnation of a server.
+pub type Process = (id::Worker, Incarnation);
+
 /// A set of prompt parts.
 pub type Parts = BTreeSet<PartId>;
 
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -84,7 +84,6 @@
         "instances": traffic.instances(),
         "sharers": traffic.sharers(),
         "budgets": &*traffic.budgets.borrow(),
-        "convicted": traffic.crashes.borrow().quarantined(traffic.clock.now()).collect::<Vec<_>>(),
         "quarantine": traffic.quarantine.borrow().entries().map(|(parts, _)| parts).collect::<Vec<_>>(),
         "limits": balance.limits().active().collect::<BTreeMap<_, _>>(),
         "servers": balance.views().collect::<Vec<_>>(),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,7 +10,6 @@
 use crate::common::*;
 use crate::decide::attempts::Attempts;
 use crate::decide::balance::{Choice, Need};
-use crate::decide::suspect::Fingerprint;
 use crate::decide::{progress, shed};
 use crate::platform::request;
 use crate::world::id;
@@ -105,10 +104,10 @@
 
     /// Returns a hash of the path and body, which recognises the request when it is sent again
     /// with another id.
-    pub(super) fn fingerprint(&self) -> Fingerprint {
+    fn fingerprint(&self) -> PartId {
         let path = self.head.uri.path_and_query();
         let path = path.map_or("", |path| path.as_str());
-        Fingerprint(xxh3_64_with_seed(&self.body, xxh3_64(path.as_bytes())))
+        PartId(xxh3_64_with_seed(&self.body, xxh3_64(path.as_bytes())))
     }
 
     /// Writes a log line about this request.
@@ -118,35 +117,35 @@
         self.traffic.journal.note(event, &values);
     }
 
-    /// Returns the prompt parts that other requests may share.
-    fn shared_parts(&self) -> Vec<PartId> {
+    /// Returns what the request may have in common with others: the prompt's shared parts, and the
+    /// hash of the request itself.
+    fn parts(&self) -> Vec<PartId> {
         let generation = self.need.generation.as_ref();
-        generation.map_or_else(Vec::new, Generation::shared_parts)
+        let mut parts = generation.map_or_else(Vec::new, Generation::shared_parts);
+        parts.push(self.fingerprint());
+        parts
     }
 
     /// Whether the request, or a part of its prompt, is known to crash servers.
     pub(super) fn crashes_servers(&self) -> bool {
-        self.traffic.is_convicted(|| self.fingerprint())
-            || self.traffic.is_quarantined(|| self.shared_parts())
+        self.traffic.is_quarantined(|| self.parts())
     }
 
     /// Records that the connection to a server broke while the request ran there; `first_event` is
     /// when the first event of its answer arrived.
     pub(super) fn on_broken(&self, worker: &id::Worker, first_event: Option<Duration>) {
-        let parts = self.shared_parts();
+        let parts = self.parts();
         let answered_for = first_event.map(|at| self.now().saturating_sub(at).as_millis());
         let values = json!({"server": worker, "route": self.route.name, "parts": parts,
             "answered_for_ms": answered_for});
         self.note("suspect", values);
-        self.traffic
-            .on_broken(self.fingerprint(), &parts, worker, first_event);
+        self.traffic.on_broken(&parts, worker, first_event);
         self.traffic.check_server(&self.need.service, worker);
     }
 
     /// Records that a server answered the request, which clears it of having crashed servers.
     pub(super) fn on_success(&self) {
-        self.traffic.on_success(|| self.fingerprint());
-        self.traffic.on_answered(|| self.shared_parts());
+        self.traffic.on_answered(|| self.parts());
     }
 
     /// Sends the request to servers until one answers or no further attempt is allowed.
@@ -190,7 +189,7 @@
             let may_try_another =
                 self.route.repeat.is_allowed() && self.attempts.borrow().may_move_from(&worker);
             self.attempts.borrow_mut().on_sent(&worker);
-            self.traffic.on_prompt_sent(|| self.shared_parts());
+            self.traffic.on_sent(|| self.parts());
             let attempt = self
                 .attempt(&worker, expected, last_event, may_try_another)
                 .await;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -2,7 +2,6 @@
 //!
 //! Each datagram carries state, not changes, so the next one makes up for a lost one.
 
-use super::crashes::MAX_CRASHES_PER_DATAGRAM;
 use super::event::Announcement;
 use super::traffic::{Tier, Traffic};
 use crate::common::*;
@@ -125,8 +124,7 @@
 }
 
 /// Sends urgent updates at once: adapter requests to holders, new configurations to the data
-/// centre, and departures, rate limits, crash records, the quarantine and server list changes to all
-/// instances.
+/// centre, and departures, rate limits, the quarantine and server list changes to all instances.
 pub async fn gossip_urgent(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
     loop {
         traffic.gossip_pending.notified().await;
@@ -150,14 +148,6 @@
         if traffic.has_new_site.take() {
             send(&socket, &traffic.envelope(), &traffic.data_centre_peers()).await;
         }
-        for crashes in traffic
-            .take_crash_updates()
-            .chunks(MAX_CRASHES_PER_DATAGRAM)
-        {
-            let mut gossip = traffic.envelope();
-            gossip.crashes = crashes.to_vec();
-            broadcast(&traffic, &socket, gossip).await;
-        }
         for quarantine in traffic.take_quarantine_news() {
             let mut gossip = traffic.envelope();
             gossip.quarantine = Some(quarantine);
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -70,7 +70,6 @@
         }
         self.on_leads(now, &gossip.leads, Some(sender.address));
         self.on_holdings(&gossip.holdings);
-        self.on_crashes(now, &gossip.crashes);
         self.on_peer_quarantine(now, &gossip);
         self.on_peer_leaving(&gossip.leaving);
         self.on_peer_limits(&gossip.limits);
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -1,6 +1,7 @@
-//! Quarantine of prompt parts: what the traffic thread reports to it, its exchange between
-//! instances and its rows in the store.
+//! Quarantine of requests that crash servers: what the traffic thread reports to it, its exchange
+//! between instances and its rows in the store.
 
+use super::channel;
 use super::event::{Call, QUARANTINE_KEY_PREFIX};
 use super::traffic::Traffic;
 use crate::common::*;
@@ -8,10 +9,13 @@
 use crate::platform::rows::Row;
 use crate::wire::generated_gossip as wire;
 use crate::wire::generated_gossip::Gossip;
+use crate::world::id;
 use crate::world::message::PartId;
 use crate::world::table::{Commit, Txn};
 use crate::world::unit::Incarnation;
+use std::io::ErrorKind;
 use std::rc::Rc;
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 /// Limit on crashes in one datagram.
@@ -30,6 +34,59 @@
 }
 
 impl Traffic {
+    /// Records that a connection broke while a server worked on a request; `first_event` is when its
+    /// answer began, if it did.
+    pub fn on_broken(&self, parts: &[PartId], worker: &id::Worker, first_event: Option<Duration>) {
+        let boot = {
+            let balance = self.balance.borrow();
+            balance.view(worker).map(|view| view.backend.boot)
+        };
+        let Some(boot) = boot else {
+            self.metrics.on_crash_evidence("unknown server", 1);
+            return;
+        };
+        self.metrics.on_crash_evidence("suspected", 1);
+        let (now, process) = (self.clock.now(), (worker.clone(), boot));
+        self.update_quarantine(|quarantine| {
+            quarantine.on_connection_broken(now, parts, &process, first_event);
+        });
+    }
+
+    /// Finds out whether a server to which a connection broke has ended, by opening another one. It is
+    /// kept for later requests if the server accepts it.
+    pub fn check_server(self: &Rc<Self>, service: &id::Service, worker: &id::Worker) {
+        let is_first = self.checked_servers.borrow_mut().insert(worker.clone());
+        let Some(address) = self.address(worker).filter(|_| is_first) else {
+            return;
+        };
+        let (traffic, service, worker) = (Rc::clone(self), service.clone(), worker.clone());
+        spawn_local(async move {
+            let opened = channel::connect(address).await;
+            traffic.checked_servers.borrow_mut().remove(&worker);
+            traffic.metrics.connections.inc();
+            match opened {
+                Ok(channel) => traffic.pool_connection(&service, &worker, channel, None),
+                Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                    traffic.on_ended(&worker);
+                }
+                Err(error) => log::info!("server {worker} could not be checked: {error}"),
+            }
+        });
+    }
+
+    /// Records that a server ended; the requests that it was running may be the cause.
+    pub fn on_ended(&self, worker: &id::Worker) {
+        let now = self.clock.now();
+        let confirmed = self.quarantine.borrow().suspicion_count(now, worker);
+        if confirmed == 0 {
+            return;
+        }
+        self.metrics.on_crash_evidence("confirmed", confirmed);
+        let values = json!({"server": worker, "suspects": confirmed});
+        self.journal.note("crash", &values);
+        self.update_quarantine(|quarantine| quarantine.on_server_ended(now, worker));
+    }
+
     /// Whether a prompt with these parts is refused.
     pub fn is_quarantined(&self, parts: impl FnOnce() -> Vec<PartId>) -> bool {
         let quarantine = self.quarantine.borrow();
@@ -37,7 +94,7 @@
     }
 
     /// Records that a prompt is sent to a server.
-    pub fn on_prompt_sent(&self, parts: impl FnOnce() -> Vec<PartId>) {
+    pub fn on_sent(&self, parts: impl FnOnce() -> Vec<PartId>) {
         let mut quarantine = self.quarantine.borrow_mut();
         if !quarantine.is_empty() {
             quarantine.on_sent(self.clock.now(), &parts());
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -8,14 +8,12 @@
 use super::pool::Pool;
 use crate::common::*;
 use crate::decide::balance::{Balancer, Need};
-use crate::decide::crash::Crashes;
 use crate::decide::lag::Lag;
 use crate::decide::limit::Sharers;
 use crate::decide::quarantine::Quarantine;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
 use crate::decide::snapshot::Snapshot;
-use crate::decide::suspect::Fingerprint;
 use crate::decide::tally::Tally;
 use crate::decide::topology::{self, Topology};
 use crate::node::clock::Clock;
@@ -72,9 +70,6 @@
     pub gossip_pending: Notify,
     pub(super) budgets: RefCell<BTreeMap<id::Service, Budget>>,
     pub(super) is_first_start: Cell<bool>,
-    pub(super) crashes: RefCell<Crashes>,
-    /// Requests whose crash records peers must receive, whether they incriminate or clear them.
-    pub(super) new_crashes: RefCell<BTreeSet<Fingerprint>>,
     /// Servers that are being checked since a connection to them broke.
     pub(super) checked_servers: RefCell<BTreeSet<id::Worker>>,
     pub(super) quarantine: RefCell<Quarantine>,
@@ -207,8 +202,6 @@
             gossip_pending: Notify::new(),
             budgets: RefCell::default(),
             is_first_start: Cell::new(false),
-            crashes: RefCell::default(),
-            new_crashes: RefCell::default(),
             checked_servers: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
             quarantine_sent_at: Cell::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,7 +39,6 @@
     pub mod attempts;
     pub mod balance;
     pub mod claim;
-    pub mod crash;
     pub mod demand;
     pub mod dispatch;
     pub mod fleet;
@@ -104,7 +103,6 @@
     mod body;
     mod channel;
     pub mod command;
-    mod crashes;
     mod event;
     mod feed;
     mod follower;
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -53,9 +53,6 @@
     /// Whether the sender can reach the store.
     #[prost(bool, tag = "18")]
     pub reaches_store: bool,
-    /// Requests that were running on servers when these ended.
-    #[prost(message, repeated, tag = "19")]
-    pub crashes: ::prost::alloc::vec::Vec<Crash>,
     /// Servers that announced their shutdown in an answer but not yet in their entries.
     #[prost(message, repeated, tag = "20")]
     pub leaving: ::prost::alloc::vec::Vec<Start>,
@@ -65,7 +62,7 @@
     /// Rate limits that servers announced to the sender or lifted.
     #[prost(message, repeated, tag = "22")]
     pub limits: ::prost::alloc::vec::Vec<Limit>,
-    /// Evidence on prompt parts that crash servers.
+    /// Evidence on requests and prompt parts that crash servers.
     #[prost(message, optional, tag = "23")]
     pub quarantine: ::core::option::Option<Quarantine>,
     /// Hash of the parts that the sender has in quarantine; 0 if there are none.
@@ -142,28 +139,6 @@
     #[prost(uint64, tag = "2")]
     pub boot: u64,
 }
-/// A request during which servers ended, by its fingerprint.
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct Crash {
-    #[prost(fixed64, tag = "1")]
-    pub fingerprint: u64,
-    #[prost(message, repeated, tag = "2")]
-    pub ended: ::prost::alloc::vec::Vec<Ended>,
-    /// Whether the request has succeeded since a server ended during it.
-    #[prost(bool, tag = "3")]
-    pub acquitted: bool,
-}
-/// An incarnation of a server that ended.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Ended {
-    #[prost(string, tag = "1")]
-    pub worker: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "2")]
-    pub boot: u64,
-    /// How long ago the connection to it broke.
-    #[prost(uint64, tag = "3")]
-    pub age_ms: u64,
-}
 /// Changes of the server list after one version, up to and including another.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Batch {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,7 +3,6 @@
 mod attempts;
 mod balance;
 mod build;
-mod crash;
 mod fleet;
 mod forecast;
 mod herd;
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -1,8 +1,7 @@
 //! Quarantine of prompt parts that crash servers.
 
 use super::build::{ms, worker};
-use poplarseam::decide::crash::Process;
-use poplarseam::decide::quarantine::{Parts, Quarantine, Write};
+use poplarseam::decide::quarantine::{Parts, Process, Quarantine, Write};
 use poplarseam::world::message::PartId;
 use poplarseam::world::unit::Incarnation;
 use rand::rngs::SmallRng;
@@ -55,6 +54,35 @@
     assert!(is_refused(&after_crashes(3, prompt), prompt));
 }
 
+/// Guards against a server that counts as often as requests on it broke off.
+#[test]
+fn an_incarnation_of_a_server_crashes_once() {
+    let mut quarantine = after_crashes(2, &[DEADLY]);
+    crash(&mut quarantine, 6_000, "w1", &[&[DEADLY]]);
+    assert!(!is_refused(&quarantine, &[DEADLY]));
+}
+
+/// Many requests run on servers that crash one after the other, and are then sent again. A request
+/// that succeeds after a crash did not cause the crashes.
+#[test]
+fn an_answer_refutes_the_crashes_before_it() {
+    let mut quarantine = after_crashes(2, &[DEADLY]);
+    quarantine.on_answered(ms(3_000), &[DEADLY]);
+    crash(&mut quarantine, 4_000, "x", &[&[DEADLY]]);
+    assert!(!is_refused(&quarantine, &[DEADLY]));
+}
+
+#[test]
+fn evidence_expires() {
+    let hour = 60 * MINUTE;
+    let mut quarantine = after_crashes(2, &[DEADLY]);
+    crash(&mut quarantine, hour + 2_001, "x", &[&[DEADLY]]);
+    assert!(!quarantine.is_refused(ms(hour + 3_000), &[DEADLY]));
+    crash(&mut quarantine, hour + 4_000, "y", &[&[DEADLY]]);
+    crash(&mut quarantine, hour + 6_000, "z", &[&[DEADLY]]);
+    assert!(quarantine.is_refused(ms(hour + 7_000), &[DEADLY]));
+}
+
 /// Guards against a quarantine of popular parts because all servers ended at once.
 #[test]
 fn simultaneous_crashes_count_once() {
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -308,19 +308,19 @@
     assert_eq!(status(&exchange(callers, &large).unwrap()), 413);
 }
 
-/// Guards against a request that crashes one server after the other because its caller sends it
-/// again, at any instance.
-#[test]
-fn a_request_that_crashed_three_servers_is_refused_at_every_instance() {
+const PLAIN_SERVERS: [&str; 4] = ["p", "q", "r", "s"];
+
+/// Has one request crash three servers of a site with two instances.
+fn after_three_crashes_of_one_request() -> Site {
     let more = ["r", "s"].map(|name| Worker::new(name, "app", &[], 0, POLL_INTERVAL));
     let site = Site::start_all(more.into(), 2, GRACE_S, Platform::start);
     site.wait_until_ready();
-    site.set_fault(&["p", "q", "r", "s"], Fault::LoseAnswers);
+    site.set_fault(&PLAIN_SERVERS, Fault::LoseAnswers);
     for number in 0..3 {
         let id = format!("crash-{number}");
         let answer = site.ask_at(number % 2, "/issue/x", &id, "");
         assert_eq!(status(&answer), 502, "{answer}");
-        let servers = ["p", "q", "r", "s"].map(|server| site.platform.worker(server));
+        let servers = PLAIN_SERVERS.map(|server| site.platform.worker(server));
         let ended = servers.iter().find(|server| server.ran().contains(&id));
         site.platform.unlist(ended.unwrap());
         std::thread::sleep(MIN_CRASH_GAP);
@@ -331,12 +331,20 @@
             })
         });
     }
-    wait_for("the verdict", || {
-        let verdicts = (0..2).map(|instance| site.state(instance)["convicted"].clone());
-        let mut counts = verdicts.map(|verdicts| verdicts.as_array().map_or(0, Vec::len));
+    wait_for_quarantine(&site);
+    site.set_fault(&PLAIN_SERVERS, Fault::None);
+    site
+}
+
+fn wait_for_quarantine(site: &Site) {
+    wait_for("the quarantine", || {
+        let entries = (0..2).map(|instance| site.state(instance)["quarantine"].clone());
+        let mut counts = entries.map(|entries| entries.as_array().map_or(0, Vec::len));
         counts.all(|count| count == 1)
     });
-    site.set_fault(&["p", "q", "r", "s"], Fault::None);
+}
+
+fn assert_only_the_crashing_request_is_refused(site: &Site) {
     for instance in 0..2 {
         let id = format!("again-{instance}");
         let answer = site.ask_at(instance, "/issue/x", &id, "");
@@ -347,6 +355,35 @@
     }
 }
 
+/// Guards against a request that crashes one server after the other because its caller sends it
+/// again, at any instance.
+#[test]
+fn a_request_that_crashed_three_servers_is_refused_at_every_instance() {
+    let site = after_three_crashes_of_one_request();
+    assert_only_the_crashing_request_is_refused(&site);
+}
+
+/// Guards against crash records that end with the processes that have them: each restart of all
+/// instances would cost three more servers.
+#[test]
+fn a_request_that_crashed_three_servers_is_refused_after_the_restart_of_all_instances() {
+    let mut site = after_three_crashes_of_one_request();
+    wait_for("the row", || {
+        site.platform.keys("poplarseam", "quarantine.").len() == 1
+    });
+    for instance in 0..2 {
+        site.instances[instance].1.kill();
+    }
+    for instance in 0..2 {
+        site.relaunch(instance);
+    }
+    wait_for("ready", || {
+        (0..2).all(|instance| site.status(instance, 8001, "/v1/readyz") == 200)
+    });
+    wait_for_quarantine(&site);
+    assert_only_the_crashing_request_is_refused(&site);
+}
+
 /// Guards against a caller's connection that closes without a response: the head of the stream
 /// had arrived, and the connection broke before the first event.
 #[test]
