Quarantine chat messages that crash engines on the node's path too

Callers saw: chats that share a message which crashes engines got 422, each after two engines had crashed: no two are alike, so each was struck and convicted by itself. Cause: the same as on the gateway's path: a crash was attributed to the hash of the whole body only. Strikes and isolation stay as they are. Ruled out: text completions, which have no parts; their bodies are covered by strikes as before.

--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -12,15 +12,17 @@
 
 use crate::common::*;
 use crate::decide::ledger::Report;
+use crate::decide::quarantine::{Parts, Quarantine, Report as CrashReport, Write};
 use crate::decide::queue::{Queue, Ticket};
 use crate::decide::retry::{self, Budget};
-use crate::decide::route::{Fleet, Location, Requirement};
+use crate::decide::route::{Fleet, Location, Requirement, rendezvous_hash};
 use crate::decide::share::Share;
 use crate::decide::suspect::{Fingerprint, Registry, Status};
 use crate::world::artifact::Artifact;
 use crate::world::contract;
 use crate::world::deployment::Allowance;
 use crate::world::id;
+use crate::world::unit::Incarnation;
 
 /// Bound on the queued requests of one instance; only premium requests are admitted beyond it.
 const MAX_QUEUED_REQUESTS: usize = 2000;
@@ -50,6 +52,8 @@
     attempts: u32,
     /// Worker and start time of the current attempt; `None` while queued.
     running: Option<(id::Worker, Duration)>,
+    /// Incarnation of the current attempt's worker when the attempt started.
+    incarnation: Incarnation,
     /// Whether the crash of the current attempt's worker was already attributed.
     ///
     /// All requests on a worker end when it crashes; only the first to end attributes the crash.
@@ -65,6 +69,7 @@
     fleet: Fleet,
     queue: Queue,
     crash_suspects: Registry,
+    quarantine: Quarantine,
     retry_budget: Budget,
     shares: BTreeMap<id::Team, Share>,
     requests: BTreeMap<id::Request, RequestState>,
@@ -89,11 +94,13 @@
     /// Creates a dispatcher with the given fleet, which may use another cost function.
     #[must_use]
     pub fn with_fleet(instance: id::Instance, fleet: Fleet) -> Self {
+        let quarantine = Quarantine::new(rendezvous_hash(0, instance.as_str()));
         Self {
             instance,
             fleet,
             queue: Queue::default(),
             crash_suspects: Registry::default(),
+            quarantine,
             retry_budget: Budget::new(RETRY_ALLOWANCE, Duration::ZERO),
             shares: BTreeMap::new(),
             requests: BTreeMap::new(),
@@ -190,6 +197,7 @@
             requirement,
             attempts: 0,
             running: None,
+            incarnation: Incarnation(0),
             crash_attributed: false,
             not_before: Duration::ZERO,
         };
@@ -275,6 +283,42 @@
         }
     }
 
+    /// Applies a peer's report on requests that crash workers, and refuses queued ones.
+    pub fn on_crash_report(&mut self, now: Duration, report: &CrashReport) -> Vec<Action> {
+        self.quarantine.merge(now, report);
+        self.refuse_quarantined(now)
+    }
+
+    /// Applies the quarantine that was read from the table service, and refuses queued requests.
+    pub fn on_quarantine_rows(
+        &mut self,
+        now: Duration,
+        rows: &BTreeMap<Parts, u32>,
+    ) -> Vec<Action> {
+        self.quarantine.on_rows(now, rows);
+        self.refuse_quarantined(now)
+    }
+
+    /// Returns what peers must be told of requests that crash workers.
+    pub fn take_crash_report(&mut self) -> CrashReport {
+        self.quarantine.take_news()
+    }
+
+    /// Returns the changes of the quarantine that the table service must be told now.
+    pub fn take_quarantine_writes(&mut self, now: Duration) -> Vec<Write> {
+        self.quarantine.take_writes(now)
+    }
+
+    /// Records that the table service has taken a change of the quarantine.
+    pub fn on_quarantine_written(&mut self, write: &Write) {
+        self.quarantine.on_written(write);
+    }
+
+    /// Returns the parts of prompts that are in quarantine.
+    pub fn quarantined(&self) -> impl Iterator<Item = Parts> {
+        self.quarantine.entries().map(|(parts, _)| parts)
+    }
+
     /// Returns the number of this instance's requests in flight on each worker that has any.
     #[must_use]
     pub fn own_in_flight(&self) -> BTreeMap<id::Worker, u32> {
@@ -293,6 +337,7 @@
 
     /// Refuses queued requests whose deadline has passed, then starts those that find a worker.
     pub fn on_tick(&mut self, now: Duration) -> Vec<Action> {
+        self.quarantine.tick(now);
         let expired = self.queue.expire(now);
         let mut actions: Vec<Action> = expired
             .iter()
@@ -329,6 +374,10 @@
         let state = self.requests.get_mut(request)?;
         state.attempts += 1;
         state.crash_attributed = false;
+        if let Some(view) = self.fleet.view(&worker) {
+            state.incarnation = view.incarnation();
+        }
+        self.quarantine.on_sent(now, &state.arrival.parts);
         state.running = Some((worker.clone(), now));
         self.fleet.on_sent(now, &worker, state.arrival.prefix);
         let fingerprint = state.arrival.fingerprint;
@@ -349,7 +398,7 @@
 ///
 /// The jitter is derived from a hash of the request's id, since this module draws no random numbers.
 fn add_jitter(wait: Duration, arrival: &Arrival) -> Duration {
-    let hash = crate::decide::route::rendezvous_hash(0, arrival.request.as_str()) % 1000;
+    let hash = rendezvous_hash(0, arrival.request.as_str()) % 1000;
     let jitter = f64::from(u32::try_from(hash).unwrap_or(0)) / 1000.0;
     retry::add_jitter(wait, jitter)
 }
--- a/src/decide/dispatch/admission.rs
+++ b/src/decide/dispatch/admission.rs
@@ -23,6 +23,9 @@
         if self.stopping {
             return refuse(Reason::Stopping, Some(DEFAULT_RETRY_AFTER));
         }
+        if self.quarantine.is_refused(now, &arrival.parts) {
+            return refuse(Reason::Convicted, None);
+        }
         match self.crash_suspects.status(arrival.fingerprint) {
             Status::Convicted => return refuse(Reason::Convicted, None),
             Status::Struck if self.is_in_progress(arrival.fingerprint) => {
@@ -87,6 +90,31 @@
             .collect()
     }
 
+    /// Refuses the queued requests whose prompts are in quarantine.
+    pub(super) fn refuse_quarantined(&mut self, now: Duration) -> Vec<Action> {
+        let refused = self.requests.iter().filter(|(_, state)| {
+            state.running.is_none() && self.quarantine.is_refused(now, &state.arrival.parts)
+        });
+        let refused: Vec<id::Request> = refused.map(|(request, _)| request.clone()).collect();
+        let refused = refused.into_iter().map(|request| {
+            self.queue.remove(&request);
+            self.convict(&request)
+        });
+        refused.collect()
+    }
+
+    /// Drops the state of a request that crashes workers and returns its refusal.
+    pub(super) fn convict(&mut self, request: &id::Request) -> Action {
+        self.requests.remove(request);
+        Action::Refuse {
+            request: request.clone(),
+            refusal: Refusal {
+                reason: Reason::Convicted,
+                retry_after: None,
+            },
+        }
+    }
+
     /// Drops a request's state and returns its refusal.
     pub(super) fn refuse(&mut self, request: &id::Request, reason: Reason) -> Action {
         self.requests.remove(request);
--- a/src/decide/dispatch/outcome.rs
+++ b/src/decide/dispatch/outcome.rs
@@ -1,14 +1,16 @@
 //! What follows from the end of an attempt: retries, refusals, and the attribution of crashes to
 //! requests.
 
-use super::request::{Action, End, Reason, Refusal};
+use super::request::{Action, End, Reason};
 use super::{
-    DEFAULT_RETRY_AFTER, Dispatcher, MAX_ATTEMPTS, OCCUPIED_RETRY_DELAY, SINGLE_INSTANCE,
-    new_ticket,
+    DEFAULT_RETRY_AFTER, Dispatcher, MAX_ATTEMPTS, OCCUPIED_RETRY_DELAY, RequestState,
+    SINGLE_INSTANCE, new_ticket,
 };
 use crate::common::*;
 use crate::decide::suspect::{Fingerprint, Status};
 use crate::world::id;
+use crate::world::message::PartId;
+use crate::world::unit::Incarnation;
 
 impl Dispatcher {
     /// Handles the end of an attempt. A request that is still queued is removed from the queue,
@@ -18,6 +20,7 @@
             return Vec::new();
         };
         let fingerprint = state.arrival.fingerprint;
+        let parts = state.arrival.parts.clone();
         let Some((worker, started)) = state.running.take() else {
             self.queue.remove(request);
             self.requests.remove(request);
@@ -28,6 +31,7 @@
         let mut actions = match end {
             End::Done => {
                 let cleared = self.crash_suspects.on_success(fingerprint);
+                self.quarantine.on_answered(now, &parts);
                 self.requests.remove(request);
                 cleared
                     .then_some(Action::Cleared(fingerprint))
@@ -98,21 +102,21 @@
             self.crash_suspects.status(crashed_fingerprint) == Status::Convicted
         });
         if convicted {
-            self.requests.remove(request);
-            let refusal = Refusal {
-                reason: Reason::Convicted,
-                retry_after: None,
-            };
-            actions.push(Action::Refuse {
-                request: request.clone(),
-                refusal,
-            });
+            actions.push(self.convict(request));
+        } else if self.is_quarantined(now, request) {
+            actions.push(self.convict(request));
+            actions.extend(self.refuse_quarantined(now));
         } else {
             actions.extend(self.requeue(now, request, worker));
         }
         actions
     }
 
+    fn is_quarantined(&self, now: Duration, request: &id::Request) -> bool {
+        let state = self.requests.get(request);
+        state.is_some_and(|state| self.quarantine.is_refused(now, &state.arrival.parts))
+    }
+
     /// Attributes a worker's crash to the requests that ran there, once for all of them.
     ///
     /// The requests that are still marked as running there will end with the same crash later, so
@@ -130,7 +134,11 @@
         {
             return Vec::new();
         }
-        let running = self.fingerprints_running_on(worker, request);
+        let running: Vec<Fingerprint> = self
+            .requests_running_on(worker, request)
+            .map(|state| state.arrival.fingerprint)
+            .collect();
+        self.accuse_prompts(now, request, worker);
         for state in self.requests.values_mut() {
             state.crash_attributed |= state
                 .running
@@ -143,21 +151,33 @@
         struck.into_iter().chain(convicted).collect()
     }
 
-    /// Returns the fingerprints of the requests that run on a worker, and that of `request`, which is
-    /// no longer marked as running.
-    fn fingerprints_running_on(
+    /// Records the prompts that ran on a crashed worker.
+    fn accuse_prompts(&mut self, now: Duration, request: &id::Request, worker: &id::Worker) {
+        let running = self.requests_running_on(worker, request);
+        let running: Vec<(Vec<PartId>, Incarnation)> = running
+            .map(|state| (state.arrival.parts.clone(), state.incarnation))
+            .collect();
+        for (parts, incarnation) in running {
+            let process = (worker.clone(), incarnation);
+            self.quarantine
+                .on_connection_broken(now, &parts, &process, None);
+        }
+        self.quarantine.on_server_ended(now, worker);
+    }
+
+    /// Returns the requests that run on a worker, and `request`, which is no longer marked as running.
+    fn requests_running_on(
         &self,
         worker: &id::Worker,
         request: &id::Request,
-    ) -> Vec<Fingerprint> {
-        let affected = self.requests.values().filter(|state| {
+    ) -> impl Iterator<Item = &RequestState> {
+        self.requests.values().filter(move |state| {
             let is_running = state
                 .running
                 .as_ref()
                 .is_some_and(|(other, _)| other == worker);
             is_running || state.arrival.request == *request
-        });
-        affected.map(|state| state.arrival.fingerprint).collect()
+        })
     }
 
     /// Queues a request again, away from `worker`, or refuses it if no retry is left.
--- a/src/decide/dispatch/request.rs
+++ b/src/decide/dispatch/request.rs
@@ -5,6 +5,7 @@
 use crate::world::artifact::Artifact;
 use crate::world::contract::Class;
 use crate::world::id;
+use crate::world::message::PartId;
 use crate::world::unit::Tokens;
 
 /// A request as it arrives.
@@ -17,6 +18,8 @@
     pub class: Class,
     pub artifact: Artifact,
     pub fingerprint: Fingerprint,
+    /// Parts of the prompt that other prompts of the team may share.
+    pub parts: Vec<PartId>,
     /// Hash of team, model, adapter and the prompt's first block.
     pub prefix: u64,
     /// Length of the prompt.
@@ -60,7 +63,7 @@
     Deadline,
     /// The queue is full.
     Full,
-    /// The request was convicted of crashing workers.
+    /// The request, or a part of its prompt, crashes workers.
     Convicted,
     /// The request is struck, and a copy of it is already queued or running here.
     Isolated,
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -87,6 +87,13 @@
     }
 }
 
+/// An entry as it is kept in the store.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Row {
+    pub parts: Parts,
+    pub crashes: u32,
+}
+
 /// A change to the rows in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Write {
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -5,14 +5,13 @@
 use super::event::{Call, QUARANTINE_KEY_PREFIX};
 use super::traffic::Traffic;
 use crate::common::*;
-use crate::decide::quarantine::{Crash, Entry, Parts, Quarantine, Report, Write, hash};
-use crate::platform::rows::Row;
-use crate::wire::generated_gossip as wire;
-use crate::wire::generated_gossip::Gossip;
+use crate::decide::quarantine::{Entry, Parts, Quarantine, Report, Row, Write, hash};
+use crate::platform::rows;
+use crate::wire::generated_gossip::{self as wire, Gossip};
+use crate::wire::quarantine;
 use crate::world::id;
 use crate::world::message::PartId;
 use crate::world::table::{Commit, Txn};
-use crate::world::unit::Incarnation;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use tokio::task::spawn_local;
@@ -26,13 +25,6 @@
 /// Interval between checks for rows to write.
 const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Value of a row.
-#[derive(Debug, Serialize, Deserialize)]
-struct Stored {
-    parts: Parts,
-    crashes: u32,
-}
-
 impl Traffic {
     /// Records that a connection broke while a server worked on a request; `first_event` is when its
     /// answer began, if it did.
@@ -156,7 +148,7 @@
     /// Applies a peer's report. A peer with other entries is sent those of this instance.
     pub(super) fn on_peer_quarantine(&self, now: Duration, gossip: &Gossip) {
         if let Some(report) = &gossip.quarantine {
-            let report = decode(now, report);
+            let report = quarantine::decode(now, report);
             self.update_quarantine(|quarantine| quarantine.merge(now, &report));
         }
         let is_same = gossip.quarantine_digest == self.quarantine.borrow().digest();
@@ -183,11 +175,11 @@
                     crashes,
                     ..Report::default()
                 };
-                encode(now, &report)
+                quarantine::encode(now, &report)
             })
             .collect();
         if !news.is_empty() {
-            datagrams.push(encode(now, &news));
+            datagrams.push(quarantine::encode(now, &news));
         }
         datagrams
     }
@@ -198,7 +190,7 @@
         if peers.is_empty() {
             return Vec::new();
         }
-        let summary = encode(self.clock.now(), &self.quarantine.borrow().summary());
+        let summary = quarantine::encode(self.clock.now(), &self.quarantine.borrow().summary());
         let peers = peers.into_iter();
         peers.map(|peer| (peer, summary.clone())).collect()
     }
@@ -210,7 +202,7 @@
         let key = format!("{QUARANTINE_KEY_PREFIX}{:016x}", hash(0, parts));
         let txn = match write {
             Write::Insert(parts, crashes) => {
-                let row = json!(Stored {
+                let row = json!(Row {
                     parts: parts.clone(),
                     crashes: *crashes,
                 });
@@ -254,13 +246,13 @@
 
 /// Decodes the rows of the quarantine among others; those that can't be decoded are logged and
 /// skipped.
-pub(super) fn decode_rows(rows: &[Row]) -> BTreeMap<Parts, u32> {
+pub(super) fn decode_rows(rows: &[rows::Row]) -> BTreeMap<Parts, u32> {
     let rows = rows
         .iter()
         .filter(|row| row.key.starts_with(QUARANTINE_KEY_PREFIX));
     let stored = rows.filter_map(|row| {
         let value = row.value.as_deref()?;
-        let stored: Result<Stored, _> = serde_json::from_slice(value);
+        let stored: Result<Row, _> = serde_json::from_slice(value);
         stored
             .inspect_err(|error| log::error!("row {} is invalid: {error}; remove it", row.key))
             .ok()
@@ -269,74 +261,3 @@
         .map(|stored| (stored.parts, stored.crashes))
         .collect()
 }
-
-fn age_ms(now: Duration, at: Duration) -> u64 {
-    u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX)
-}
-
-fn time_of(now: Duration, age_ms: u64) -> Duration {
-    now.saturating_sub(Duration::from_millis(age_ms))
-}
-
-fn encode_parts(parts: &Parts) -> wire::Parts {
-    wire::Parts {
-        ids: parts.iter().map(|part| part.0).collect(),
-    }
-}
-
-fn decode_parts(parts: &wire::Parts) -> Parts {
-    parts.ids.iter().copied().map(PartId).collect()
-}
-
-fn encode(now: Duration, report: &Report) -> wire::Quarantine {
-    let crashes = report.crashes.iter();
-    let crashes = crashes.map(|((worker, boot), crash)| wire::CrashedServer {
-        worker: worker.to_string(),
-        boot: boot.0,
-        age_ms: age_ms(now, crash.at),
-        prompts: crash.prompts.iter().map(encode_parts).collect(),
-    });
-    let cleared = report.cleared.iter();
-    let cleared = cleared.map(|(part, until)| wire::ClearedPart {
-        id: part.0,
-        age_ms: age_ms(now, *until),
-    });
-    let entries = report.entries.iter();
-    let entries = entries.map(|(parts, entry)| wire::QuarantinedParts {
-        parts: Some(encode_parts(parts)),
-        age_ms: age_ms(now, entry.last_crash),
-        crashes: entry.crashes,
-        is_stored: entry.is_stored,
-    });
-    wire::Quarantine {
-        crashes: crashes.collect(),
-        cleared: cleared.collect(),
-        entries: entries.collect(),
-    }
-}
-
-fn decode(now: Duration, report: &wire::Quarantine) -> Report {
-    let crashes = report.crashes.iter().filter_map(|crashed| {
-        let worker = crashed.worker.parse().ok()?;
-        let crash = Crash {
-            at: time_of(now, crashed.age_ms),
-            prompts: crashed.prompts.iter().map(decode_parts).collect(),
-        };
-        Some(((worker, Incarnation(crashed.boot)), crash))
-    });
-    let cleared = report.cleared.iter();
-    let cleared = cleared.map(|it| (PartId(it.id), time_of(now, it.age_ms)));
-    let entries = report.entries.iter().filter_map(|it| {
-        let entry = Entry {
-            last_crash: time_of(now, it.age_ms),
-            crashes: it.crashes,
-            is_stored: it.is_stored,
-        };
-        Some((decode_parts(it.parts.as_ref()?), entry))
-    });
-    Report {
-        crashes: crashes.collect(),
-        cleared: cleared.collect(),
-        entries: entries.collect(),
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,6 +83,7 @@
   pub mod generated_gossip;
     pub mod key;
     pub mod link;
+    pub mod quarantine;
     pub mod token;
 }
 
--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -9,6 +9,7 @@
 use crate::wire::key::{Ring, digest};
 use crate::wire::token::Token;
 use crate::world::id;
+use crate::world::message::{MAX_SHARED_PARTS, PartId};
 use crate::world::unit::Tokens;
 use std::io;
 use xxhash_rust::xxh3::xxh3_64;
@@ -63,6 +64,22 @@
     }
 }
 
+impl Body {
+    /// Returns the hashes of the messages that other chats of the team may share; the last message
+    /// is the chat's own.
+    fn shared_parts(&self, form: Form, team: &id::Team) -> Vec<PartId> {
+        let count = match form {
+            Form::Chat => self.messages.len().saturating_sub(1),
+            Form::Text => 0,
+        };
+        let shared = self.messages.iter().take(count.min(MAX_SHARED_PARTS));
+        let hash = |message: &Message| {
+            xxh3_64(format!("{team}\n{}\n{}", message.role, message.content).as_bytes())
+        };
+        shared.map(|message| PartId(hash(message))).collect()
+    }
+}
+
 /// Answers one request.
 pub fn answer(exchange: Exchange<'_>, incoming: &Incoming, form: Form) {
     match prepare(&exchange, incoming, form) {
@@ -103,6 +120,7 @@
         class: incoming.caller.class,
         artifact: target.artifact.clone(),
         fingerprint: Fingerprint(xxh3_64(format!("{team}\n{digest}").as_bytes())),
+        parts: body.shared_parts(form, team),
         prefix: xxh3_64(format!("{team}\n{}\n{start}", target.artifact).as_bytes()),
         prompt: Tokens(text.split_whitespace().count() as u64),
         output: Tokens(output),
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -5,6 +5,7 @@
 use crate::decide::member::{Name, Role};
 use crate::decide::route::Location;
 use crate::decide::suspect::Fingerprint;
+use crate::node::convictions::Record;
 use crate::node::duty::{self, lock};
 use crate::node::input::{Adjustment, Grant, Input};
 use crate::node::journal::{Journal, Note};
@@ -12,11 +13,15 @@
 use crate::node::node::{Gauge, Node, counts};
 use crate::wire::generated::message::Body;
 use crate::wire::generated::{Count, Verdicts};
+use crate::wire::quarantine;
 use crate::world::id;
 use crate::world::table::Txn;
+use prost::Message;
 
 /// Inputs that wait for the thread.
 const RING: usize = 16_384;
+/// Records of crashes that wait for the table.
+pub const RECORD_RING: usize = 1024;
 const TICK: Duration = Duration::from_millis(20);
 /// Time over which demand is counted.
 const WINDOW: Duration = Duration::from_secs(1);
@@ -27,12 +32,12 @@
     grants: Map<id::Request, flume::Sender<Grant>>,
     journal: Journal,
     window: Duration,
-    verdicts: flume::Sender<Verdicts>,
+    records: flume::Sender<Record>,
 }
 
-/// Starts the thread; strikes and convictions to be kept go to `verdicts`.
+/// Starts the thread; what is to be kept of crashes goes to `records`.
 #[must_use]
-pub fn start(node: &Arc<Node>, verdicts: flume::Sender<Verdicts>) -> flume::Sender<Input> {
+pub fn start(node: &Arc<Node>, records: flume::Sender<Record>) -> flume::Sender<Input> {
     let (sender, receiver) = flume::bounded(RING);
     let here = Location {
         data_centre: node.settings.data_centre.clone(),
@@ -44,7 +49,7 @@
         grants: Map::default(),
         journal: Journal::default(),
         window: Duration::ZERO,
-        verdicts,
+        records,
     };
     duty::start("dispatcher", move || thread.run(&receiver));
     sender
@@ -78,6 +83,9 @@
         self.dispatcher.on_instance_count(entries);
         let actions = self.dispatcher.on_tick(now);
         self.carry_out(now, actions);
+        for write in self.dispatcher.take_quarantine_writes(now) {
+            self.record(Record::Quarantine(write));
+        }
         self.publish(now);
     }
 
@@ -143,6 +151,7 @@
             }
         };
         self.carry_out(now, actions);
+        self.tell_crashes(now);
     }
 
     fn on_end(&mut self, now: Duration, request: &id::Request, end: End) -> Vec<Action> {
@@ -164,6 +173,15 @@
             Input::Gone(instance) => self.dispatcher.on_peer_gone(&instance),
             Input::Leaving(worker) => self.dispatcher.on_leaving(now, &worker),
             Input::Verdicts(verdicts) => self.dispatcher.on_verdicts(now, &verdicts),
+            Input::Crashes(report) => {
+                let actions = self.dispatcher.on_crash_report(now, &report);
+                self.carry_out(now, actions);
+            }
+            Input::Quarantine(rows) => {
+                let actions = self.dispatcher.on_quarantine_rows(now, &rows);
+                self.carry_out(now, actions);
+            }
+            Input::QuarantineWritten(write) => self.dispatcher.on_quarantine_written(&write),
             Input::Catalog => {
                 let catalog = self.node.catalog.load();
                 let actions = self.dispatcher.on_contracts(now, &catalog.workers);
@@ -312,7 +330,25 @@
         self.node
             .mesh
             .broadcast(message(Body::Verdicts(verdicts.clone())));
-        let _ = self.verdicts.try_send(verdicts);
+        self.record(Record::Verdicts(verdicts));
+    }
+
+    fn record(&self, record: Record) {
+        if self.records.try_send(record).is_err() {
+            log::error!("a record of a crash is not kept: its ring of {RECORD_RING} is full");
+        }
+    }
+
+    /// Tells peers and the table what changed about requests that crash workers.
+    fn tell_crashes(&mut self, now: Duration) {
+        let report = self.dispatcher.take_crash_report();
+        if !report.is_empty() {
+            for parts in report.entries.keys() {
+                log::warn!(parts:% = json!(parts); "prompts with these parts crash workers and are refused");
+            }
+            let report = quarantine::encode(now, &report).encode_to_vec();
+            self.node.mesh.broadcast(message(Body::Quarantine(report)));
+        }
     }
 
     fn dump(&mut self, now: Duration) -> Value {
@@ -337,6 +373,7 @@
         let shares: BTreeMap<String, Value> = shares.collect();
         json!({
           "requests": self.dispatcher.request_count(),
+          "quarantine": self.dispatcher.quarantined().collect::<Vec<_>>(),
           "waiting": self.dispatcher.queued_count(),
           "workers": views,
           "shares": shares,
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -16,7 +16,10 @@
 use crate::node::stop::POLL;
 use crate::node::{callers, convictions, follow, limits, operators, reports};
 use crate::wire::generated::Heartbeat;
+use crate::wire::generated_gossip::Quarantine;
+use crate::wire::quarantine;
 use crate::world::id;
+use prost::Message;
 use rouille::{Request, Response};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -121,8 +124,8 @@
 /// Where an address is taken or signals can't be caught.
 pub fn run(settings: Settings) -> Result<()> {
     let (node, rings) = Node::start(settings, Role::Entry)?;
-    let (verdicts, kept) = flume::bounded(1024);
-    let dispatcher = dispatcher::start(&node, verdicts);
+    let (records, kept) = flume::bounded(dispatcher::RECORD_RING);
+    let dispatcher = dispatcher::start(&node, records);
     let entry = Arc::new(Entry {
         claims: Claims::start(&node),
         node: Arc::clone(&node),
@@ -174,6 +177,13 @@
                 cleared: prints(verdicts.cleared),
             }));
         }
+        News::Quarantine(report) => match Quarantine::decode(&*report) {
+            Ok(report) => {
+                let report = quarantine::decode(entry.node.now(), &report);
+                entry.tell(Input::Crashes(report));
+            }
+            Err(error) => log::warn!("invalid report on crashes from a peer: {error}"),
+        },
         News::Gone(name) if dispatcher::is_entry(&name) => {
             lock(&entry.asked).remove(&name.instance);
             entry.tell(Input::Gone(name.instance));
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -3,6 +3,7 @@
 use crate::common::*;
 use crate::decide::dispatch::{self, Arrival, End, Refusal};
 use crate::decide::ledger::Report;
+use crate::decide::quarantine::{self, Parts, Write};
 use crate::decide::share::Demand;
 use crate::world::id;
 use crate::world::table::{Row, Txn};
@@ -49,6 +50,12 @@
     Gone(id::Instance),
     Leaving(id::Worker),
     Verdicts(dispatch::Verdicts),
+    /// A peer's report on requests that crash workers.
+    Crashes(quarantine::Report),
+    /// The quarantine as the table has it: parts, and number of crashes.
+    Quarantine(BTreeMap<Parts, u32>),
+    /// The table has taken a change of the quarantine.
+    QuarantineWritten(Write),
     Catalog,
     Adjust {
         adjustment: Adjustment,
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -30,6 +30,8 @@
     Heartbeat(Name, Heartbeat),
     Report(Report),
     Verdicts(Verdicts),
+    /// An encoded report on requests that crash workers.
+    Quarantine(Vec<u8>),
     Gone(Name),
     /// The platform's list names this one as leaving.
     Leaving(id::Instance),
@@ -122,6 +124,7 @@
         }
         Some(Body::Report(report)) => on_news(News::Report(report)),
         Some(Body::Verdicts(verdicts)) => on_news(News::Verdicts(verdicts)),
+        Some(Body::Quarantine(report)) => on_news(News::Quarantine(report)),
         Some(Body::Changes(changes)) => {
             let _ = node
                 .follow
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -47,7 +47,7 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Message {
-    #[prost(oneof = "message::Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "message::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub body: ::core::option::Option<message::Body>,
 }
 /// Nested message and enum types in `Message`.
@@ -68,6 +68,9 @@
         SnapshotRequest(super::SnapshotRequest),
         #[prost(message, tag = "7")]
         Snapshot(super::Snapshot),
+        /// An encoded poplarseam.gossip.Quarantine.
+        #[prost(bytes, tag = "8")]
+        Quarantine(::prost::alloc::vec::Vec<u8>),
     }
 }
 /// Heartbeat of a process, with its state.
--- a/src/world/message.rs
+++ b/src/world/message.rs
@@ -86,7 +86,7 @@
 }
 
 /// Limit on the parts of one prompt that are examined.
-const MAX_SHARED_PARTS: usize = 16;
+pub const MAX_SHARED_PARTS: usize = 16;
 
 impl Generation {
     /// Returns the parts that other prompts may share; the last part is the request's own.
--- a/standins/src/bin/capacity.rs
+++ b/standins/src/bin/capacity.rs
@@ -208,6 +208,7 @@
         class: Class::Routine,
         artifact: artifact(number % models),
         fingerprint: Fingerprint(number as u64),
+        parts: Vec::new(),
         prefix: number as u64 % 100,
         prompt: Tokens(100),
         output: Tokens(100),
--- a/standins/src/experiment/front.rs
+++ b/standins/src/experiment/front.rs
@@ -274,6 +274,7 @@
         class: request.class,
         artifact: artifact(request.model),
         fingerprint: Fingerprint(number as u64),
+        parts: Vec::new(),
         prefix: request.prefix,
         prompt: Tokens(request.prompt),
         output: Tokens(request.output),
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -381,6 +381,29 @@
         )
     }
 
+    /// Asks an entry for a chat completion with these messages, the first one from the system.
+    ///
+    /// # Errors
+    /// If there is no answer.
+    pub fn chat(
+        &self,
+        entry: usize,
+        team: &str,
+        model: &str,
+        messages: &[&str],
+    ) -> attohttpc::Result<Answer> {
+        let bearer = format!("Bearer {}", caller_key(team));
+        let headers = [("Authorization", bearer.as_str())];
+        let role = |at: usize| if at == 0 { "system" } else { "user" };
+        let messages = messages.iter().enumerate();
+        let messages: Vec<_> = messages
+            .map(|(at, text)| json!({"role": role(at), "content": text}))
+            .collect();
+        let body = json!({"model": model, "messages": messages, "max_tokens": 5}).to_string();
+        let address = self.callers(entry);
+        client::call("POST", address, "/v1/chat/completions", &headers, &body)
+    }
+
     /// Asks an entry for a completion as a stream, from an event on where one is given.
     ///
     /// # Errors
--- a/tests/matrix/suspect.rs
+++ b/tests/matrix/suspect.rs
@@ -14,6 +14,7 @@
 use poplarseam::world::artifact::Artifact;
 use poplarseam::world::contract::{Class, Worker};
 use poplarseam::world::id;
+use poplarseam::world::message::PartId;
 use poplarseam::world::table::Txn;
 use poplarseam::world::unit::{Bytes, Incarnation, Tokens};
 use serde_json::json;
@@ -63,6 +64,7 @@
         class: Class::Routine,
         artifact: artifact(),
         fingerprint,
+        parts: Vec::new(),
         prefix: fingerprint.0,
         prompt: Tokens(10),
         output: Tokens(10),
@@ -386,3 +388,35 @@
     );
     tally.check("suspect");
 }
+
+/// Guards against requests that were queued before a part of their prompts was quarantined, and
+/// would still crash a worker each.
+#[test]
+fn queued_requests_with_a_part_in_quarantine_are_refused() {
+    let cell = Cell {
+        workers: 1,
+        instances: 1,
+        harmless_requests: 0,
+        repeats: 0,
+        unrelated_crash: false,
+        batch: 1,
+    };
+    let mut simulation = Simulation::new(cell, End::Crashed);
+    let now = simulation.now;
+    let dispatcher = &mut simulation.instances[0];
+    let deadly = PartId(666);
+    for number in 0..3 {
+        let mut arrival = arrival(number, Fingerprint(number as u64), now);
+        arrival.parts = if number == 0 { vec![] } else { vec![deadly] };
+        dispatcher.on_arrival(now, arrival);
+    }
+    assert_eq!(dispatcher.queued_count(), 2);
+    let rows = BTreeMap::from([(BTreeSet::from([deadly]), 3)]);
+    let actions = dispatcher.on_quarantine_rows(now, &rows);
+    let refused = actions.iter().filter(|action| {
+        matches!(action, Action::Refuse { refusal, .. } if refusal.reason == Reason::Convicted)
+    });
+    assert_eq!(refused.count(), 2);
+    assert_eq!(dispatcher.queued_count(), 0);
+    assert_eq!(dispatcher.request_count(), 1);
+}
--- a/tests/workers.rs
+++ b/tests/workers.rs
@@ -126,6 +126,43 @@
     assert_eq!(crashes(&site), 2);
 }
 
+/// Crashes of a message after which requests with it must not reach an engine.
+const MAX_MESSAGE_CRASHES: u64 = 5;
+
+/// Guards against a message that crashes one engine after the other: no two chats with it are alike,
+/// so each of them would crash two.
+#[test]
+fn chats_with_a_message_that_crashes_workers_are_refused_at_every_entry() {
+    let site = full_site(4, 3);
+    for (host, _) in &site.engines {
+        host.switch.set(Fault {
+            crash_on: Some("poison".into()),
+            ..Fault::default()
+        });
+    }
+    let ask = |number: usize, briefing: &str| {
+        let question = format!("question {number}");
+        let messages = ["common", briefing, question.as_str()];
+        site.chat(number % 3, "red", "notes", &messages).unwrap()
+    };
+    for number in 0..9 {
+        let answer = ask(number, "poison");
+        assert_eq!(answer.status, 422, "{}", answer.body);
+        assert!(crashes(&site) <= MAX_MESSAGE_CRASHES, "after {number}");
+    }
+    let before = crashes(&site);
+    site.wait_for_model("red", "notes");
+    for number in 9..12 {
+        let answer = ask(number, "poison");
+        assert_eq!(
+            (answer.status, answer.json()["run"].as_str()),
+            (422, Some("not_run"))
+        );
+        assert_eq!(ask(number, "harmless").status, 200);
+    }
+    assert_eq!(crashes(&site), before);
+}
+
 fn crashes(site: &Site) -> u64 {
     let engines = site.engines.iter();
     let restarts = engines.map(|(_, engine)| {
