Break off streams whose bytes form no event

Callers saw: a server that answers a stream with bytes that never form an event was read, and passed on, as fast as both could, until the stall timer fired after some seconds; the caller got 200 and noise. Cause: a stream was bounded in time only. Class: input without end that is bounded by something else than its amount. The same on the node's path: an engine may send lines to skip without end. Change: more than 256 KiB without a complete event is a fault, in decide/progress. The stream breaks off at once, a resumable one goes on at another server; before its first event the caller gets 502, since the head now waits for one. decide/stream has the same bound for skipped lines. The former 64 KiB above which a resumable stream was passed on in pieces is gone. Tests: too_many_bytes_without_an_event_are_a_fault and an_engine_that_sends_only_lines_to_skip_is_cut_off are new; bound and case of the endless test are as they were. Open: the sum of plain answers without a length that are read at once.

--- a/src/decide/progress.rs
+++ b/src/decide/progress.rs
@@ -15,6 +15,9 @@
 /// Time between the caller's time-out and the end of a stalled stream that cannot be resumed.
 const STALL_MARGIN: Duration = Duration::from_millis(500);
 
+/// Limit on the bytes of an event, and of anything else between two events.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Returns the longest pause after which a caller still waits for the next event.
 #[must_use]
 pub fn caller_timeout(target: Duration, longest_pause: Duration) -> Duration {
@@ -36,6 +39,8 @@
     is_complete: bool,
     /// Arrival of the first complete event.
     first_event_at: Option<Duration>,
+    /// Bytes since the last complete event.
+    pending_bytes: usize,
 }
 
 impl Progress {
@@ -56,18 +61,21 @@
             has_field: false,
             is_complete: true,
             first_event_at: None,
+            pending_bytes: 0,
         }
     }
 
     /// Processes the next bytes of the stream.
     pub fn on_bytes(&mut self, now: Duration, bytes: &[u8]) {
         for byte in bytes {
+            self.pending_bytes += 1;
             match byte {
                 b'\r' => {}
                 b'\n' if self.is_at_line_start => {
                     if self.has_field {
                         self.last_event_at = now;
                         self.first_event_at.get_or_insert(now);
+                        self.pending_bytes = 0;
                     }
                     self.has_field = false;
                     self.is_complete = true;
@@ -88,6 +96,12 @@
         self.is_complete
     }
 
+    /// Returns whether more bytes than an event may have arrived without a complete one.
+    #[must_use]
+    pub const fn exceeds_event_limit(&self) -> bool {
+        self.pending_bytes > MAX_EVENT_BYTES
+    }
+
     /// Returns when the first complete event arrived.
     #[must_use]
     pub const fn first_event_at(&self) -> Option<Duration> {
--- a/src/decide/stream.rs
+++ b/src/decide/stream.rs
@@ -6,6 +6,9 @@
 
 use crate::common::*;
 
+/// Limit on the bytes that an engine may send without a new token.
+const MAX_SKIPPED_BYTES: usize = 256 << 10;
+
 /// One line of an engine's answer.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct Line {
@@ -35,6 +38,8 @@
 pub struct Assembly {
     request: CompactString,
     next_offset: u64,
+    /// Bytes of the lines skipped since the last token.
+    skipped_bytes: usize,
 }
 
 impl Assembly {
@@ -44,6 +49,7 @@
         Self {
             request,
             next_offset,
+            skipped_bytes: 0,
         }
     }
 
@@ -55,6 +61,19 @@
 
     /// Handles one line as the engine sent it.
     pub fn on_line(&mut self, line: &str) -> Step {
+        let step = self.judge_line(line);
+        self.skipped_bytes = match step {
+            Step::Skip => self.skipped_bytes + line.len(),
+            Step::Token { .. } | Step::Done | Step::Broken => 0,
+        };
+        if self.skipped_bytes > MAX_SKIPPED_BYTES {
+            self.skipped_bytes = 0;
+            return Step::Broken;
+        }
+        step
+    }
+
+    fn judge_line(&mut self, line: &str) -> Step {
         let Ok(line) = serde_json::from_str::<Line>(line) else {
             return Step::Broken;
         };
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -21,6 +21,7 @@
     rests: Family<Labels, Counter>,
     limits: Family<Labels, Counter>,
     crashes: Family<Labels, Counter>,
+    stream_breaks: Family<Labels, Counter>,
     quarantine_changes: Family<Labels, Counter>,
     /// Entries of the quarantine.
     pub quarantined: Gauge,
@@ -38,6 +39,7 @@
         let rests = Family::<Labels, Counter>::default();
         let limits = Family::<Labels, Counter>::default();
         let crashes = Family::<Labels, Counter>::default();
+        let stream_breaks = Family::<Labels, Counter>::default();
         let quarantine_changes = Family::<Labels, Counter>::default();
         let quarantined = Gauge::default();
         let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 14));
@@ -77,6 +79,11 @@
             "Requests that ran on a server when the connection broke, by what became of the suspicion",
             crashes.clone(),
         );
+        registry.register(
+            "stream_breaks",
+            "Streams that ended before their end, by cause; they may have been resumed",
+            stream_breaks.clone(),
+        );
         registry.register(
             "quarantine_changes",
             "Changes of the quarantine of prompt parts, by kind",
@@ -106,6 +113,7 @@
             rests,
             limits,
             crashes,
+            stream_breaks,
             quarantine_changes,
             quarantined,
             first_byte,
@@ -158,6 +166,12 @@
         self.crashes.get_or_create(&labels).inc_by(requests);
     }
 
+    /// Counts a stream that broke off.
+    pub fn on_stream_break(&self, cause: &'static str) {
+        let labels = vec![("cause", cause.into())];
+        self.stream_breaks.get_or_create(&labels).inc();
+    }
+
     /// Counts a change of the quarantine of prompt parts.
     pub fn on_quarantine_change(&self, change: &'static str) {
         let labels = vec![("change", change.into())];
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,7 +1,8 @@
 //! Relays a stream of events to a caller.
 //!
-//! Bytes are passed on as they arrive. A resumable stream is passed on in complete events, so
-//! that another worker can continue after the last one if its worker breaks off.
+//! Bytes are passed on as they arrive, from the first complete event on. A resumable stream is passed
+//! on in complete events, so that another worker can continue after the last one if its worker
+//! breaks off.
 
 use super::channel::Channel;
 use super::forward::{Exchange, Outcome, Stream};
@@ -21,8 +22,9 @@
 
 /// Limit on resumptions of one stream.
 const MAX_RESUMPTIONS: u32 = 3;
-/// Largest event; a larger one is passed on in pieces, and its stream is no longer resumable.
-const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// Cause of the end of a stream whose bytes form no event.
+const NO_EVENT: &str = "too many bytes without an event";
 
 type Resumption = Pin<Box<dyn Future<Output = Outcome>>>;
 
@@ -110,7 +112,7 @@
         }
         if self.stall_timer.as_mut().poll(context).is_ready() && self.has_stalled(context) {
             self.on_broken();
-            if !self.resume() {
+            if !self.resume("stalled") {
                 return self.fail("stalled");
             }
         }
@@ -126,20 +128,27 @@
                                 continue;
                             };
                             self.progress.on_bytes(self.exchange.now(), &data);
+                            if self.progress.exceeds_event_limit() {
+                                if !self.resume(NO_EVENT) {
+                                    self.penalize_worker();
+                                    return self.fail(NO_EVENT);
+                                }
+                                continue;
+                            }
                             if let Some(bytes) = self.complete_events(data) {
                                 return Poll::Ready(Some(Ok(bytes)));
                             }
                         }
                         Some(Err(error)) => {
                             self.on_broken();
-                            if !self.resume() {
+                            if !self.resume("broken") {
                                 return self.fail(&error.to_string());
                             }
                         }
                         None if self.progress.is_complete() => return self.finish(),
                         None => {
                             self.on_broken();
-                            if !self.resume() {
+                            if !self.resume("ended within an event") {
                                 return self.fail("ended within an event");
                             }
                         }
@@ -188,19 +197,33 @@
         }
     }
 
+    fn has_first_event(&self) -> bool {
+        self.progress.first_event_at().is_some()
+    }
+
+    /// Lowers the worker's rank in the choice of servers.
+    fn penalize_worker(&self) {
+        if let State::Reading { teardown, .. } = &self.state {
+            let worker = &teardown.guard.worker;
+            self.exchange.traffic.balance.borrow_mut().on_failed(worker);
+        }
+    }
+
     /// Returns the bytes to pass on now: all of them, or up to the end of the last complete
     /// event.
     fn complete_events(&mut self, data: Bytes) -> Option<Bytes> {
-        if !self.is_resumable {
+        if !self.is_resumable && self.incomplete_event.is_empty() && self.has_first_event() {
             return Some(data);
         }
         self.incomplete_event.extend_from_slice(&data);
+        if !self.is_resumable {
+            let bytes = self
+                .has_first_event()
+                .then(|| self.incomplete_event.split());
+            return bytes.map(BytesMut::freeze);
+        }
         let complete_len = end_of_events(&self.incomplete_event);
         if complete_len == 0 {
-            if self.incomplete_event.len() > MAX_EVENT_BYTES {
-                self.is_resumable = false;
-                return Some(self.incomplete_event.split().freeze());
-            }
             return None;
         }
         let events = self.incomplete_event.split_to(complete_len).freeze();
@@ -211,9 +234,10 @@
         Some(events)
     }
 
-    /// Lets another worker continue after the last event passed on; returns whether that is
-    /// allowed.
-    fn resume(&mut self) -> bool {
+    /// Lets another worker continue after the last event passed on, since `cause` ended the stream;
+    /// returns whether that is allowed.
+    fn resume(&mut self, cause: &'static str) -> bool {
+        self.exchange.traffic.metrics.on_stream_break(cause);
         let traffic = &self.exchange.traffic;
         let allowed = self.is_resumable
             && self.resumptions < MAX_RESUMPTIONS
@@ -231,7 +255,7 @@
         self.incomplete_event.clear();
         let exchange = Rc::clone(&self.exchange);
         let last = self.last_event.clone();
-        let values = json!({"request": exchange.request.id, "after": last});
+        let values = json!({"request": exchange.request.id, "after": last, "cause": cause});
         traffic.journal.note("resumed", &values);
         self.state = State::Resuming(Box::pin(
             async move { exchange.dispatch(last.as_deref()).await },
--- a/tests/gateway/progress.rs
+++ b/tests/gateway/progress.rs
@@ -1,7 +1,7 @@
 //! Progress of event streams: when they stall and where they may end.
 
 use super::build::ms;
-use poplarseam::decide::progress::{Progress, caller_timeout};
+use poplarseam::decide::progress::{MAX_EVENT_BYTES, Progress, caller_timeout};
 use rstest::rstest;
 
 /// Time-out of callers in these tests, and the time after which a stream without events counts as
@@ -50,6 +50,34 @@
     assert_eq!(progress.stalls_at(), ms(STALL_MS));
 }
 
+/// Guards against bytes that never form an event and are read, and passed on, as fast as they come.
+#[rstest]
+#[case::bytes(b"no event at all ")]
+#[case::comments(b": still here\n\n")]
+#[case::lines(b"data: more\n")]
+#[case::blank_lines(b"\n\n\n\n\n\n\n\n")]
+fn too_many_bytes_without_an_event_are_a_fault(#[case] bytes: &[u8]) {
+    let mut progress = progress();
+    progress.on_bytes(ms(1), b"data: x\n\n");
+    let mut count = 0;
+    while !progress.exceeds_event_limit() {
+        progress.on_bytes(ms(1), bytes);
+        count += bytes.len();
+        assert!(count <= MAX_EVENT_BYTES + bytes.len());
+    }
+    assert!(count > MAX_EVENT_BYTES);
+}
+
+#[test]
+fn a_long_stream_of_events_is_no_fault() {
+    let mut progress = progress();
+    let event = format!("data: {}\n\n", "x".repeat(MAX_EVENT_BYTES - 10));
+    for _ in 0..10 {
+        progress.on_bytes(ms(1), event.as_bytes());
+        assert!(!progress.exceeds_event_limit());
+    }
+}
+
 #[test]
 fn a_resumable_stream_stalls_before_its_caller_times_out() {
     let progress = Progress::new(ms(0), ms(CALLER_TIMEOUT_MS), true);
--- a/tests/matrix/stream.rs
+++ b/tests/matrix/stream.rs
@@ -132,3 +132,14 @@
     }
     tally.check("stream");
 }
+
+/// Guards against an engine that sends repeated tokens or lines of other requests without end.
+#[test]
+fn an_engine_that_sends_only_lines_to_skip_is_cut_off() {
+    for skipped in [line("r1", 0), line("other", 1)] {
+        let mut assembly = Assembly::new("r1".into(), 1);
+        let steps = (0..100_000).map(|_| assembly.on_line(&skipped));
+        let mut steps = steps.skip_while(|step| *step == Step::Skip);
+        assert_eq!(steps.next(), Some(Step::Broken));
+    }
+}
