--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -30,7 +30,7 @@
 const SUSPICION_WINDOW: Duration = Duration::from_secs(5);
 /// Time after the last crash for which an entry refuses all its prompts. It doubles with each
 /// further crash, at most [`MAX_DOUBLINGS`] times.
-const BASE_PERIOD: Duration = Duration::from_mins(10);
+pub const BASE_PERIOD: Duration = Duration::from_mins(10);
 const MAX_DOUBLINGS: u32 = 6;
 /// Interval at which an instance lets a single prompt of a lapsed entry through.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(30);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,7 +10,7 @@
 use crate::common::*;
 use crate::decide::attempts::Attempts;
 use crate::decide::balance::{Choice, Need};
-use crate::decide::{progress, shed};
+use crate::decide::{progress, quarantine, shed};
 use crate::platform::request;
 use crate::world::id;
 use crate::world::message::{Answer, Generation, PartId, Request};
@@ -40,8 +40,8 @@
 const RETRY_AFTER_LOADING: Duration = Duration::from_millis(1_200);
 /// Cause of a refusal because the request, or a part of its prompt, crashes servers.
 const CRASHES_SERVERS: &str = "crashes servers";
-/// Retry-After for a caller whose request crashes servers.
-const RETRY_AFTER_CRASHES: Duration = Duration::from_mins(1);
+/// Retry-After for a caller whose request crashes servers: the shortest quarantine.
+const RETRY_AFTER_CRASHES: Duration = quarantine::BASE_PERIOD;
 /// Limit on rejections of one request by servers that did not run it.
 const MAX_REJECTIONS: usize = 4;
 /// Number of unreachable servers that a request may try at no cost: no server gets the request, so
