Bound the memory of answers that are read in full

A server that answers many requests with bodies below the operator's limit and never ends them holds all of them: 30 answers of 3 MiB were held until their callers' deadline (504, all of them, in the new test on the code before). Class: a bound on each that no one applies to the sum. Change: decide/memory counts the bytes of answers from their first byte at the gateway to the last one sent to the caller. `answer_bytes` in /state. An answer above the operator's limit is now called "answer too large" and no longer counts as a broken connection, which accuses requests of crashes. Test: hung_answers_do_not_fill_memory failed before; module tests of the bound.

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -80,6 +80,7 @@
         "version": site.as_ref().map(|site| site.version),
         "plans": traffic.is_planner(),
         "open": traffic.open_connections.get(),
+        "answer_bytes": traffic.memory.borrow().used(),
         "stopping": traffic.is_stopping.get(),
         "instances": traffic.instances(),
         "sharers": traffic.sharers(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt to serve a request at one server, and the interpretation of its response.
 
 use super::body::Body;
+use super::buffer::{self, Failure};
 use super::channel::{self, Channel};
 use super::forward::{DEADLINE_MARGIN, Exchange, Stream};
 use super::in_flight::Guard;
@@ -236,12 +237,10 @@
                 }))
             }
             Outcome::Success | Outcome::Rejected | Outcome::Failed => {
-                let body = Limited::new(incoming, self.max_body_bytes())
-                    .collect()
-                    .await;
-                let Ok(body) = body else {
-                    traffic.balance.borrow_mut().on_failed(&worker);
-                    return Attempt::Unknown(CUT);
+                let read = buffer::read(traffic, incoming, self.max_body_bytes()).await;
+                let (body, lease) = match read {
+                    Ok(read) => read,
+                    Err(failure) => return self.handle_unread(&worker, failure),
                 };
                 guard.on_first_byte();
                 if answer.framed && !answer.closes {
@@ -250,7 +249,7 @@
                 if answer.outcome == Outcome::Success {
                     self.on_success();
                 }
-                let response = reply::forwarded(head, body.to_bytes());
+                let response = reply::forwarded(head, body, lease);
                 if answer.outcome == Outcome::Failed {
                     traffic.balance.borrow_mut().on_failed(&worker);
                     return Attempt::Failed(response);
@@ -260,6 +259,18 @@
         }
     }
 
+    /// Interprets an answer that could not be read in full.
+    fn handle_unread(&self, worker: &id::Worker, failure: Failure) -> Attempt {
+        if failure != Failure::NoMemory {
+            self.traffic.balance.borrow_mut().on_failed(worker);
+        }
+        Attempt::Unknown(match failure {
+            Failure::Broken => CUT,
+            Failure::TooLarge => "answer too large",
+            Failure::NoMemory => "no memory for the answer",
+        })
+    }
+
     fn max_body_bytes(&self) -> usize {
         usize::try_from(self.site.limits.body.0).unwrap_or(usize::MAX)
     }
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -1,5 +1,6 @@
 //! Response bodies for callers.
 
+use super::buffer::Lease;
 use super::relay::Relay;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -9,13 +10,20 @@
 
 /// A body that is in memory in full, or one that is streamed.
 pub enum Body {
-    Complete(Full<Bytes>),
+    Complete {
+        content: Full<Bytes>,
+        /// Memory that is given back when the body has been sent.
+        _lease: Option<Lease>,
+    },
     Relay(Box<Relay>),
 }
 
 impl From<Bytes> for Body {
     fn from(bytes: Bytes) -> Self {
-        Self::Complete(Full::new(bytes))
+        Self::Complete {
+            content: Full::new(bytes),
+            _lease: None,
+        }
     }
 }
 
@@ -28,7 +36,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         match self.get_mut() {
-            Self::Complete(complete) => Pin::new(complete)
+            Self::Complete { content, .. } => Pin::new(content)
                 .poll_frame(context)
                 .map_err(std::io::Error::other),
             Self::Relay(relay) => relay
@@ -39,7 +47,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Complete(complete) => complete.size_hint(),
+            Self::Complete { content, .. } => content.size_hint(),
             Self::Relay(_) => SizeHint::new(),
         }
     }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -178,6 +178,12 @@
                 }
             };
             if self.attempts.borrow().is_unsent() {
+                if !self.route.repeat.is_stream() && !self.traffic.memory.borrow().admits() {
+                    return Outcome::Refused {
+                        cause: "answers fill memory",
+                        retry_after: RETRY_AFTER,
+                    };
+                }
                 if let Some(retry_after) = self.overload_retry_after(expected) {
                     return Outcome::Refused {
                         cause: "busy",
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -1,17 +1,23 @@
 //! Responses to callers: those of servers, and the gateway's own.
 
 use super::body::Body;
+use super::buffer::Lease;
 use crate::common::*;
 use crate::platform::request;
 use bytes::Bytes;
+use http_body_util::Full;
 use hyper::http::response;
 use hyper::{Response, StatusCode};
 
 /// Builds the response that passes on a server's complete one.
-pub fn forwarded(mut head: response::Parts, body: Bytes) -> Response<Body> {
+pub fn forwarded(mut head: response::Parts, body: Bytes, lease: Lease) -> Response<Body> {
     head.headers = request::end_to_end(&head.headers);
     head.headers.remove("content-length");
-    Response::from_parts(head, Body::from(body))
+    let body = Body::Complete {
+        content: Full::new(body),
+        _lease: Some(lease),
+    };
+    Response::from_parts(head, body)
 }
 
 /// Builds a refusal: the request did not run, and the caller may retry.
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -10,6 +10,7 @@
 use crate::decide::balance::{Balancer, Need};
 use crate::decide::lag::Lag;
 use crate::decide::limit::Sharers;
+use crate::decide::memory::Memory;
 use crate::decide::quarantine::Quarantine;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
@@ -72,6 +73,8 @@
     pub(super) is_first_start: Cell<bool>,
     /// Servers that are being checked since a connection to them broke.
     pub(super) checked_servers: RefCell<BTreeSet<id::Worker>>,
+    /// Memory of the answers that are held in full.
+    pub(super) memory: RefCell<Memory>,
     pub(super) quarantine: RefCell<Quarantine>,
     /// When this instance last sent its quarantine to peers that have another one.
     pub(super) quarantine_sent_at: Cell<Duration>,
@@ -203,6 +206,7 @@
             budgets: RefCell::default(),
             is_first_start: Cell::new(false),
             checked_servers: RefCell::default(),
+            memory: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
             quarantine_sent_at: Cell::default(),
             peers_with_other_quarantine: RefCell::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
     pub mod ledger;
     pub mod limit;
     pub mod member;
+    pub mod memory;
     pub mod notice;
     pub mod orders;
     pub mod place;
@@ -102,6 +103,7 @@
     mod announcements;
     mod attempt;
     mod body;
+    mod buffer;
     mod channel;
     pub mod command;
     mod event;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,8 @@
 mod lag;
 mod lease;
 mod limit;
+mod memory;
+
 mod names;
 mod notice;
 mod orders;
--- a/tests/gateway_processes/endless.rs
+++ b/tests/gateway_processes/endless.rs
@@ -107,6 +107,56 @@
 const CHUNK: &str =
     "44\r\nno answer at all no answer at all no answer at all no answer at all \r\n";
 
+/// Answers that are read in full, and how much of each arrives before its server hangs.
+const HUNG_ANSWERS: usize = 30;
+const HUNG_BYTES: usize = 3 << 20;
+
+/// Guards against memory that grows with the number of answers that are read at once: each of them is
+/// within the operator's limit, and none ends.
+#[test]
+fn hung_answers_do_not_fill_memory() {
+    let raw_server = RawServer::start(|incoming: &mut Request<'_>| {
+        let mut is_open = incoming.write(&unframed(&incoming.id.clone()));
+        is_open &= incoming.write(&"x".repeat(HUNG_BYTES));
+        while is_open {
+            std::thread::sleep(Duration::from_millis(100));
+            is_open = incoming.write("x");
+        }
+        false
+    });
+    let site = Site::ready();
+    let mut configuration = config(TIMEOUT_MS);
+    configuration["Limits"]["MaxBodyBytes"] = json!(4 << 20);
+    site.platform.configure(&configuration);
+    wait_for("the configuration", || {
+        site.state(0)["version"] == TIMEOUT_MS
+    });
+    raw_server.replace(&site, "app", &[]);
+    let callers = (0..HUNG_ANSWERS).map(|caller| {
+        let address = site.callers(0);
+        let request = request("/issue/x", &format!("r{caller}"), "");
+        std::thread::spawn(move || {
+            let stream = TcpStream::connect(address).unwrap();
+            let request = request.replacen("\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1);
+            let answer = exchange_on(stream, &request, 2 * WAIT_TIMEOUT).unwrap_or_default();
+            status(&answer)
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let statuses: Vec<u16> = callers.into_iter().map(|it| it.join().unwrap()).collect();
+    assert!(
+        statuses.iter().all(|status| matches!(status, 502..=504)),
+        "{statuses:?}"
+    );
+    assert!(statuses.contains(&502), "{statuses:?}");
+    let memory = peak_memory_kb(site.instances[0].1.id());
+    assert!(memory < MAX_MEMORY_KB, "{memory} kB");
+    wait_for("memory is given back", || {
+        site.state(0)["answer_bytes"] == 0
+    });
+    assert_eq!(site.status(0, 8001, "/v1/readyz"), 200);
+}
+
 /// Guards against endless responses, by which the caller gets no response until its deadline, the
 /// connection and its memory are held as long, or the result looks complete. Garbage that arrives
 /// as fast as it is read must be detected before the deadline.
