Accuse no part while a service fails as a whole, and try a quarantined one sooner

Callers would have seen: all servers of a service end one after the other (a bad roll-out, a rack), no prompt is answered in between, and afterwards every prompt with the most popular part is refused for ten minutes. Cause: a part was quarantined if it had the most crashes, even where parts of other prompts had nearly as many. Change: a part has to be at twice as many crashes as any part of other prompts that was at the same ones. The first pause is one to two minutes, four times as long after each failed trial, in place of ten minutes doubled by each crash: a mistake heals soon, and a deadly part costs three servers in 20 minutes.

--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -7,7 +7,9 @@
 //!
 //! Parts that always occurred together can't be told apart. They share one entry, and only prompts
 //! with all of them are refused: no sound prompt has the cause, and an answer to a prompt with one
-//! of the other parts removes that part from the entry.
+//! of the other parts removes that part from the entry. While several parts in different prompts
+//! explain the same crashes about as well, none is quarantined: a service that fails as a whole
+//! answers none of them.
 //!
 //! All instances exchange evidence and entries. Merging is idempotent and does not depend on the
 //! order.
@@ -28,10 +30,12 @@
 /// Time after a broken connection within which the end of the server counts as its cause. The entry
 /// of a crashed server remains in the platform's list for three heartbeats.
 const SUSPICION_WINDOW: Duration = Duration::from_secs(5);
-/// Time after the last crash for which an entry refuses all its prompts. It doubles with each
-/// further crash, at most [`MAX_DOUBLINGS`] times.
-pub const BASE_PERIOD: Duration = Duration::from_mins(10);
-const MAX_DOUBLINGS: u32 = 6;
+/// Time after the last crash for which an entry refuses all its prompts. Each trial that crashes a
+/// server multiplies it, at most [`MAX_GROWTH_STEPS`] times. It begins short, since the evidence may
+/// have been a chance.
+pub const BASE_PERIOD: Duration = Duration::from_mins(1);
+const PERIOD_GROWTH: u32 = 4;
+const MAX_GROWTH_STEPS: u32 = 5;
 /// Interval at which an instance lets a single prompt of a lapsed entry through.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(30);
 /// Time after which an entry that has lapsed and was not tried is dropped.
@@ -49,6 +53,8 @@
     pub last_crash: Duration,
     /// Number of servers that ended under these parts.
     pub crashes: u32,
+    /// Number of these that ended after the entry had lapsed.
+    pub failed_trials: u32,
     /// Whether the entry is in the store.
     pub is_stored: bool,
 }
@@ -57,13 +63,12 @@
     fn merge(&mut self, other: Self) {
         self.last_crash = self.last_crash.max(other.last_crash);
         self.crashes = self.crashes.max(other.crashes);
+        self.failed_trials = self.failed_trials.max(other.failed_trials);
         self.is_stored |= other.is_stored;
     }
 
     fn period(&self) -> Duration {
-        let first_crashes = u32::try_from(THRESHOLD).unwrap_or(u32::MAX);
-        let doublings = self.crashes.saturating_sub(first_crashes);
-        BASE_PERIOD * (1 << doublings.min(MAX_DOUBLINGS))
+        BASE_PERIOD * PERIOD_GROWTH.pow(self.failed_trials.min(MAX_GROWTH_STEPS))
     }
 
     fn is_expired(&self, now: Duration) -> bool {
@@ -307,6 +312,7 @@
                 let entry = Entry {
                     last_crash: now,
                     crashes: *crashes,
+                    failed_trials: 0,
                     is_stored: true,
                 };
                 self.add_entry(now, parts, entry);
@@ -422,6 +428,8 @@
         };
         for (parts, (entry, _)) in &mut self.entries {
             if after.involves(parts) && !before.involves(parts) {
+                let is_trial = after.at >= entry.last_crash + entry.period();
+                entry.failed_trials += u32::from(is_trial);
                 entry.last_crash = entry.last_crash.max(after.at);
                 entry.crashes = entry.crashes.saturating_add(1);
             }
@@ -458,6 +466,7 @@
                 let entry = Entry {
                     last_crash: cause.last_crash,
                     crashes: cause.crashes,
+                    failed_trials: 0,
                     is_stored: false,
                 };
                 self.add_entry(now, &cause.parts, entry);
--- a/src/decide/quarantine/evidence.rs
+++ b/src/decide/quarantine/evidence.rs
@@ -10,6 +10,9 @@
 pub(super) const THRESHOLD: usize = 3;
 /// Number of crashes without another part after which the two are told apart.
 const INDEPENDENT_CRASHES: usize = 2;
+/// A part is the cause of crashes if it was at this many times as many as any part of other prompts
+/// that was at the same ones.
+const MIN_DOMINANCE: usize = 2;
 /// Crashes closer together than this count as one: servers that end together have another cause.
 const MIN_CRASH_SPACING: Duration = Duration::from_millis(200);
 /// Time for which crashes are kept. It is long, since prompts with the cause may be rare.
@@ -209,7 +212,9 @@
             let mut explained_here = BTreeSet::new();
             for (_, part) in level {
                 let unexplained = open[part].difference(&explained).copied();
-                if self.count_distinct(unexplained) < THRESHOLD {
+                if self.count_distinct(unexplained) < THRESHOLD
+                    || self.is_ambiguous(*part, &explained, &open)
+                {
                     continue;
                 }
                 let others = candidates.iter().map(|(_, other)| *other);
@@ -228,6 +233,27 @@
         causes
     }
 
+    /// Whether a part of other prompts explains the same crashes about as well.
+    fn is_ambiguous(
+        &self,
+        part: PartId,
+        explained: &BTreeSet<&Process>,
+        open: &BTreeMap<PartId, BTreeSet<&Process>>,
+    ) -> bool {
+        let crashes: BTreeSet<&Process> = open[&part].difference(explained).copied().collect();
+        let mut rivals = open.iter().filter(|(rival, rival_crashes)| {
+            let shared = rival_crashes.intersection(&crashes).copied();
+            rival_crashes.len() * MIN_DOMINANCE > crashes.len()
+                && self.count_distinct(shared) >= THRESHOLD
+                && **rival != part
+        });
+        rivals.any(|(rival, _)| {
+            let pair = Parts::from([part, *rival]);
+            let mut crashes = crashes.iter().map(|process| &self.crashes[*process]);
+            !crashes.any(|crash| crash.involves(&pair))
+        })
+    }
+
     /// Whether a part was in the same prompts as another one, and had too few crashes without it.
     fn is_inseparable(
         &self,
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -119,6 +119,9 @@
     pub crashes: u32,
     #[prost(bool, tag = "4")]
     pub is_stored: bool,
+    /// Number of crashes after the entry had lapsed.
+    #[prost(uint32, tag = "5")]
+    pub failed_trials: u32,
 }
 /// Rate limit that an incarnation of a server last announced.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/src/wire/quarantine.rs
+++ b/src/wire/quarantine.rs
@@ -45,6 +45,7 @@
         parts: Some(encode_parts(parts)),
         age_ms: age_ms(now, entry.last_crash),
         crashes: entry.crashes,
+        failed_trials: entry.failed_trials,
         is_stored: entry.is_stored,
     });
     wire::Quarantine {
@@ -71,6 +72,7 @@
         let entry = Entry {
             last_crash: time_of(now, it.age_ms),
             crashes: it.crashes,
+            failed_trials: it.failed_trials,
             is_stored: it.is_stored,
         };
         Some((decode_parts(it.parts.as_ref()?), entry))
