Check a server again after a connection to an unlisted one broke

Found on reading the diff: a server that had left the list when a connection to it broke was marked as being checked and never unmarked, so its id stayed in memory and a later break was not checked. The address is now looked up before the mark is set. No test of its own: it shows in memory only, and the set is not visible outside.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -47,10 +47,12 @@
     /// Finds out whether a server to which a connection broke has ended, by opening another one. It is
     /// kept for later requests if the server accepts it.
     pub fn check_server(self: &Rc<Self>, service: &id::Service, worker: &id::Worker) {
-        let is_first = self.checked_servers.borrow_mut().insert(worker.clone());
-        let Some(address) = self.address(worker).filter(|_| is_first) else {
+        let Some(address) = self.address(worker) else {
             return;
         };
+        if !self.checked_servers.borrow_mut().insert(worker.clone()) {
+            return;
+        }
         let (traffic, service, worker) = (Rc::clone(self), service.clone(), worker.clone());
         spawn_local(async move {
             let opened = channel::connect(address).await;
