Look again at a server that accepted a connection while it was ending

Cause: the check connects as soon as a connection breaks; a server that is ending may accept it before it closes its port, and no second check followed. Change: an accepted connection is looked at after 100 ms; if it was closed, the server is asked once more.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -1,7 +1,7 @@
 //! Quarantine of requests that crash servers: what the traffic thread reports to it, its exchange
 //! between instances and its rows in the store.
 
-use super::channel;
+use super::channel::{self, Channel};
 use super::event::{Call, QUARANTINE_KEY_PREFIX};
 use super::traffic::Traffic;
 use crate::common::*;
@@ -22,6 +22,9 @@
 /// Shortest interval at which an instance sends its whole quarantine to peers that have another
 /// one.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(1);
+/// A server that is ending may accept a connection before it closes its port; it closes the
+/// connection within this time.
+const CLOSE_GRACE: Duration = Duration::from_millis(100);
 /// Interval between checks for rows to write.
 const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -55,7 +58,13 @@
         }
         let (traffic, service, worker) = (Rc::clone(self), service.clone(), worker.clone());
         spawn_local(async move {
-            let opened = channel::connect(address).await;
+            let mut opened = channel::connect(address).await;
+            if opened.is_ok() {
+                sleep(CLOSE_GRACE).await;
+            }
+            if opened.as_ref().is_ok_and(Channel::is_closed) {
+                opened = channel::connect(address).await;
+            }
             traffic.checked_servers.borrow_mut().remove(&worker);
             traffic.metrics.connections.inc();
             match opened {
