Log late timers, bursts of gossip, and callers that leave before their answer

Observability for the incident of late reactions, before any change of logic: no line said how late the traffic thread ran, nobody counted what instances tell each other, and a request whose caller left before its answer began ended without a line.

--- a/src/decide/attempts.rs
+++ b/src/decide/attempts.rs
@@ -35,6 +35,12 @@
         self.is_unsent
     }
 
+    /// Returns the worker to which the request was last sent.
+    #[must_use]
+    pub fn last(&self) -> Option<&id::Worker> {
+        self.tried.last()
+    }
+
     /// Returns whether any worker may have run the request.
     #[must_use]
     pub const fn has_run(&self) -> bool {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -330,6 +330,10 @@
 
     /// Serves the request and returns the response for its caller.
     pub async fn serve(self: Rc<Self>) -> Response<Body> {
+        let mut departure = Departure {
+            exchange: &self,
+            is_answered: false,
+        };
         let (response, cause) = match self.dispatch(None).await {
             Outcome::Stream(stream) => self.relay_stream(*stream).await,
             Outcome::Complete(response) => (response, "passed on"),
@@ -342,6 +346,7 @@
             Outcome::Unknown { cause } => (self.problem(StatusCode::BAD_GATEWAY, cause), cause),
             Outcome::TimedOut => (self.problem(StatusCode::GATEWAY_TIMEOUT, "late"), "late"),
         };
+        departure.is_answered = true;
         let status = response.status().as_u16();
         self.traffic.metrics.on_answer(status, cause);
         let target = self
@@ -379,6 +384,27 @@
     }
 }
 
+/// Logs that a caller left before its answer began: its connection then drops this guard together
+/// with the request.
+struct Departure<'a> {
+    exchange: &'a Exchange,
+    is_answered: bool,
+}
+
+impl Drop for Departure<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let exchange = self.exchange;
+        exchange.traffic.metrics.callers_left.inc();
+        let sent_to = exchange.attempts.borrow().last().cloned();
+        let values = json!({"server": sent_to, "route": exchange.route.name,
+            "time_left_ms": exchange.time_left().as_millis()});
+        exchange.note("caller_left", values);
+    }
+}
+
 /// Waits for `RECHECK_INTERVAL`.
 pub(crate) async fn wait_before_retry() {
     sleep(RECHECK_INTERVAL).await;
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -213,8 +213,12 @@
 
 async fn tick_periodically(traffic: Rc<Traffic>) {
     let mut ticks = interval(TICK_INTERVAL);
+    let mut due_at = traffic.clock.now();
     loop {
         ticks.tick().await;
+        let now = traffic.clock.now();
+        traffic.on_timer(now.saturating_sub(due_at));
+        due_at = now + TICK_INTERVAL;
         traffic.tick();
     }
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -49,7 +49,14 @@
     });
     traffic.on_gossip(gossip);
     if let Some(bytes) = forwarded {
-        send_bytes(socket, &bytes, &traffic.data_centre_peers()).await;
+        send_bytes(
+            traffic,
+            socket,
+            "forwarded",
+            &bytes,
+            &traffic.data_centre_peers(),
+        )
+        .await;
     }
 }
 
@@ -76,7 +83,7 @@
             || gossip.leaving != last_sent.leaving
             || !gossip.demands.is_empty();
         if has_changed || last_sent_at.elapsed() >= MAX_GOSSIP_INTERVAL {
-            send(&socket, &gossip, &peers).await;
+            send(&traffic, &socket, "load", &gossip, &peers).await;
             last_sent = gossip;
             last_sent_at = Instant::now();
         }
@@ -104,7 +111,8 @@
             && heartbeat_at.elapsed() >= HEARTBEAT_INTERVAL
         {
             heartbeat_at = Instant::now();
-            send(&socket, &traffic.envelope(), &traffic.data_centre_peers()).await;
+            let peers = traffic.data_centre_peers();
+            send(&traffic, &socket, "heartbeat", &traffic.envelope(), &peers).await;
         }
         let peers = traffic.included_loads();
         if peers.is_empty() {
@@ -118,7 +126,7 @@
             };
             // Concatenated protobuf messages are decoded as one merged message.
             let datagram = [sum.clone(), included_part.encode_to_vec()].concat();
-            send_bytes(&socket, &datagram, &[peer]).await;
+            send_bytes(&traffic, &socket, "load", &datagram, &[peer]).await;
         }
     }
 }
@@ -132,40 +140,49 @@
         for (holder, want) in traffic.take_adapter_requests() {
             let mut gossip = traffic.envelope();
             gossip.wants.push(want);
-            send(&socket, &gossip, &[holder]).await;
+            send(&traffic, &socket, "want", &gossip, &[holder]).await;
         }
         if traffic.has_newly_leaving.take() {
             let mut gossip = traffic.envelope();
             gossip.leaving = traffic.leaving();
-            broadcast(&traffic, &socket, gossip).await;
+            broadcast(&traffic, &socket, "leaving", gossip).await;
         }
         let limits = traffic.take_new_limits();
         if !limits.is_empty() {
             let mut gossip = traffic.envelope();
             gossip.limits = limits;
-            broadcast(&traffic, &socket, gossip).await;
+            broadcast(&traffic, &socket, "limit", gossip).await;
         }
         if traffic.has_new_site.take() {
-            send(&socket, &traffic.envelope(), &traffic.data_centre_peers()).await;
+            let peers = traffic.data_centre_peers();
+            send(
+                &traffic,
+                &socket,
+                "configuration",
+                &traffic.envelope(),
+                &peers,
+            )
+            .await;
         }
         for quarantine in traffic.take_quarantine_news() {
             let mut gossip = traffic.envelope();
             gossip.quarantine = Some(quarantine);
-            broadcast(&traffic, &socket, gossip).await;
+            broadcast(&traffic, &socket, "quarantine", gossip).await;
         }
         for (peer, quarantine) in traffic.take_quarantine_summaries() {
             let mut gossip = traffic.envelope();
             gossip.quarantine = Some(quarantine);
-            send(&socket, &gossip, &[peer]).await;
+            send(&traffic, &socket, "quarantine", &gossip, &[peer]).await;
         }
         let list_updates = std::mem::take(&mut *traffic.list_updates.borrow_mut());
         for list_update in list_updates.into_iter().filter(|_| traffic.is_planner()) {
             let mut gossip = traffic.envelope();
             gossip.batch = Some(list_update.complete);
-            send(&socket, &gossip, &traffic.other_holders()).await;
+            let holders = traffic.other_holders();
+            send(&traffic, &socket, "list", &gossip, &holders).await;
             gossip = traffic.envelope();
             gossip.batch = Some(list_update.reduced);
-            broadcast(&traffic, &socket, gossip).await;
+            broadcast(&traffic, &socket, "list", gossip).await;
         }
     }
 }
@@ -189,30 +206,44 @@
             let mut gossip = traffic.envelope();
             gossip.leads.clone_from(&announcement.leads);
             gossip.holdings = part.to_vec();
-            broadcast(&traffic, &socket, gossip).await;
+            broadcast(&traffic, &socket, "holdings", gossip).await;
         }
         for job in announcement.jobs {
             let holder = job.worker.parse().ok();
             let holder = holder.and_then(|worker| traffic.holder_address(&worker));
             let mut gossip = traffic.envelope();
             gossip.jobs.push(job);
-            send(&socket, &gossip, holder.as_slice()).await;
+            send(&traffic, &socket, "job", &gossip, holder.as_slice()).await;
         }
     }
 }
 
 /// Sends to all instances; relays forward to those of other data centres.
-async fn broadcast(traffic: &Traffic, socket: &UdpSocket, mut gossip: Gossip) {
-    send(socket, &gossip, &traffic.data_centre_peers()).await;
+async fn broadcast(traffic: &Traffic, socket: &UdpSocket, kind: &'static str, mut gossip: Gossip) {
+    let peers = traffic.data_centre_peers();
+    send(traffic, socket, kind, &gossip, &peers).await;
     gossip.pass_on = true;
-    send(socket, &gossip, &traffic.relays()).await;
+    send(traffic, socket, kind, &gossip, &traffic.relays()).await;
 }
 
-async fn send(socket: &UdpSocket, gossip: &Gossip, peers: &[SocketAddr]) {
-    send_bytes(socket, &gossip.encode_to_vec(), peers).await;
+async fn send(
+    traffic: &Traffic,
+    socket: &UdpSocket,
+    kind: &'static str,
+    gossip: &Gossip,
+    peers: &[SocketAddr],
+) {
+    send_bytes(traffic, socket, kind, &gossip.encode_to_vec(), peers).await;
 }
 
-async fn send_bytes(socket: &UdpSocket, bytes: &[u8], peers: &[SocketAddr]) {
+async fn send_bytes(
+    traffic: &Traffic,
+    socket: &UdpSocket,
+    kind: &'static str,
+    bytes: &[u8],
+    peers: &[SocketAddr],
+) {
+    traffic.on_gossip_sent(kind, bytes.len() * peers.len());
     for peer in peers {
         if let Err(error) = socket.send_to(bytes, peer).await {
             log::debug!("sending a datagram to {peer} failed: {error}");
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -6,7 +6,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 
 type Labels = Vec<(&'static str, String)>;
 
@@ -23,6 +23,11 @@
     crashes: Family<Labels, Counter>,
     stream_breaks: Family<Labels, Counter>,
     quarantine_changes: Family<Labels, Counter>,
+    gossip_bytes: Family<Labels, Counter>,
+    /// Requests whose callers left before their answers began.
+    pub callers_left: Counter,
+    /// How late the timer of the traffic thread fires.
+    pub timer_delay: Histogram,
     /// Entries of the quarantine.
     pub quarantined: Gauge,
     pub first_byte: Histogram,
@@ -32,96 +37,109 @@
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("poplarseam");
-        let answers = Family::<Labels, Counter>::default();
-        let sends = Family::<Labels, Counter>::default();
-        let first_sends = Family::<Labels, Counter>::default();
-        let repeats = Family::<Labels, Counter>::default();
-        let rests = Family::<Labels, Counter>::default();
-        let limits = Family::<Labels, Counter>::default();
-        let crashes = Family::<Labels, Counter>::default();
-        let stream_breaks = Family::<Labels, Counter>::default();
-        let quarantine_changes = Family::<Labels, Counter>::default();
-        let quarantined = Gauge::default();
-        let first_byte = Histogram::new(exponential_buckets(0.001, 2.0, 14));
-        let connections = Counter::default();
-        registry.register(
-            "answers",
-            "Answers to callers, by status and cause",
-            answers.clone(),
-        );
-        registry.register(
-            "sends",
-            "Requests sent to servers, by outcome",
-            sends.clone(),
-        );
-        registry.register(
-            "first_sends",
-            "Requests sent for the first time, by service",
-            first_sends.clone(),
-        );
-        registry.register(
-            "repeats",
-            "Decisions to send a request again, by service",
-            repeats.clone(),
-        );
-        registry.register(
-            "rests",
-            "Rests that servers asked for, by whether they were taken",
-            rests.clone(),
-        );
-        registry.register(
-            "limits",
-            "Changes of the rate limits that servers name, by kind",
-            limits.clone(),
-        );
-        registry.register(
-            "crashes",
-            "Requests that ran on a server when the connection broke, by what became of the suspicion",
-            crashes.clone(),
-        );
-        registry.register(
-            "stream_breaks",
-            "Streams that ended before their end, by cause; they may have been resumed",
-            stream_breaks.clone(),
-        );
-        registry.register(
-            "quarantine_changes",
-            "Changes of the quarantine of prompt parts, by kind",
-            quarantine_changes.clone(),
-        );
-        registry.register(
-            "quarantined",
-            "Sets of prompt parts in quarantine",
-            quarantined.clone(),
-        );
-        registry.register(
-            "first_byte_seconds",
-            "Time to the first byte",
-            first_byte.clone(),
-        );
-        registry.register(
-            "connections",
-            "Connections opened to servers",
-            connections.clone(),
-        );
+        let latency = || Histogram::new(exponential_buckets(0.001, 2.0, 14));
         Self {
+            answers: register(
+                &mut registry,
+                "answers",
+                "Answers to callers, by status and cause",
+                Family::default(),
+            ),
+            sends: register(
+                &mut registry,
+                "sends",
+                "Requests sent to servers, by outcome",
+                Family::default(),
+            ),
+            first_sends: register(
+                &mut registry,
+                "first_sends",
+                "Requests sent for the first time, by service",
+                Family::default(),
+            ),
+            repeats: register(
+                &mut registry,
+                "repeats",
+                "Decisions to send a request again, by service",
+                Family::default(),
+            ),
+            rests: register(
+                &mut registry,
+                "rests",
+                "Rests that servers asked for, by whether they were taken",
+                Family::default(),
+            ),
+            limits: register(
+                &mut registry,
+                "limits",
+                "Changes of the rate limits that servers name, by kind",
+                Family::default(),
+            ),
+            crashes: register(
+                &mut registry,
+                "crashes",
+                "Requests that ran on a server when the connection broke, by what became of the suspicion",
+                Family::default(),
+            ),
+            stream_breaks: register(
+                &mut registry,
+                "stream_breaks",
+                "Streams that ended before their end, by cause; they may have been resumed",
+                Family::default(),
+            ),
+            quarantine_changes: register(
+                &mut registry,
+                "quarantine_changes",
+                "Changes of the quarantine of prompt parts, by kind",
+                Family::default(),
+            ),
+            gossip_bytes: register(
+                &mut registry,
+                "gossip_bytes",
+                "Bytes of datagrams sent to other instances, by kind",
+                Family::default(),
+            ),
+            callers_left: register(
+                &mut registry,
+                "callers_left",
+                "Requests whose callers left before their answers began",
+                Counter::default(),
+            ),
+            timer_delay: register(
+                &mut registry,
+                "timer_delay_seconds",
+                "Delay with which the periodic timer of the traffic thread fires",
+                latency(),
+            ),
+            quarantined: register(
+                &mut registry,
+                "quarantined",
+                "Sets of prompt parts in quarantine",
+                Gauge::default(),
+            ),
+            first_byte: register(
+                &mut registry,
+                "first_byte_seconds",
+                "Time to the first byte",
+                latency(),
+            ),
+            connections: register(
+                &mut registry,
+                "connections",
+                "Connections opened to servers",
+                Counter::default(),
+            ),
             registry,
-            answers,
-            sends,
-            first_sends,
-            repeats,
-            rests,
-            limits,
-            crashes,
-            stream_breaks,
-            quarantine_changes,
-            quarantined,
-            first_byte,
-            connections,
         }
     }
 }
 
+/// Registers a metric and returns it.
+fn register<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
+    registry.register(name, help, metric.clone());
+    metric
+}
+
 impl Metrics {
     /// Counts an answer to a caller.
     pub fn on_answer(&self, status: u16, cause: &'static str) {
@@ -178,6 +196,12 @@
         self.quarantine_changes.get_or_create(&labels).inc();
     }
 
+    /// Counts the bytes of datagrams to other instances.
+    pub fn on_gossip(&self, kind: &'static str, bytes: u64) {
+        let labels = vec![("kind", kind.into())];
+        self.gossip_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
     /// Encodes all metrics in the text format.
     #[must_use]
     pub fn text(&self) -> String {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -45,6 +45,11 @@
 /// An instance that receives no announcement of a holder for this long follows the server list
 /// itself.
 const MAX_HOLDER_SILENCE: Duration = Duration::from_millis(1_500);
+/// Delay of the periodic timer above which it is logged.
+const LOGGED_TIMER_DELAY: Duration = Duration::from_millis(100);
+/// Bytes to other instances between two ticks above which they are logged: a quarter of a second of
+/// the slowest links, 10 Mbit/s, holds 312 kB.
+const LOGGED_GOSSIP_BYTES: usize = 100_000;
 /// A holder's announcement is valid for this long.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(1_100);
 
@@ -117,6 +122,8 @@
     /// Changes of the server list to send to peers.
     pub list_updates: RefCell<Vec<ListUpdate>>,
     pub(super) placer: flume::Sender<PlacerEvent>,
+    /// Bytes of datagrams sent to other instances since the last tick, by kind.
+    pub(super) gossip_sent: RefCell<BTreeMap<&'static str, usize>>,
 }
 
 /// A change of the server list. Holders get it in full, because their orders depend on it; other
@@ -228,6 +235,7 @@
             sequence: Cell::new(0),
             list_updates: RefCell::default(),
             placer,
+            gossip_sent: RefCell::default(),
         })
     }
 
@@ -503,8 +511,34 @@
         }
     }
 
+    /// Records how late the periodic timer fired.
+    pub fn on_timer(&self, delay: Duration) {
+        self.metrics.timer_delay.observe(delay.as_secs_f64());
+        if delay >= LOGGED_TIMER_DELAY {
+            let values = json!({"delay_ms": delay.as_millis()});
+            self.journal.note("late_timer", &values);
+        }
+    }
+
+    /// Counts the bytes of datagrams to other instances.
+    pub fn on_gossip_sent(&self, kind: &'static str, bytes: usize) {
+        self.metrics
+            .on_gossip(kind, u64::try_from(bytes).unwrap_or(u64::MAX));
+        *self.gossip_sent.borrow_mut().entry(kind).or_default() += bytes;
+    }
+
+    /// Logs the bytes of datagrams since the last tick if they were many.
+    fn log_gossip_burst(&self) {
+        let sent = std::mem::take(&mut *self.gossip_sent.borrow_mut());
+        if sent.values().sum::<usize>() >= LOGGED_GOSSIP_BYTES {
+            self.journal
+                .note("gossip_burst", &json!({"bytes_by_kind": sent}));
+        }
+    }
+
     /// Updates time-dependent state.
     pub fn tick(&self) {
+        self.log_gossip_burst();
         let now = self.clock.now();
         let changes = self.roster.borrow_mut().tick(now);
         if !changes.is_empty() {
