Log what instances fetch from the store and from peers

Observability for the incident of late reactions. Far instances knew 3 to 4 s late; which transfers were in the way no line said.

--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -37,6 +37,22 @@
     FormerLeases(Vec<Row>),
     /// The store became reachable or unreachable.
     Store { up: bool },
+    /// Rows or a configuration were fetched; only for the logs.
+    Fetched(Fetch),
+}
+
+/// Size and duration of reading a table of the store, or the configuration of a peer.
+#[derive(Debug, Clone, Serialize)]
+pub struct Fetch {
+    pub table: &'static str,
+    /// The peer, unless the store was read.
+    pub peer: Option<SocketAddr>,
+    /// Whether it was read in full instead of the changes since a version.
+    pub whole: bool,
+    pub rows: usize,
+    pub bytes: usize,
+    /// Duration of the read; none for changes, which are awaited.
+    pub took_ms: Option<u64>,
 }
 
 /// A registered instance.
@@ -103,3 +119,9 @@
     Read(String, flume::Sender<Result<Option<Row>, Failure>>),
     Commit(Txn, flume::Sender<Result<Commit, Failure>>),
 }
+
+/// Returns a duration in whole milliseconds.
+#[must_use]
+pub fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -4,11 +4,11 @@
 //! last version seen is discarded, because the store may return stale data.
 
 use super::channel::{self, Channel};
-use super::event::Subscription;
+use super::event::{Fetch, Subscription, milliseconds};
 use super::store::{CALL_TIMEOUT, MAX_RETRY_DELAY, RETRY_DELAY, Store, decode};
 use crate::common::*;
 use crate::decide::retry::backoff;
-use crate::platform::rows;
+use crate::platform::rows::{self, Page};
 use hyper::StatusCode;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -95,11 +95,32 @@
     }
 
     async fn read_all(&mut self) -> Result<Option<Change>> {
-        let page = self.store.read(self.table, "").await?;
+        let page = self.read_table().await?;
         self.last_version = page.version;
         Ok(Some(Change::Snapshot(page.rows)))
     }
 
+    async fn read_table(&self) -> Result<Page> {
+        let began_at = self.store.now();
+        let page = self.store.read(self.table, "").await?;
+        let took = self.store.now().saturating_sub(began_at);
+        self.log_fetch(&page, Some(took)).await;
+        Ok(page)
+    }
+
+    /// Logs a page: the whole table if reading it `took` some time, or changes.
+    async fn log_fetch(&self, page: &Page, took: Option<Duration>) {
+        let fetch = Fetch {
+            table: self.table,
+            peer: None,
+            whole: took.is_some(),
+            rows: page.rows.len(),
+            bytes: page.size,
+            took_ms: took.map(milliseconds),
+        };
+        self.store.log_fetch(fetch).await;
+    }
+
     async fn poll_changes(&mut self) -> Result<Option<Change>> {
         let path = rows::feed_path(self.table, self.last_version, MAX_POLL_TIME);
         let request = self.store.get(&path);
@@ -145,12 +166,13 @@
         if page.rows.is_empty() {
             return Ok(None);
         }
+        self.log_fetch(&page, None).await;
         Ok(Some(Change::Some(page.rows)))
     }
 
     /// Reads the complete table, and discards a response older than the last version seen.
     async fn reread_after_gap(&mut self) -> Result<Option<Change>> {
-        let page = self.store.read(self.table, "").await?;
+        let page = self.read_table().await?;
         if page.version < self.last_version {
             sleep(RETRY_DELAY).await;
             return Ok(None);
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -3,7 +3,7 @@
 
 use super::admin::CONFIGURATION_PATH;
 use super::channel;
-use super::event::{StoreUpdate, Subscription};
+use super::event::{Fetch, StoreUpdate, Subscription, milliseconds};
 use super::feed::{Change, Feed};
 use super::store::Store;
 use crate::common::*;
@@ -40,7 +40,7 @@
         let is_behind = now.newest_site_version > newest.0;
         let should_read_store = now.is_following_site || feed.last_version == 0;
         if is_behind && (!should_read_store || !store.is_up.get()) {
-            let raw = fetch_from_peer(now.site_source, metrics_port).await;
+            let raw = fetch_from_peer(&store, now.site_source, metrics_port).await;
             let fetched = match raw {
                 Some(raw) => apply_site(&store, &mut newest, &raw).await,
                 None => false,
@@ -92,13 +92,24 @@
 }
 
 /// Fetches the configuration from a peer.
-async fn fetch_from_peer(peer: Option<SocketAddr>, port: u16) -> Option<Bytes> {
+async fn fetch_from_peer(store: &Store, peer: Option<SocketAddr>, port: u16) -> Option<Bytes> {
     let address = SocketAddr::new(peer?.ip(), port);
     let call = channel::build_request(Method::GET, address, CONFIGURATION_PATH, Vec::new());
+    let began_at = store.now();
     let reply = channel::call_once(address, call, PEER_TIMEOUT).await;
     let body = reply.and_then(|reply| reply.require_ok("a peer's configuration"));
-    body.inspect_err(|error| log::info!("fetching the configuration from a peer failed: {error}"))
-        .ok()
+    let body = body
+        .inspect_err(|error| log::info!("fetching the configuration from a peer failed: {error}"));
+    let fetch = Fetch {
+        table: config::TABLE,
+        peer,
+        whole: true,
+        rows: usize::from(body.is_ok()),
+        bytes: body.as_ref().map_or(0, Bytes::len),
+        took_ms: Some(milliseconds(store.now().saturating_sub(began_at))),
+    };
+    store.log_fetch(fetch).await;
+    body.ok()
 }
 
 /// Follows the server list while subscribed; otherwise only catches up when peers have a newer
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -2,7 +2,7 @@
 //! to the store for other threads.
 
 use super::channel::{self, Reply};
-use super::event::{Call, StoreUpdate, Subscription};
+use super::event::{Call, Fetch, StoreUpdate, Subscription};
 use super::{follower, registration};
 use crate::common::*;
 use crate::platform::rows;
@@ -85,6 +85,15 @@
         }
     }
 
+    /// Reports what was fetched, for the logs.
+    pub async fn log_fetch(&self, fetch: Fetch) {
+        self.send_update(StoreUpdate::Fetched(fetch)).await;
+    }
+
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
     pub fn has_failed_recently(&self) -> bool {
         let failed = self.failed_at.get();
         failed.is_some_and(|at| self.clock.now() < at + OUTAGE_GRACE_PERIOD)
@@ -109,6 +118,7 @@
             rows: Vec::new(),
             more: true,
             version: u64::MAX,
+            size: 0,
         };
         let mut from = from.to_owned();
         while complete.more {
@@ -117,6 +127,7 @@
                 .await?;
             let page = decode(reply)?;
             complete.version = complete.version.min(page.version);
+            complete.size += page.size;
             complete.more = page.more && !page.rows.is_empty();
             if let Some(last) = page.rows.last() {
                 from = format!("{}~", last.key);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -299,6 +299,7 @@
             StoreUpdate::Quarantine(rows) => self.on_quarantine_rows(&rows),
             StoreUpdate::FirstStart => self.on_first_start(),
             StoreUpdate::Members(members) => self.on_members(members),
+            StoreUpdate::Fetched(fetch) => self.journal.note("fetched", &json!(fetch)),
             StoreUpdate::Store { up } => {
                 self.reaches_store.set(up);
                 self.journal.note("store", &json!({"up": up}));
--- a/src/platform/rows.rs
+++ b/src/platform/rows.rs
@@ -27,6 +27,8 @@
     pub more: bool,
     /// Newest version in the store at the time of the answer.
     pub version: u64,
+    /// Bytes of the encoded page.
+    pub size: usize,
 }
 
 #[derive(Deserialize)]
@@ -76,6 +78,7 @@
         rows: wire.rows.into_iter().map(WireRow::decode).collect(),
         more: wire.has_more,
         version: wire.ver,
+        size: bytes.len(),
     })
 }
 
