Have instances wait for a peer of their data centre before they read a configuration from the store

What callers saw: requests reached servers that had said that they leave (DRAIN), and configurations came late (CONFIG).

Cause: news of a version reaches an instance of another region by gossip before its own readers have the version. With no peer to fetch it from, it read the store, at once and again without a pause: 115 reads of 110 kB beside those of readers, 5 MB/s over a link of 60 Mbit/s, behind which the list of servers, ends of connections and the readers themselves waited. Ruled out: the processor (no timer late), crash evidence (0.2 of 116 MB of datagrams).

Change: decide/config_source. An instance that does not follow the store waits until a peer of its data centre has a newer version, or until the version is late; when that is differs between instances, and the first to read it serves the others. The peer need not have the newest version heard of, which in a storm none has.

--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -280,20 +280,21 @@
         candidates.count() < READER_COUNT
     }
 
-    /// Returns a live peer of this data centre that has at least this version of the configuration
-    /// in force. Instances that ask at the same time get different peers where there are several.
+    /// Returns a live peer of this data centre that has a newer configuration in force than `known`,
+    /// and its version: one of those with the newest. Instances that ask at the same time get
+    /// different peers where there are several.
     #[must_use]
-    pub fn configuration_source(&self, now: Duration, version: u64) -> Option<SocketAddr> {
+    pub fn configuration_source(&self, now: Duration, known: u64) -> Option<(SocketAddr, u64)> {
         let local = self.members.iter();
         let candidates = local.filter(|(_, member)| {
             member.data_centre == self.local_data_centre
-                && member.configuration >= version
+                && member.configuration > known
                 && is_recent(now, member.heard_at, LIVENESS_TIMEOUT)
         });
         let rank =
             |peer: &id::Instance| xxh3_64(format!("{} {peer}", self.local_instance).as_bytes());
-        let best = candidates.min_by_key(|(peer, _)| rank(peer));
-        best.map(|(_, member)| member.address)
+        let best = candidates.max_by_key(|(peer, member)| (member.configuration, rank(peer)));
+        best.map(|(_, member)| (member.address, member.configuration))
     }
 
     /// Number of instances of this data centre that this instance hears, including itself.
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -23,8 +23,13 @@
 /// An update from the store thread.
 #[derive(Debug, Clone)]
 pub enum StoreUpdate {
-    /// A configuration, parsed and in the bytes that the operator wrote.
-    Site(Arc<Site>, Bytes),
+    /// A configuration, parsed and in the bytes that the operator wrote, and the peer it came from
+    /// unless it was read from the store.
+    Site {
+        site: Arc<Site>,
+        written: Bytes,
+        peer: Option<SocketAddr>,
+    },
     /// Changed rows of the server list.
     Servers(Batch),
     /// This instance had no row in the store, so it has never run before.
@@ -68,9 +73,10 @@
 pub struct Subscription {
     /// Whether to follow the configuration at the store instead of fetching it from peers.
     pub is_following_site: bool,
-    /// Newest configuration that peers report, and a peer that has it.
+    /// Newest configuration that peers report, and a peer that has a newer one than this instance,
+    /// with its version.
     pub newest_site_version: u64,
-    pub site_source: Option<SocketAddr>,
+    pub site_source: Option<(SocketAddr, u64)>,
     /// Whether to follow the server list, rather than only catch up when behind.
     pub is_following_servers: bool,
     /// Version up to which this instance has the complete server list.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -5,8 +5,9 @@
 use super::channel;
 use super::event::{Fetch, StoreUpdate, Subscription, milliseconds};
 use super::feed::{Change, Feed};
-use super::store::Store;
+use super::store::{RETRY_DELAY, Store};
 use crate::common::*;
+use crate::decide::config_source::{Progress, Situation, Source};
 use crate::platform::{config, worker};
 use crate::wire::generated_gossip::{Batch, Entry};
 use crate::world::site::Version;
@@ -14,7 +15,7 @@
 use hyper::Method;
 use std::rc::Rc;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Changes within this time are fetched together.
 const BATCHING_DELAY: Duration = Duration::from_millis(300);
@@ -35,24 +36,50 @@
         |subscription| subscription.is_following_site,
     );
     let mut newest = Version::default();
+    let mut seen_stalls = 0;
     loop {
         let now = *subscription.borrow_and_update();
-        let is_behind = now.newest_site_version > newest.0;
-        let should_read_store = now.is_following_site || feed.last_version == 0;
-        if is_behind && (!should_read_store || !store.is_up.get()) {
-            let raw = fetch_from_peer(&store, now.site_source, metrics_port).await;
-            let fetched = match raw {
-                Some(raw) => apply_site(&store, &mut newest, &raw).await,
-                None => false,
-            };
-            if !fetched {
+        if now.newest_site_version <= newest.0 {
+            seen_stalls = now.site_stalls;
+        }
+        let progress = match now.site_stalls > seen_stalls {
+            true => Progress::Late,
+            false if now.newest_site_version > newest.0 => Progress::Behind,
+            false => Progress::Current,
+        };
+        let situation = Situation {
+            follows_store: now.is_following_site || feed.last_version == 0,
+            reaches_store: store.is_up.get(),
+            progress,
+            peer: now
+                .site_source
+                .filter(|(_, version)| *version > newest.0)
+                .map(|(peer, _)| peer),
+        };
+        match situation.source() {
+            Source::Peer(peer) => {
+                let raw = fetch_from_peer(&store, peer, metrics_port).await;
+                let is_newer = match raw {
+                    Some(raw) => apply_site(&store, &mut newest, &raw, Some(peer)).await,
+                    None => false,
+                };
+                if !is_newer {
+                    let _changed = timeout(RETRY_DELAY, subscription.changed()).await;
+                }
+            }
+            Source::Store if progress == Progress::Late => {
+                seen_stalls = now.site_stalls;
                 apply_rows(&store, &mut newest, feed.reread().await).await;
             }
-        } else if should_read_store {
-            apply_rows(&store, &mut newest, feed.next().await).await;
-            sleep(BATCHING_DELAY).await;
-        } else if subscription.changed().await.is_err() {
-            return;
+            Source::Store => {
+                apply_rows(&store, &mut newest, feed.next().await).await;
+                sleep(BATCHING_DELAY).await;
+            }
+            Source::Await => {
+                if subscription.changed().await.is_err() {
+                    return;
+                }
+            }
         }
     }
 }
@@ -63,17 +90,27 @@
     };
     let rows = rows.into_iter().filter(|row| row.key == config::KEY);
     for value in rows.filter_map(|row| row.value) {
-        apply_site(store, newest, &Bytes::from(value)).await;
+        apply_site(store, newest, &Bytes::from(value), None).await;
     }
 }
 
-/// Puts a configuration in force if it is newer than the current one.
-async fn apply_site(store: &Store, newest: &mut Version, raw: &Bytes) -> bool {
+/// Puts a configuration in force if it is newer than the current one; `peer` names its source
+/// unless that is the store.
+async fn apply_site(
+    store: &Store,
+    newest: &mut Version,
+    raw: &Bytes,
+    peer: Option<SocketAddr>,
+) -> bool {
     match config::decode(raw) {
         Ok(site) if site.version > *newest => {
             *newest = site.version;
             store
-                .send_update(StoreUpdate::Site(Arc::new(site), raw.clone()))
+                .send_update(StoreUpdate::Site {
+                    site: Arc::new(site),
+                    written: raw.clone(),
+                    peer,
+                })
                 .await;
             true
         }
@@ -92,8 +129,8 @@
 }
 
 /// Fetches the configuration from a peer.
-async fn fetch_from_peer(store: &Store, peer: Option<SocketAddr>, port: u16) -> Option<Bytes> {
-    let address = SocketAddr::new(peer?.ip(), port);
+async fn fetch_from_peer(store: &Store, peer: SocketAddr, port: u16) -> Option<Bytes> {
+    let address = SocketAddr::new(peer.ip(), port);
     let call = channel::build_request(Method::GET, address, CONFIGURATION_PATH, Vec::new());
     let began_at = store.now();
     let reply = channel::call_once(address, call, PEER_TIMEOUT).await;
@@ -102,7 +139,7 @@
         .inspect_err(|error| log::info!("fetching the configuration from a peer failed: {error}"));
     let fetch = Fetch {
         table: config::TABLE,
-        peer,
+        peer: Some(peer),
         whole: true,
         rows: usize::from(body.is_ok()),
         bytes: body.as_ref().map_or(0, Bytes::len),
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -65,7 +65,9 @@
             .peer_configuration_version
             .get()
             .max(gossip.configuration);
-        if newest_version > self.peer_configuration_version.replace(newest_version) {
+        let is_news = newest_version > self.peer_configuration_version.replace(newest_version);
+        let has_newer = !is_far && gossip.configuration > self.configuration_version();
+        if is_news || has_newer {
             self.update_subscription(now);
         }
         self.on_leads(now, &gossip.leads, Some(sender.address));
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -94,6 +94,9 @@
     /// Newest configuration in force at a peer.
     pub(super) peer_configuration_version: Cell<u64>,
     pub(super) lags: RefCell<Lags>,
+    /// How long peers may be ahead of this instance's configuration before it reads the store; not
+    /// the same for all, so that the first to read it can serve the others.
+    max_site_lag: Duration,
     /// Whether the store answered the last call.
     pub(super) reaches_store: Cell<bool>,
     /// Whether a configuration was read from the store that has not been announced to peers yet.
@@ -191,6 +194,7 @@
         let seed = xxh3_64(deployment.instance.as_str().as_bytes());
         let balance = Balancer::new(&deployment);
         let topology = RefCell::new(Topology::new(&deployment));
+        let spread = f64::from(u32::try_from(seed >> 32).unwrap_or(0)) / f64::from(u32::MAX);
         Rc::new(Self {
             deployment,
             clock,
@@ -223,6 +227,7 @@
             peer_servers_version: Cell::default(),
             peer_configuration_version: Cell::new(0),
             lags: RefCell::default(),
+            max_site_lag: MAX_LAG.mul_f64(1.0 + spread),
             subscription,
             demands: RefCell::default(),
             demand_sums: RefCell::default(),
@@ -282,7 +287,11 @@
     /// Applies an update from the store thread.
     pub fn on_store_update(&self, update: StoreUpdate) {
         match update {
-            StoreUpdate::Site(site, written) => self.on_site(site, written),
+            StoreUpdate::Site {
+                site,
+                written,
+                peer,
+            } => self.on_site(site, written, peer),
             StoreUpdate::Servers(batch) => {
                 let reduced = self.on_batch(&batch);
                 let is_first_list = reduced.from == 0;
@@ -445,14 +454,14 @@
             self.configuration_version(),
             self.peer_configuration_version.get(),
         );
-        let misses_site = lags.site.is_late(now, in_force, newest, MAX_LAG);
+        let misses_site = lags.site.is_late(now, in_force, newest, self.max_site_lag);
         drop(lags);
         let old = *self.subscription.borrow();
         let topology = self.topology.borrow();
         let subscription = Subscription {
             is_following_site: now >= STARTUP_LISTEN_TIME && topology.is_reader(now),
             newest_site_version: newest,
-            site_source: topology.configuration_source(now, newest),
+            site_source: topology.configuration_source(now, in_force),
             is_following_servers: self.should_follow_servers(now)
                 || now >= holder_heard_at.max(STARTUP_LISTEN_TIME) + MAX_HOLDER_SILENCE,
             known_version,
@@ -471,16 +480,15 @@
         });
     }
 
-    fn on_site(&self, site: Arc<Site>, written: Bytes) {
-        self.journal.note(
-            "configuration",
-            &json!({"version": site.version, "routes": site.routes.len()}),
-        );
+    fn on_site(&self, site: Arc<Site>, written: Bytes, peer: Option<SocketAddr>) {
+        let values =
+            json!({"version": site.version, "routes": site.routes.len(), "from_peer": peer});
+        self.journal.note("configuration", &values);
         self.balance.borrow_mut().on_site(&site);
         self.notify_placer(PlacerEvent::Site(Arc::clone(&site)));
         *self.site.borrow_mut() = Some(site);
         *self.raw_site.borrow_mut() = written;
-        if self.subscription.borrow().is_following_site {
+        if peer.is_none() {
             self.has_new_site.set(true);
             self.gossip_pending.notify_one();
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
     pub mod attempts;
     pub mod balance;
     pub mod claim;
+    pub mod config_source;
     pub mod demand;
     pub mod dispatch;
     pub mod fleet;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -44,6 +44,8 @@
     is_down: bool,
     /// Calls hang for good, also after this is cleared.
     is_silent: bool,
+    /// Reads of whole tables, by table.
+    reads: BTreeMap<String, usize>,
 }
 
 impl Store {
@@ -223,6 +225,12 @@
         rows.map(|row| row.key.clone()).collect()
     }
 
+    /// Number of times that a whole table was read.
+    #[must_use]
+    pub fn reads(&self, table: &str) -> usize {
+        self.store().reads.get(table).copied().unwrap_or_default()
+    }
+
     /// Changes what the link to a worker or to the store does.
     pub fn disturb(&self, name: &str, mode: Mode) {
         self.links[name].set(mode);
@@ -319,11 +327,10 @@
             answer
         }
         "/v1/rows-get" => {
-            let from = parameter(&query, "From");
-            let store = lock();
-            let rows = store.rows(&parameter(&query, "Table"), |row| {
-                row.value.is_some() && row.key >= from
-            });
+            let (table, from) = (parameter(&query, "Table"), parameter(&query, "From"));
+            let mut store = lock();
+            *store.reads.entry(table.clone()).or_default() += 1;
+            let rows = store.rows(&table, |row| row.value.is_some() && row.key >= from);
             (
                 200,
                 json!({"Rows": rows, "HasMore": false, "Ver": store.version}),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod balance;
 mod build;
+mod config_source;
 mod fleet;
 mod forecast;
 mod herd;
--- /dev/null
+++ b/tests/gateway_processes/configurations.rs
@@ -0,0 +1,55 @@
+//! How configurations reach instances.
+
+use super::site::{GRACE_S, Site, config, wait_for};
+use poplarseam::wire::generated_gossip::Gossip;
+use prost::Message;
+use serde_json::json;
+use standins::link::Mode;
+use standins::platform::{Platform, STORE_LINK};
+use std::net::UdpSocket;
+use std::time::Duration;
+
+const INSTANCES: u8 = 5;
+const NEW_VERSION: u64 = 30_000;
+/// Delay of the link to the store; peers are heard within milliseconds.
+const STORE_DELAY: Duration = Duration::from_millis(150);
+
+/// Tells all instances that an instance of another data centre has a configuration.
+fn announce_from_afar(site: &Site, version: u64) {
+    let gossip = Gossip {
+        instance: "far-1".into(),
+        incarnation: 1,
+        sequence: 1,
+        data_centre: "north-2".into(),
+        address: "127.0.0.1:9".into(),
+        configuration: version,
+        reaches_store: true,
+        ..Gossip::default()
+    };
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for (ip, _) in &site.instances {
+        socket
+            .send_to(&gossip.encode_to_vec(), (*ip, 7000))
+            .unwrap();
+    }
+}
+
+/// Guards against a herd at the store: all instances of a data centre heard of a configuration from
+/// another one before their own readers had it, each read it from the store, and the link between
+/// the regions had no room left for anything else.
+#[test]
+fn instances_that_hear_of_a_configuration_from_afar_get_it_from_their_own_data_centre() {
+    let site = Site::start_all(Vec::new(), INSTANCES, GRACE_S, Platform::start_linked);
+    site.wait_until_ready();
+    std::thread::sleep(Duration::from_secs(2));
+    site.platform
+        .disturb(STORE_LINK, Mode::Delayed(STORE_DELAY));
+    let before = site.platform.reads("op");
+    site.platform.configure(&config(NEW_VERSION));
+    announce_from_afar(&site, NEW_VERSION);
+    wait_for("the configuration at all instances", || {
+        (0..usize::from(INSTANCES))
+            .all(|instance| site.state(instance)["version"] == json!(NEW_VERSION))
+    });
+    assert_eq!(site.platform.reads("op"), before);
+}
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod caller;
+mod configurations;
 mod endless;
 mod limits;
 mod notices;
