Log software versions of servers, and streams that callers take up

Observability for the incident of joined streams, before any change of logic: entries' software versions and the header that names a stream's first request are decoded; listed, sent, resumed and take_up lines show them. No decision uses them yet. An entry without a readable version still names a server.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use crate::platform::request::{self, Stamp};
 use crate::world::id;
 use crate::world::message::{Answer, Outcome};
+use crate::world::site::Repeat;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Response;
@@ -58,10 +59,14 @@
         let expected_ms = (expected * 1e3).round();
         let mut values = json!({"server": worker, "service": self.need.service,
             "expected_ms": expected_ms, "outcome": outcome});
-        let usage = self.traffic.balance.borrow().usage(self.now(), worker);
-        if let Some(usage) = usage {
+        let balance = self.traffic.balance.borrow();
+        if let Some(usage) = balance.usage(self.now(), worker) {
             values["usage"] = json!(usage);
         }
+        if self.route.repeat == Repeat::Resume {
+            values["software"] = json!(balance.view(worker).map(|view| &view.backend.software));
+        }
+        drop(balance);
         self.note("sent", values);
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -334,6 +334,10 @@
             exchange: &self,
             is_answered: false,
         };
+        if let Some(taken_up) = &self.request.taken_up {
+            let values = json!({"taken_up": taken_up, "route": self.route.name});
+            self.note("take_up", values);
+        }
         let (response, cause) = match self.dispatch(None).await {
             Outcome::Stream(stream) => self.relay_stream(*stream).await,
             Outcome::Complete(response) => (response, "passed on"),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -246,8 +246,10 @@
         if !allowed {
             return false;
         }
+        let mut broken_worker = None;
         if let State::Reading { teardown, .. } = &self.state {
             let worker = &teardown.guard.worker;
+            broken_worker = Some(worker.clone());
             traffic.balance.borrow_mut().on_failed(worker);
             self.exchange.attempts.borrow_mut().on_stream_broken(worker);
         }
@@ -255,7 +257,8 @@
         self.incomplete_event.clear();
         let exchange = Rc::clone(&self.exchange);
         let last = self.last_event.clone();
-        let values = json!({"request": exchange.request.id, "after": last, "cause": cause});
+        let values = json!({"request": exchange.request.id, "after": last, "cause": cause,
+            "server": broken_worker});
         traffic.journal.note("resumed", &values);
         self.state = State::Resuming(Box::pin(
             async move { exchange.dispatch(last.as_deref()).await },
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -2,7 +2,7 @@
 
 use crate::common::*;
 use crate::world::id;
-use crate::world::message::{Answer, Generation, Load, Notice, Outcome, Part, Request};
+use crate::world::message::{Answer, Generation, Load, Notice, Outcome, Part, Request, TakeUp};
 use crate::world::unit::{Rate, Tokens};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{StatusCode, request, response};
@@ -20,6 +20,8 @@
 const NOT_EXECUTED: &str = "x-not-executed";
 const LOAD: &str = "x-instance-load";
 const LAST_EVENT: &str = "last-event-id";
+/// In a request that takes a stream up: id of the caller's request that brought its first event.
+const RESUMES: &str = "resumes";
 const LEAVING: &str = "server-leaving";
 const RETRY_AFTER: &str = "retry-after";
 /// Requests per second that a server accepts from all instances together.
@@ -65,6 +67,20 @@
         host: host.into(),
         patience: patience.map(Duration::from_millis),
         generation: decode_generation(headers),
+        taken_up: decode_take_up(headers),
+    })
+}
+
+/// Decodes which stream a request takes up.
+fn decode_take_up(headers: &HeaderMap) -> Option<TakeUp> {
+    let last_event = header_text(headers, LAST_EVENT).map(str::trim);
+    let first_request = header_text(headers, RESUMES).map(str::trim);
+    if last_event.is_none() && first_request.is_none() {
+        return None;
+    }
+    Some(TakeUp {
+        last_event: last_event.unwrap_or_default().into(),
+        first_request: first_request.filter(|id| !id.is_empty()).map(Into::into),
     })
 }
 
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -19,6 +19,9 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    /// Version of the server's software; in [`Held`] and elsewhere, versions are those of weights.
+    #[serde(default)]
+    version: Value,
     slots: u32,
     state: String,
     #[serde(default)]
@@ -79,6 +82,7 @@
         address: entry.address,
         data_centre: entry.zone.parse()?,
         boot: Incarnation(entry.born),
+        software: entry.version.as_str().and_then(|text| text.parse().ok()),
         leaving,
         places: entry.slots,
         holdings: decode_holdings(&entry.models)?,
--- a/src/world/backend.rs
+++ b/src/world/backend.rs
@@ -14,6 +14,38 @@
     xxh3_64(server.as_str().as_bytes())
 }
 
+/// Version of a backend server's software; versions have no order.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Software(CompactString);
+
+/// Limit on the length of a software version in bytes.
+const MAX_SOFTWARE_BYTES: usize = 128;
+
+impl Software {
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl Display for Software {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for Software {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        if text.is_empty() || text.len() > MAX_SOFTWARE_BYTES {
+            return Err(Error::Identifier { text: text.into() });
+        }
+        Ok(Self(text.into()))
+    }
+}
+
 /// A backend server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Backend {
@@ -23,6 +55,8 @@
     pub data_centre: id::DataCentre,
     /// Incarnation of the server: a restart under the same id has another.
     pub boot: Incarnation,
+    /// `None` if the entry states none that can be read.
+    pub software: Option<Software>,
     /// Whether the server is shutting down and takes no new requests.
     pub leaving: bool,
     /// Requests that the server can run concurrently.
@@ -41,12 +75,14 @@
             let (id, service, address) =
                 (backend.id.clone(), backend.service.clone(), backend.address);
             let data_centre = backend.data_centre.clone();
+            let software = backend.software.clone();
             (
                 id,
                 service,
                 address,
                 data_centre,
                 backend.boot,
+                software,
                 backend.leaving,
                 backend.places,
             )
--- a/src/world/message.rs
+++ b/src/world/message.rs
@@ -107,6 +107,17 @@
     pub patience: Option<Duration>,
     /// `None` if the request names no valid model.
     pub generation: Option<Generation>,
+    /// The stream that the caller takes up, if it does.
+    pub taken_up: Option<TakeUp>,
+}
+
+/// A stream that broke off and that its caller wants continued.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct TakeUp {
+    /// Id of the last event that the caller received.
+    pub last_event: CompactString,
+    /// Id of the caller's request that brought the first event, if stated.
+    pub first_request: Option<CompactString>,
 }
 
 /// Numbers of requests at a backend server, as reported in the head of an answer.
--- a/tests/gateway/build.rs
+++ b/tests/gateway/build.rs
@@ -44,6 +44,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: data_centre.parse().unwrap(),
         boot: Incarnation(1),
+        software: "v1".parse().ok(),
         leaving: false,
         places: 8,
         holdings: holdings(held),
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -97,6 +97,7 @@
         worker: worker("a"),
         version,
         backend: Some(Backend {
+            software: "v1".parse().ok(),
             leaving,
             ..backend("a", "north-1", held)
         }),
--- a/tests/matrix/notice.rs
+++ b/tests/matrix/notice.rs
@@ -162,6 +162,7 @@
             address: "127.0.0.1:1".parse().unwrap(),
             data_centre: "north-1".parse().unwrap(),
             boot: Incarnation(self.boots[index]),
+            software: "v1".parse().ok(),
             leaving: false,
             places: 8,
             holdings: BTreeMap::new(),
