Reproduce streams that are joined from two software versions

Process tests over the stand-in, whose workers now have a software version: within one answer, over a caller's tries at another instance, after a restart of all instances, with the old version gone, and with entries that name no version.

--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -64,6 +64,8 @@
     pub(crate) address: SocketAddr,
     listener: Mutex<Option<TcpListener>>,
     state: Mutex<State>,
+    /// Version of its software; the entry has none where this is empty.
+    software: String,
     /// Events of each stream, and the pause before each.
     events: u32,
     pause: Duration,
@@ -87,11 +89,19 @@
             address: listener.local_addr().expect("an address"),
             listener: Mutex::new(Some(listener)),
             state: Mutex::new(state),
+            software: "v1".into(),
             events,
             pause,
         }
     }
 
+    /// Has this version of its software.
+    #[must_use]
+    pub fn running(mut self, software: &str) -> Self {
+        self.software = software.into();
+        self
+    }
+
     /// Closes its port for good: connections are refused.
     #[must_use]
     pub fn dead(self) -> Self {
@@ -175,7 +185,7 @@
     #[must_use]
     pub fn entry(&self, state: &str) -> Value {
         json!({"Service": self.service, "Address": self.address, "Zone": "north-1",
-            "Version": "v1", "Slots": 8, "State": state, "ColdRemainingMs": 0, "Sequence": 5,
+            "Version": self.software, "Slots": 8, "State": state, "ColdRemainingMs": 0, "Sequence": 5,
             "Models": self.models(), "born": 1_000 + self.crashes()})
     }
 
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -11,6 +11,7 @@
 mod raw_server;
 mod site;
 mod soak;
+mod versions;
 
 use raw_server::{RawServer, stream_head};
 use serde_json::json;
