Continue streams only at the software version that began them

Cause: neither the version in a server's entry nor the header that names a stream's first request was read; a resumption drew among all servers of the model. Class: a property of the run (which software wrote it) that the unit of resumption (model and position) does not contain.

Change: an answer is bound to the version of the server that sent its first event, and a take-up to the version that brought the stream's first one. decide/origin: each instance records the streams it began; while a service has several versions, instances tell each other of unfinished streams and keep them in the store, with the versions of each service. A stream of which nobody has told goes on only if the service has had one version for a minute, by rows read since the start and by a list that is current; else it is refused at once as not run. Servers without a readable version fit nobody.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -256,6 +256,13 @@
         }
     }
 
+    /// Whether the servers of a service have model engines.
+    #[must_use]
+    pub fn has_engine(&self, service: &id::Service) -> bool {
+        let service = self.services.get(service);
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Applies the entry of a server in the platform's list.
     pub fn on_listed(&mut self, mut backend: Backend) {
         if backend.leaving {
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -86,7 +86,19 @@
         "sharers": traffic.sharers(),
         "budgets": &*traffic.budgets.borrow(),
         "quarantine": traffic.quarantine.borrow().entries().map(|(parts, _)| parts).collect::<Vec<_>>(),
+        "software": software_dump(traffic),
+        "streams": traffic.origins.borrow().stream_count(),
         "limits": balance.limits().active().collect::<BTreeMap<_, _>>(),
         "servers": balance.views().collect::<Vec<_>>(),
     })
 }
+
+/// Returns the software versions of each service, with the seconds since each was listed.
+fn software_dump(traffic: &Traffic) -> Value {
+    let origins = traffic.origins.borrow();
+    let versions = origins.versions(traffic.clock.now());
+    let versions = versions.map(|(service, software, age)| {
+        json!({"service": service, "software": software, "age_s": age.as_secs()})
+    });
+    versions.collect()
+}
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -1,5 +1,6 @@
 //! Messages between the gateway's threads, which pass through bounded channels.
 
+use super::origins;
 use crate::common::*;
 use crate::decide::quarantine::Parts;
 use crate::decide::roster::Change;
@@ -17,6 +18,10 @@
 
 /// Key prefix of the lease rows, one for each shard.
 pub const LEASE_KEY_PREFIX: &str = "lease.shard.";
+/// Key prefix of the rows of software versions, one for each version of a service.
+pub const VERSION_KEY_PREFIX: &str = "version.";
+/// Key prefix of the rows of unfinished streams, one for each start of an instance.
+pub const STREAMS_KEY_PREFIX: &str = "streams.";
 /// Key prefix of the rows of quarantined prompt parts, one for each entry.
 pub const QUARANTINE_KEY_PREFIX: &str = "quarantine.";
 
@@ -38,6 +43,8 @@
     Members(Vec<Member>),
     /// All rows of the quarantine: the parts of each entry, and the number of its crashes.
     Quarantine(BTreeMap<Parts, u32>),
+    /// All rows of software versions and unfinished streams.
+    Origins(origins::Rows),
     /// Lease rows, some of which this instance may have held before it restarted.
     FormerLeases(Vec<Row>),
     /// The store became reachable or unreachable.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -4,17 +4,19 @@
 use super::body::Body;
 use super::channel::Channel;
 use super::in_flight::Guard;
+use super::origins::Binding;
 use super::relay::Relay;
 use super::reply;
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::attempts::Attempts;
 use crate::decide::balance::{Choice, Need};
+use crate::decide::origin::Origin;
 use crate::decide::{progress, quarantine, shed};
 use crate::platform::request;
 use crate::world::id;
-use crate::world::message::{Answer, Generation, PartId, Request};
-use crate::world::site::{Route, Site};
+use crate::world::message::{Answer, Generation, PartId, Request, TakeUp};
+use crate::world::site::{Repeat, Route, Site};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::{request::Parts, response};
@@ -42,6 +44,8 @@
 const CRASHES_SERVERS: &str = "crashes servers";
 /// Retry-After for a caller whose request crashes servers: the shortest quarantine.
 const RETRY_AFTER_CRASHES: Duration = quarantine::BASE_PERIOD;
+/// Cause of a refusal because no server has the software version of a stream.
+const VERSION_GONE: &str = "software version gone";
 /// Limit on rejections of one request by servers that did not run it.
 const MAX_REJECTIONS: usize = 4;
 /// Number of unreachable servers that a request may try at no cost: no server gets the request, so
@@ -60,6 +64,8 @@
     pub route: Route,
     pub need: Need,
     pub attempts: RefCell<Attempts>,
+    /// Software version at which the stream may go on.
+    pub binding: RefCell<Binding>,
     pub arrived: Duration,
     /// When the caller's deadline or the route's time-out expires.
     pub deadline: Duration,
@@ -171,6 +177,8 @@
                 Err(_) => {
                     let cause = if self.crashes_servers() {
                         CRASHES_SERVERS
+                    } else if !self.has_fitting_server() {
+                        VERSION_GONE
                     } else {
                         "no other server"
                     };
@@ -263,6 +271,12 @@
                     retry_after: RETRY_AFTER_CRASHES,
                 });
             }
+            if !self.has_fitting_server() {
+                return Err(Outcome::Refused {
+                    cause: VERSION_GONE,
+                    retry_after: RETRY_AFTER,
+                });
+            }
             let (max_wait, cause, retry_after) = match self.choose(now) {
                 Choice::Send(worker, expected) => return Ok((worker, expected)),
                 Choice::Throttled(until) => {
@@ -273,7 +287,9 @@
                 Choice::NoServer => (MAX_PLACEMENT_WAIT, "no server", RETRY_AFTER),
                 Choice::NoAdapter => {
                     if let Some(generation) = &self.need.generation {
-                        self.traffic.request_adapter(&self.need, &generation.target);
+                        let binding = self.binding.borrow();
+                        let target = &generation.target;
+                        self.traffic.request_adapter(&self.need, target, &binding);
                     }
                     (
                         time_left.mul_f64(MAX_ADAPTER_WAIT_FRACTION),
@@ -296,10 +312,56 @@
         }
     }
 
+    /// Whether a server has the software version at which the stream may go on.
+    pub(super) fn has_fitting_server(&self) -> bool {
+        match &*self.binding.borrow() {
+            Binding::Free => true,
+            Binding::Unknown => false,
+            Binding::To(software) => self.traffic.serves_version(&self.need.service, software),
+        }
+    }
+
+    /// Binds a request that takes a stream up to the software version that began it; returns a refusal
+    /// if that version is unknown.
+    async fn bind(&self, taken_up: &TakeUp) -> Result<(), Outcome> {
+        let origin = self.traffic.find_origin(&self.need.service, taken_up).await;
+        let (outcome, software) = match origin {
+            Origin::Recorded(software) => ("recorded", Some(software)),
+            Origin::Only(software) => ("only version", Some(software)),
+            Origin::Unknown => ("unknown", None),
+        };
+        self.traffic.metrics.on_take_up(outcome);
+        let values = json!({"taken_up": taken_up, "route": self.route.name, "outcome": outcome,
+            "software": software});
+        self.note("take_up", values);
+        let Some(software) = software else {
+            return Err(Outcome::Refused {
+                cause: "origin of the stream unknown",
+                retry_after: RETRY_AFTER,
+            });
+        };
+        *self.binding.borrow_mut() = Binding::To(software);
+        Ok(())
+    }
+
+    /// Serves a stream from its beginning, or from where its caller takes it up.
+    async fn begin(self: &Rc<Self>) -> Outcome {
+        if self.route.repeat == Repeat::Resume
+            && let Some(taken_up) = &self.request.taken_up
+            && let Err(refused) = self.bind(taken_up).await
+        {
+            return refused;
+        }
+        self.dispatch(None).await
+    }
+
     fn choose(&self, now: Duration) -> Choice {
         let attempts = self.attempts.borrow();
+        let binding = self.binding.borrow();
         let balance = self.traffic.balance.borrow();
-        balance.choose(now, &self.need, |worker| attempts.allows(worker))
+        balance.choose(now, &self.need, |worker| {
+            attempts.allows(worker) && self.traffic.fits(&binding, worker)
+        })
     }
 
     /// Returns a Retry-After if even the best server would keep a new request waiting too long.
@@ -334,11 +396,7 @@
             exchange: &self,
             is_answered: false,
         };
-        if let Some(taken_up) = &self.request.taken_up {
-            let values = json!({"taken_up": taken_up, "route": self.route.name});
-            self.note("take_up", values);
-        }
-        let (response, cause) = match self.dispatch(None).await {
+        let (response, cause) = match self.begin().await {
             Outcome::Stream(stream) => self.relay_stream(*stream).await,
             Outcome::Complete(response) => (response, "passed on"),
             Outcome::Refused { cause, retry_after } => {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -164,6 +164,13 @@
             )
             .await;
         }
+        if traffic.has_broken_stream.take() {
+            for streams in traffic.take_stream_news() {
+                let mut gossip = traffic.envelope();
+                gossip.streams = vec![streams];
+                broadcast(&traffic, &socket, "streams", gossip).await;
+            }
+        }
         for quarantine in traffic.take_quarantine_news() {
             let mut gossip = traffic.envelope();
             gossip.quarantine = Some(quarantine);
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -4,6 +4,7 @@
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::balance::Workload;
+use crate::world::backend::Software;
 use crate::world::id;
 use crate::world::unit::Incarnation;
 use std::rc::Rc;
@@ -14,6 +15,8 @@
     pub worker: id::Worker,
     /// Incarnation of the server to which the request was sent.
     pub boot: Incarnation,
+    /// Version of the server's software, if its entry states it.
+    pub software: Option<Software>,
     added: Workload,
     sent: Duration,
     /// The model that it uses; none for plain calls.
@@ -32,12 +35,18 @@
             .borrow_mut()
             .on_sent(sent, worker, &exchange.need);
         let boot = traffic.boot(worker);
+        let software = {
+            let balance = traffic.balance.borrow();
+            let view = balance.view(worker);
+            view.and_then(|view| view.backend.software.clone())
+        };
         let generation = exchange.need.generation.as_ref();
         Self {
             sent,
             traffic,
             worker: worker.clone(),
             boot,
+            software,
             added,
             model: generation.map(|generation| generation.target.model.clone()),
             expected,
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -4,6 +4,7 @@
 use super::body::Body;
 use super::channel;
 use super::forward::{self, Exchange};
+use super::origins::Binding;
 use super::reply;
 use super::traffic::Traffic;
 use crate::common::*;
@@ -199,6 +200,7 @@
         body,
         site,
         attempts: RefCell::new(Attempts::new(route.most_workers)),
+        binding: RefCell::new(Binding::Free),
         route,
         need,
         arrived,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     stream_breaks: Family<Labels, Counter>,
     quarantine_changes: Family<Labels, Counter>,
     gossip_bytes: Family<Labels, Counter>,
+    take_ups: Family<Labels, Counter>,
     /// Requests whose callers left before their answers began.
     pub callers_left: Counter,
     /// How late the timer of the traffic thread fires.
@@ -39,65 +40,60 @@
         let mut registry = Registry::with_prefix("poplarseam");
         let latency = || Histogram::new(exponential_buckets(0.001, 2.0, 14));
         Self {
-            answers: register(
+            answers: family(
                 &mut registry,
                 "answers",
                 "Answers to callers, by status and cause",
-                Family::default(),
             ),
-            sends: register(
+            sends: family(
                 &mut registry,
                 "sends",
                 "Requests sent to servers, by outcome",
-                Family::default(),
             ),
-            first_sends: register(
+            first_sends: family(
                 &mut registry,
                 "first_sends",
                 "Requests sent for the first time, by service",
-                Family::default(),
             ),
-            repeats: register(
+            repeats: family(
                 &mut registry,
                 "repeats",
                 "Decisions to send a request again, by service",
-                Family::default(),
             ),
-            rests: register(
+            rests: family(
                 &mut registry,
                 "rests",
                 "Rests that servers asked for, by whether they were taken",
-                Family::default(),
             ),
-            limits: register(
+            limits: family(
                 &mut registry,
                 "limits",
                 "Changes of the rate limits that servers name, by kind",
-                Family::default(),
             ),
-            crashes: register(
+            crashes: family(
                 &mut registry,
                 "crashes",
                 "Requests that ran on a server when the connection broke, by what became of the suspicion",
-                Family::default(),
             ),
-            stream_breaks: register(
+            stream_breaks: family(
                 &mut registry,
                 "stream_breaks",
                 "Streams that ended before their end, by cause; they may have been resumed",
-                Family::default(),
             ),
-            quarantine_changes: register(
+            quarantine_changes: family(
                 &mut registry,
                 "quarantine_changes",
                 "Changes of the quarantine of prompt parts, by kind",
-                Family::default(),
             ),
-            gossip_bytes: register(
+            gossip_bytes: family(
                 &mut registry,
                 "gossip_bytes",
                 "Bytes of datagrams sent to other instances, by kind",
-                Family::default(),
+            ),
+            take_ups: family(
+                &mut registry,
+                "take_ups",
+                "Streams that callers take up, by what is known of their software version",
             ),
             callers_left: register(
                 &mut registry,
@@ -134,6 +130,11 @@
     }
 }
 
+/// Registers a set of counters and returns it.
+fn family(registry: &mut Registry, name: &str, help: &str) -> Family<Labels, Counter> {
+    register(registry, name, help, Family::default())
+}
+
 /// Registers a metric and returns it.
 fn register<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
     registry.register(name, help, metric.clone());
@@ -196,6 +197,12 @@
         self.quarantine_changes.get_or_create(&labels).inc();
     }
 
+    /// Counts a stream that a caller takes up.
+    pub fn on_take_up(&self, outcome: &'static str) {
+        let labels = vec![("outcome", outcome.into())];
+        self.take_ups.get_or_create(&labels).inc();
+    }
+
     /// Counts the bytes of datagrams to other instances.
     pub fn on_gossip(&self, kind: &'static str, bytes: u64) {
         let labels = vec![("kind", kind.into())];
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -75,6 +75,7 @@
         self.on_peer_quarantine(now, &gossip);
         self.on_peer_leaving(&gossip.leaving);
         self.on_peer_limits(&gossip.limits);
+        self.on_peer_streams(&gossip.streams);
         let batch = gossip.batch.as_ref();
         if let Some(batch) = batch.filter(|batch| !(batch.partial && self.is_holder())) {
             self.on_batch(batch);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,12 +7,14 @@
 use super::channel::Channel;
 use super::forward::{Exchange, Outcome, Stream};
 use super::in_flight::Guard;
+use super::origins::Binding;
 use crate::common::*;
 use crate::decide::progress::Progress;
 use crate::platform::request;
 use crate::world::site::Repeat;
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body as _, Incoming};
+use std::cell::Cell;
 use std::future::{Future, poll_fn};
 use std::io;
 use std::pin::Pin;
@@ -31,7 +33,7 @@
 enum State {
     Reading {
         incoming: Incoming,
-        teardown: Teardown,
+        teardown: Box<Teardown>,
     },
     Resuming(Resumption),
     Over,
@@ -63,6 +65,8 @@
     /// Outcome to log. It is "caller left" until the stream ends, since a caller that disconnects
     /// drops the relay without further notice.
     outcome: &'static str,
+    /// Whether the stream's software version was recorded for callers that take it up.
+    is_recorded: Cell<bool>,
 }
 
 impl Relay {
@@ -84,6 +88,7 @@
             deadline_timer,
             first_bytes: None,
             outcome: "caller left",
+            is_recorded: Cell::new(false),
         }
     }
 
@@ -227,6 +232,7 @@
             return None;
         }
         let events = self.incomplete_event.split_to(complete_len).freeze();
+        self.bind();
         let ids = events.split(|byte| *byte == b'\n');
         if let Some(last) = ids.filter_map(request::event_id).next_back() {
             self.last_event = Some(last.to_owned());
@@ -234,6 +240,29 @@
         Some(events)
     }
 
+    /// Binds the stream to the software version of the server that sent its first event.
+    fn bind(&self) {
+        let State::Reading { teardown, .. } = &self.state else {
+            return;
+        };
+        let mut binding = self.exchange.binding.borrow_mut();
+        let is_taken_up = self.exchange.request.taken_up.is_some();
+        if *binding == Binding::Free {
+            *binding = match &teardown.guard.software {
+                Some(software) => Binding::To(software.clone()),
+                None => Binding::Unknown,
+            };
+        }
+        if let Binding::To(software) = &*binding
+            && !is_taken_up
+            && !self.is_recorded.replace(true)
+        {
+            self.exchange
+                .traffic
+                .on_stream_begun(&self.exchange, software);
+        }
+    }
+
     /// Lets another worker continue after the last event passed on, since `cause` ended the stream;
     /// returns whether that is allowed.
     fn resume(&mut self, cause: &'static str) -> bool {
@@ -242,6 +271,7 @@
         let allowed = self.is_resumable
             && self.resumptions < MAX_RESUMPTIONS
             && !self.exchange.crashes_servers()
+            && self.exchange.has_fitting_server()
             && self.exchange.try_take_retry("stream broke off");
         if !allowed {
             return false;
@@ -303,6 +333,11 @@
     fn drop(&mut self) {
         let values = json!({"outcome": self.outcome, "resumed": self.resumptions});
         self.exchange.note("stream_ended", values);
+        if self.is_recorded.get() {
+            let is_whole = self.outcome == "whole";
+            let traffic = &self.exchange.traffic;
+            traffic.on_stream_ended(&self.exchange.request.id, is_whole);
+        }
     }
 }
 
@@ -310,12 +345,12 @@
     let is_reusable = stream.answer.framed && !stream.answer.closes;
     State::Reading {
         incoming: stream.incoming,
-        teardown: Teardown {
+        teardown: Box::new(Teardown {
             channel: stream.channel,
             guard: stream.guard,
             is_reusable,
             server_keep_alive: stream.answer.keeps,
-        },
+        }),
     }
 }
 
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -5,12 +5,14 @@
 use super::event::{self, CHANNEL_CAPACITY, Call, PlacerEvent, StoreUpdate, Subscription};
 use super::journal::Journal;
 use super::metrics::Metrics;
+use super::origins::Binding;
 use super::pool::Pool;
 use crate::common::*;
 use crate::decide::balance::{Balancer, Need};
 use crate::decide::lag::Lag;
 use crate::decide::limit::Sharers;
 use crate::decide::memory::Memory;
+use crate::decide::origin::Origins;
 use crate::decide::quarantine::Quarantine;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
@@ -81,6 +83,11 @@
     /// Memory of the answers that are held in full.
     pub(super) memory: RefCell<Memory>,
     pub(super) quarantine: RefCell<Quarantine>,
+    pub(super) origins: RefCell<Origins>,
+    /// Wakes requests that wait for the origin of a stream.
+    pub(super) origins_changed: Notify,
+    /// Whether peers must be told of streams now.
+    pub(super) has_broken_stream: Cell<bool>,
     /// When this instance last sent its quarantine to peers that have another one.
     pub(super) quarantine_sent_at: Cell<Duration>,
     pub(super) peers_with_other_quarantine: RefCell<BTreeSet<SocketAddr>>,
@@ -219,6 +226,9 @@
             checked_servers: RefCell::default(),
             memory: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
+            origins: RefCell::new(Origins::new(seed)),
+            origins_changed: Notify::new(),
+            has_broken_stream: Cell::new(false),
             quarantine_sent_at: Cell::default(),
             peers_with_other_quarantine: RefCell::default(),
             calls,
@@ -306,6 +316,7 @@
             }
             StoreUpdate::FormerLeases(rows) => self.notify_placer(PlacerEvent::FormerLeases(rows)),
             StoreUpdate::Quarantine(rows) => self.on_quarantine_rows(&rows),
+            StoreUpdate::Origins(rows) => self.on_origin_rows(&rows),
             StoreUpdate::FirstStart => self.on_first_start(),
             StoreUpdate::Members(members) => self.on_members(members),
             StoreUpdate::Fetched(fetch) => self.journal.note("fetched", &json!(fetch)),
@@ -356,6 +367,7 @@
         let changes = roster.on_batch(now, read);
         drop(roster);
         self.on_changes(changes);
+        self.update_versions(now);
         self.update_subscription(now);
         reduced
     }
@@ -554,6 +566,7 @@
             self.on_changes(changes);
         }
         self.update_subscription(now);
+        self.update_versions(now);
         self.pool.tick(now);
         if !self.quarantine.borrow().is_empty() {
             self.update_quarantine(|quarantine| quarantine.tick(now));
@@ -586,12 +599,14 @@
         }
     }
 
-    /// Requests that an adapter be loaded on the server that the load balancer chooses for it.
-    pub fn request_adapter(&self, need: &Need, target: &Target) {
+    /// Requests that an adapter be loaded on the server that the load balancer chooses for it among
+    /// those that fit.
+    pub(super) fn request_adapter(&self, need: &Need, target: &Target, binding: &Binding) {
         let now = self.clock.now();
         let holders = self.holders.borrow();
         let held = self.worker_holdings.borrow();
-        let is_held = |worker: &id::Worker| is_live(now, &holders, worker);
+        let is_held =
+            |worker: &id::Worker| is_live(now, &holders, worker) && self.fits(binding, worker);
         let is_open = |worker: &id::Worker| {
             is_held(worker) && held.get(worker).is_none_or(|reported| reported.assignable)
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
     pub mod memory;
     pub mod notice;
     pub mod orders;
+    pub mod origin;
     pub mod place;
     pub mod planner;
     pub mod pool;
@@ -85,6 +86,7 @@
   pub mod generated_gossip;
     pub mod key;
     pub mod link;
+    pub mod origin;
     pub mod quarantine;
     pub mod token;
 }
@@ -120,6 +122,7 @@
     mod journal;
     mod metrics;
     mod notices;
+    mod origins;
     mod peer_state;
     mod placer;
     mod pool;
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -68,6 +68,20 @@
     /// Hash of the parts that the sender has in quarantine; 0 if there are none.
     #[prost(fixed64, tag = "24")]
     pub quarantine_digest: u64,
+    /// Unfinished streams that the sender began.
+    #[prost(message, repeated, tag = "25")]
+    pub streams: ::prost::alloc::vec::Vec<Streams>,
+}
+/// Streams that servers of one software version began.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Streams {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub software: ::prost::alloc::string::String,
+    /// Hashes of the ids of the requests that brought their first events.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub ids: ::prost::alloc::vec::Vec<u64>,
 }
 /// Changes of the evidence on prompt parts that crash servers, and of the quarantined parts.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod names;
 mod notice;
 mod orders;
+mod origin;
 mod planner;
 mod platform;
 mod progress;
