--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -1,7 +1,7 @@
 //! Origins of streams: what the traffic thread records of them, their exchange between instances and
 //! their rows in the store.
 
-use super::event::{Call, STREAMS_KEY_PREFIX, VERSION_KEY_PREFIX};
+use super::event::{STREAMS_KEY_PREFIX, VERSION_KEY_PREFIX};
 use super::forward::Exchange;
 use super::traffic::Traffic;
 use crate::common::*;
@@ -12,7 +12,7 @@
 use crate::world::backend::Software;
 use crate::world::id;
 use crate::world::message::TakeUp;
-use crate::world::table::{Commit, Put, Txn};
+use crate::world::table::{Put, Txn};
 use std::rc::Rc;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
@@ -184,23 +184,6 @@
         (interval * instances / FEW_INSTANCES).min(longest)
     }
 
-    async fn commit(&self, txn: Txn) -> bool {
-        let (reply, committed) = flume::bounded(1);
-        if self
-            .calls
-            .send_async(Call::Commit(txn, reply))
-            .await
-            .is_err()
-        {
-            return false;
-        }
-        // A conflict means that another instance has written the same row.
-        matches!(
-            committed.recv_async().await,
-            Ok(Ok(Commit::Done(_) | Commit::Conflict(_)))
-        )
-    }
-
     async fn write_version(&self, write: &Write) -> bool {
         let (Write::Insert((service, software)) | Write::Remove((service, software))) = write;
         let hash = xxh3_64(format!("{service} {software}").as_bytes());
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -2,7 +2,7 @@
 //! between instances and its rows in the store.
 
 use super::channel::{self, Channel};
-use super::event::{Call, QUARANTINE_KEY_PREFIX};
+use super::event::QUARANTINE_KEY_PREFIX;
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::quarantine::{Entry, Parts, Quarantine, Report, Row, Write, hash};
@@ -11,7 +11,7 @@
 use crate::wire::quarantine;
 use crate::world::id;
 use crate::world::message::PartId;
-use crate::world::table::{Commit, Txn};
+use crate::world::table::Txn;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use tokio::task::spawn_local;
@@ -221,20 +221,7 @@
             }
             Write::Remove(_) => Txn::default().remove(key),
         };
-        let (reply, committed) = flume::bounded(1);
-        if self
-            .calls
-            .send_async(Call::Commit(txn, reply))
-            .await
-            .is_err()
-        {
-            return false;
-        }
-        // A conflict means that another instance has written the same row.
-        matches!(
-            committed.recv_async().await,
-            Ok(Ok(Commit::Done(_) | Commit::Conflict(_)))
-        )
+        self.commit(txn).await
     }
 }
 
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -28,6 +28,7 @@
 use crate::world::message::Target;
 use crate::world::shard::Shard;
 use crate::world::site::Site;
+use crate::world::table::{Commit, Txn};
 use crate::world::unit::Incarnation;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
@@ -294,6 +295,24 @@
         !self.is_stopping.get() && self.site.borrow().is_some()
     }
 
+    /// Commits a transaction at the store; returns whether its rows are now as they should be.
+    pub(super) async fn commit(&self, txn: Txn) -> bool {
+        let (reply, committed) = flume::bounded(1);
+        if self
+            .calls
+            .send_async(Call::Commit(txn, reply))
+            .await
+            .is_err()
+        {
+            return false;
+        }
+        // A conflict means that another instance has written the same row.
+        matches!(
+            committed.recv_async().await,
+            Ok(Ok(Commit::Done(_) | Commit::Conflict(_)))
+        )
+    }
+
     /// Applies an update from the store thread.
     pub fn on_store_update(&self, update: StoreUpdate) {
         match update {
