Continue answers of engines only at the software version that began them

Engines may state a software version in their reports (those that state none have the empty one in common); once a part of an answer was delivered, the dispatcher sends the rest only to engines of that version, and refuses it at once if there is none. A caller's take-up was safe before: its event id names the run, which no other engine has (409).

Test: a_stream_does_not_go_on_at_another_software_version failed before (the other engine ran it too).

--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -60,6 +60,8 @@
     crash_attributed: bool,
     /// Earliest time of the next attempt.
     not_before: Duration,
+    /// Software version of the worker that began the answer, once a part of it was delivered.
+    begun_at: Option<CompactString>,
 }
 
 /// Request dispatcher of one instance.
@@ -200,6 +202,7 @@
             incarnation: Incarnation(0),
             crash_attributed: false,
             not_before: Duration::ZERO,
+            begun_at: None,
         };
         self.requests.insert(state.arrival.request.clone(), state);
         actions.extend(self.start_queued(now));
@@ -330,6 +333,26 @@
             .collect()
     }
 
+    /// Records that the first part of an answer was delivered: it must go on at workers of the same
+    /// software version, since what two versions generate does not fit together.
+    pub fn on_begun(&mut self, request: &id::Request) {
+        let Some(state) = self.requests.get_mut(request) else {
+            return;
+        };
+        if let Some((worker, _)) = &state.running
+            && state.begun_at.is_none()
+        {
+            let view = self.fleet.view(worker);
+            state.begun_at = view.map(|view| view.software().into());
+        }
+    }
+
+    /// Whether a worker has the software version at which a request must go on.
+    fn has_fitting_worker(&self, state: &RequestState) -> bool {
+        let mut views = self.fleet.views();
+        views.any(|(worker, _)| fits(&self.fleet, state, worker))
+    }
+
     /// Begins the shutdown: new requests are refused, queued and running ones continue.
     pub fn on_stop(&mut self) {
         self.stopping = true;
@@ -417,6 +440,16 @@
     }
 }
 
+/// Whether a worker has the software version that began a request's answer, if any part of it was
+/// delivered.
+fn fits(fleet: &Fleet, state: &RequestState, worker: &id::Worker) -> bool {
+    let Some(software) = &state.begun_at else {
+        return true;
+    };
+    let view = fleet.view(worker);
+    view.is_some_and(|view| view.software() == software)
+}
+
 /// Chooses a worker for a queued request; returns `None` if the request has to wait.
 ///
 /// A resumed request goes to the worker that began its answer, if that worker can still serve it.
@@ -442,7 +475,10 @@
             return Some(worker.clone());
         }
     }
-    let is_allowed = |worker: &id::Worker| !struck || !crash_suspects.has_isolated_run(worker);
+    let is_allowed = |worker: &id::Worker| {
+        let is_free = !struck || !crash_suspects.has_isolated_run(worker);
+        is_free && fits(fleet, state, worker)
+    };
     let chosen = fleet.choose(now, &state.requirement, is_allowed);
     let fallback = || {
         let relaxed = Requirement {
--- a/src/decide/dispatch/outcome.rs
+++ b/src/decide/dispatch/outcome.rs
@@ -190,6 +190,13 @@
         request: &id::Request,
         worker: &id::Worker,
     ) -> Vec<Action> {
+        let fits = self
+            .requests
+            .get(request)
+            .is_none_or(|state| self.has_fitting_worker(state));
+        if !fits {
+            return vec![self.refuse(request, Reason::Version)];
+        }
         let Some(state) = self.requests.get_mut(request) else {
             return Vec::new();
         };
--- a/src/decide/dispatch/request.rs
+++ b/src/decide/dispatch/request.rs
@@ -69,6 +69,8 @@
     Isolated,
     /// The request's attempts or the instance's retry budget are used up.
     Retries,
+    /// No worker has the software version that began the answer.
+    Version,
     /// The instance is stopping.
     Stopping,
 }
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -92,6 +92,9 @@
     pub queued: u32,
     #[serde(default)]
     pub leaving: bool,
+    /// Version of the engine's software. Engines that state none have the empty one in common.
+    #[serde(default)]
+    pub software: CompactString,
 }
 
 impl Report {
--- a/src/decide/route/view.rs
+++ b/src/decide/route/view.rs
@@ -124,6 +124,14 @@
         self.leaving || now < self.leaving_until
     }
 
+    /// Returns the version of the engine's software as last reported, or an empty text without a
+    /// report.
+    #[must_use]
+    pub fn software(&self) -> &str {
+        let observation = self.observation.as_ref();
+        observation.map_or("", |observation| observation.report.software.as_str())
+    }
+
     /// Returns the engine's incarnation as last reported, or 0 without a report.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
--- a/src/node/dispatcher.rs
+++ b/src/node/dispatcher.rs
@@ -171,6 +171,7 @@
                 let _ = reply.send(admitted);
             }
             Input::Gone(instance) => self.dispatcher.on_peer_gone(&instance),
+            Input::Begun(request) => self.dispatcher.on_begun(&request),
             Input::Leaving(worker) => self.dispatcher.on_leaving(now, &worker),
             Input::Verdicts(verdicts) => self.dispatcher.on_verdicts(now, &verdicts),
             Input::Crashes(report) => {
--- a/src/node/input.rs
+++ b/src/node/input.rs
@@ -30,6 +30,8 @@
         arrival: Arrival,
         grants: flume::Sender<Grant>,
     },
+    /// The first part of an answer was delivered.
+    Begun(id::Request),
     End {
         request: id::Request,
         end: End,
--- a/src/node/problem.rs
+++ b/src/node/problem.rs
@@ -66,6 +66,11 @@
                 "come back for its result",
             ),
             Reason::Retries => (503, "backend servers failed", "come back later"),
+            Reason::Version => (
+                503,
+                "no backend server has the software version that began the answer",
+                "ask anew, without Last-Event-ID",
+            ),
             Reason::Stopping => (
                 503,
                 "this instance is stopping",
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -347,6 +347,10 @@
                 .observe(now.saturating_sub(last).as_secs_f64()),
         }
         self.last_token = Some(now);
+        if self.delivered.is_empty() {
+            let request = self.job.arrival.request.clone();
+            self.entry.tell(Input::Begun(request));
+        }
         self.delivered.push_str(&text);
         self.next = offset + 1;
         let token = Token {
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -34,6 +34,8 @@
     pub exit_on_crash: bool,
     /// The weight store that loads are fetched from.
     pub weights: Option<SocketAddr>,
+    /// Version of its software.
+    pub software: &'static str,
 }
 
 impl Default for Config {
@@ -48,6 +50,7 @@
             report_lag: Duration::ZERO,
             exit_on_crash: false,
             weights: None,
+            software: "",
         }
     }
 }
@@ -164,6 +167,7 @@
         report["active"] = json!(active);
         report["queued"] = json!(queued);
         report["leaving"] = json!(self.fault().leaving);
+        report["software"] = json!(self.config.software);
         *kept = Some((now, report.clone()));
         report
     }
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -11,12 +11,18 @@
 const TEAMS: [(&str, f64); 2] = [("red", 1000.0), ("blue", 1000.0)];
 
 fn site(engines: usize) -> Site {
-    let engine = Config {
+    site_of(&vec![""; engines])
+}
+
+/// A site whose engines have these software versions.
+fn site_of(versions: &[&'static str]) -> Site {
+    let engines = versions.iter().map(|software| Config {
         token: Duration::from_millis(10),
+        software,
         ..Config::default()
-    };
+    });
     let site = Site::start(Shape {
-        engines: vec![engine; engines],
+        engines: engines.collect(),
         ..Shape::default()
     });
     site.set_up(&TEAMS, &[("notes", 1000)]);
@@ -92,6 +98,34 @@
     );
 }
 
+/// Guards against a stream with text of two software versions: whichever engine begins it, the one of
+/// the other version must not go on.
+#[test]
+fn a_stream_does_not_go_on_at_another_software_version() {
+    let site = site_of(&["v1", "v2"]);
+    site.wait_until("two copies", || holders(&site).len() == 2 || load(&site));
+    let runs = || [0, 1].map(|at: usize| site.engines[at].1.runs().len());
+    let before = runs();
+    let mut events = site
+        .stream(0, "red", "notes", "reel 9", TOKENS, None)
+        .unwrap();
+    let seen: Vec<Event> = events.by_ref().take(5).collect();
+    let after = runs();
+    let at = usize::from(after[1] > before[1]);
+    site.engines[at].1.crash();
+    let rest: Vec<Event> = events.collect();
+    assert_eq!(
+        runs()[1 - at],
+        before[1 - at],
+        "the other engine ran it too"
+    );
+    let received = text(seen.into_iter().chain(rest));
+    assert!(
+        expected("reel 9", TOKENS).starts_with(&received),
+        "{received}"
+    );
+}
+
 fn holders(site: &Site) -> Vec<usize> {
     let engines = site.engines.iter().enumerate();
     let holding = engines
