Take answers without a request id for foreign on connections that were used before

Reported by another operator: a faulty worker wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that ran (REFUSED), or these ran at a second worker (TWICE).

Here: a copy that echoes its request's id was foreign already; one without an id (503, 429, 408, 400 with the header that says not executed) was taken for the answer to the next request. The stand-in server ran it, its caller got 503.

Fix: an answer has to echo the id where the connection had an earlier request; on a new connection there is none that it could belong to. Looked for elsewhere: the node's path opens a connection for each call; calls to the store and to peers take a connection out of use at an error.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -125,7 +125,11 @@
             }
             let outgoing_request = self.outgoing_request(&worker, last_event);
             match channel.send(outgoing_request).await {
-                Ok(response) => return self.handle_response(response, channel, guard).await,
+                Ok(response) => {
+                    return self
+                        .handle_response(response, channel, guard, is_pooled)
+                        .await;
+                }
                 Err(mut error) => {
                     if error.take_message().is_some() {
                         if is_pooled {
@@ -194,9 +198,10 @@
         response: Response<Incoming>,
         channel: Channel,
         mut guard: Guard,
+        is_reused: bool,
     ) -> Attempt {
         let (head, incoming) = response.into_parts();
-        let answer = request::decode_answer(&self.request.id, &head);
+        let answer = request::decode_answer(&self.request.id, &head, is_reused);
         let now = self.now();
         let worker = guard.worker.clone();
         let traffic = &self.traffic;
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -175,15 +175,16 @@
     kept
 }
 
-/// Decodes the head of a backend server's answer to the request `id`.
+/// Decodes the head of a backend server's answer to the request `id`; `is_reused` says whether the
+/// connection was used before, so that the answer may be a late copy of one to an earlier request.
 #[must_use]
-pub fn decode_answer(id: &str, head: &response::Parts) -> Answer {
+pub fn decode_answer(id: &str, head: &response::Parts, is_reused: bool) -> Answer {
     let headers = &head.headers;
     let has = |name: &str| headers.contains_key(name);
     let framed = has("content-length") || has("transfer-encoding");
     let closes = header_text(headers, "connection").is_some_and(|value| value.contains("close"));
     Answer {
-        outcome: decode_outcome(id, head),
+        outcome: decode_outcome(id, head, is_reused),
         load: header_text(headers, LOAD).and_then(parse_load),
         framed,
         closes,
@@ -225,11 +226,12 @@
     is_time.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
 }
 
-fn decode_outcome(id: &str, head: &response::Parts) -> Outcome {
+fn decode_outcome(id: &str, head: &response::Parts, is_reused: bool) -> Outcome {
     let headers = &head.headers;
     let not_run = headers.contains_key(NOT_EXECUTED);
     match (head.status, header_text(headers, REQUEST_ID)) {
         (_, Some(echoed)) if echoed != id => Outcome::Foreign,
+        (_, None) if is_reused => Outcome::Foreign,
         (StatusCode::MISDIRECTED_REQUEST, _) => Outcome::Misdirected,
         (_, _) if not_run => Outcome::Full,
         (_, None) => Outcome::Foreign,
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -212,7 +212,23 @@
         head = head.header(*name, *value);
     }
     let (head, ()) = head.body(()).unwrap().into_parts();
-    assert_eq!(request::decode_answer("r1", &head).outcome, outcome);
+    assert_eq!(request::decode_answer("r1", &head, false).outcome, outcome);
+}
+
+/// Guards against taking a refusal of an earlier request, written once more, for one of this request.
+/// Only on a new connection can there be no earlier request.
+#[test]
+fn an_answer_without_an_id_is_foreign_on_a_reused_connection() {
+    for status in [200, 400, 408, 421, 429, 503] {
+        let head = Response::builder().status(status);
+        let (head, ()) = head
+            .header("x-not-executed", "1")
+            .body(())
+            .unwrap()
+            .into_parts();
+        let outcome = request::decode_answer("r1", &head, true).outcome;
+        assert_eq!(outcome, Outcome::Foreign, "{status}");
+    }
 }
 
 /// Guards against taking a late answer to an earlier request for the answer to this one. Such an
@@ -224,7 +240,7 @@
         let head = head.header("x-request-id", "r0");
         let head = head.header("x-not-executed", "1");
         let (head, ()) = head.body(()).unwrap().into_parts();
-        let outcome = request::decode_answer("r1", &head).outcome;
+        let outcome = request::decode_answer("r1", &head, false).outcome;
         assert_eq!(outcome, Outcome::Foreign, "{status}");
     }
 }
@@ -299,7 +315,7 @@
 fn keep_alive_timeouts_are_read(#[case] text: &str, #[case] seconds: Option<u64>) {
     let head = Response::builder().header("keep-alive", text);
     let (head, ()) = head.body(()).unwrap().into_parts();
-    let keeps = request::decode_answer("r1", &head).keeps;
+    let keeps = request::decode_answer("r1", &head, false).keeps;
     assert_eq!(keeps, seconds.map(|seconds| ms(seconds * 1_000)));
 }
 
--- a/tests/gateway_processes/operators.rs
+++ b/tests/gateway_processes/operators.rs
@@ -4,10 +4,11 @@
 use super::site::{
     POLL_INTERVAL, Site, WAIT_TIMEOUT, config, exchange, exchange_on, request, status, wait_for,
 };
+use rstest::rstest;
 use standins::worker::Worker;
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Deadline of callers who wait longer than any limit under test.
@@ -322,3 +323,42 @@
         }
     }
 }
+
+fn refusal(status_line: &str, echo: Option<&str>) -> String {
+    let echo = echo.map_or_else(String::new, |id| format!("X-Request-Id: {id}\r\n"));
+    format!("HTTP/1.1 {status_line}\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// A server writes an earlier refusal once more on a connection that is in use again, and runs the
+/// second request: its caller was told that it had not run, or it ran at a second server.
+#[rstest]
+fn a_repeated_refusal_is_not_taken_for_one_of_the_next_request(
+    #[values("503 Busy", "429 Busy", "421 Misdirected", "408 Late", "400 Bad")] line: &'static str,
+    #[values(true, false)] echoes: bool,
+) {
+    let ran = Arc::new(Mutex::new(Vec::new()));
+    let running = Arc::clone(&ran);
+    let raw_server = RawServer::start(move |asked| {
+        let id = asked.id.clone();
+        if asked.previous_requests == 0 {
+            return asked.write(&refusal(line, echoes.then_some(id.as_str())));
+        }
+        running.lock().unwrap().push(id.clone());
+        asked.write(&refusal(line, echoes.then_some("r1")));
+        std::thread::sleep(POLL_INTERVAL);
+        asked.write(&signed_answer(&id, "ran"))
+    });
+    let site = Site::ready();
+    raw_server.replace(&site, "app", &[]);
+    for number in 1..=4 {
+        let id = format!("r{number}");
+        let answer = site.ask("/issue/x", &id, "");
+        let has_run = ran.lock().unwrap().contains(&id);
+        let promises_not_run = matches!(status(&answer), 408 | 421 | 429 | 503);
+        assert!(!(has_run && promises_not_run), "{id}: {answer}");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    let mut once = ran.lock().unwrap().clone();
+    once.dedup();
+    assert_eq!(once, *ran.lock().unwrap());
+}
