Read the server list whatever odd entries another writer left in it

Reported by another operator: an entry that is very deeply nested, or has a number too large or a port out of range, ended the machines that read the list, or stopped them from following it.

Two faults of the same kind were found by reading and mended, each with a case that failed before: a key with a space, '&' or '#' at the end of a page made the next path invalid, so that the list could no longer be read; port 0 named a server.

--- a/src/platform/rows.rs
+++ b/src/platform/rows.rs
@@ -4,12 +4,20 @@
 use crate::world::table::Txn;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
 /// Table of the rows that this system writes.
 pub const SYSTEM_TABLE: &str = "poplarseam";
 /// Path that takes transactions.
 pub const COMMIT_PATH: &str = "/v1/rows-tx";
 
+/// Characters of a key that are encoded in a query.
+const RESERVED: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~');
+
 /// A row, or the tombstone of a removed row.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Row {
@@ -55,6 +63,7 @@
 /// Returns the path that reads rows of a table, starting at a key.
 #[must_use]
 pub fn read_path(table: &str, from: &str) -> String {
+    let from = utf8_percent_encode(from, RESERVED);
     format!("/v1/rows-get?Table={table}&part=&From={from}")
 }
 
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -71,6 +71,9 @@
     };
     let entry: Entry =
         serde_json::from_slice(bytes).map_err(|error| entry_error(error.to_string()))?;
+    if entry.address.port() == 0 {
+        return Err(entry_error("port 0 names no server".into()));
+    }
     let leaving = match entry.state.as_str() {
         "ready" => false,
         "draining" => true,
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -211,6 +211,11 @@
         self.write(table, key, Some(value));
     }
 
+    /// Writes these bytes as a row, as a faulty process would.
+    pub fn put_bytes(&self, table: &str, key: &str, bytes: &[u8]) {
+        self.write_value(table, key, Some(BASE64.encode(bytes)));
+    }
+
     /// Removes a row, as an operator by hand would.
     pub fn remove(&self, table: &str, key: &str) {
         self.write(table, key, None);
@@ -253,9 +258,16 @@
     }
 
     fn write(&self, table: &str, key: &str, value: Option<&Value>) {
+        self.write_value(
+            table,
+            key,
+            value.map(|value| BASE64.encode(value.to_string())),
+        );
+    }
+
+    fn write_value(&self, table: &str, key: &str, value: Option<String>) {
         let mut store = self.store();
         store.version += 1;
-        let value = value.map(|value| BASE64.encode(value.to_string()));
         store.write(table, key, value);
         drop(store);
         self.changed.notify_waiters();
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -342,3 +342,20 @@
     assert_eq!(page.rows[1].value, None);
     assert_eq!(page.rows[2].value, Some(Vec::new()));
 }
+
+/// Guards against a list that can no longer be read because the last key of a page is no valid part of
+/// a path.
+#[rstest]
+#[case("a b")]
+#[case("a&b=c#d")]
+#[case("\u{e9}")]
+fn keys_are_encoded_in_paths(#[case] key: &str) {
+    let path = rows::read_path("servers", key);
+    let uri: hyper::Uri = path.parse().unwrap();
+    let mut parameters = uri.query().unwrap().split('&');
+    let from = parameters.find_map(|it| it.strip_prefix("From=")).unwrap();
+    assert!(
+        !from.contains(['#', '=', ' ']) && from.contains('%'),
+        "{from}"
+    );
+}
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod limits;
 mod notices;
+mod odd_entries;
 mod operators;
 mod parts;
 mod raw_server;
