Give up on plain answers that come in too many pieces

Cause: each chunk costs a hand-over between two tasks, so 61,680 of them take longer than a body of 4 MiB may. Fix: 16,384 pieces at most, 502 'answer in too many pieces'.

Test: an_answer_in_too_many_chunks_is_aborted_before_the_deadline failed before (504 at the deadline).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -277,6 +277,7 @@
         Attempt::Unknown(match failure {
             Failure::Broken => CUT,
             Failure::TooLarge => "answer too large",
+            Failure::TooManyPieces => "answer in too many pieces",
             Failure::NoMemory => "no memory for the answer",
         })
     }
--- a/src/gateway/buffer.rs
+++ b/src/gateway/buffer.rs
@@ -6,6 +6,9 @@
 use hyper::body::Incoming;
 use std::rc::Rc;
 
+/// Limit on the pieces, such as chunks, of one answer: each costs about as much time as some kilobytes.
+const MAX_PIECES: usize = 16_384;
+
 /// Why an answer could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -13,6 +16,8 @@
     Broken,
     /// It is larger than the operator allows.
     TooLarge,
+    /// It comes in too many pieces.
+    TooManyPieces,
     /// The answers at this instance fill the memory for them.
     NoMemory,
 }
@@ -40,7 +45,8 @@
 /// Reads an answer of at most `limit` bytes.
 ///
 /// # Errors
-/// If it breaks off, or is too large for the limit or the memory that is left.
+/// If it breaks off, comes in too many pieces, or is too large for the limit or the memory that is
+/// left.
 pub async fn read(
     traffic: &Rc<Traffic>,
     mut incoming: Incoming,
@@ -51,10 +57,15 @@
         bytes: 0,
     };
     let mut body = BytesMut::new();
+    let mut pieces = 0;
     while let Some(frame) = incoming.frame().await {
         let Ok(data) = frame.map_err(|_| Failure::Broken)?.into_data() else {
             continue;
         };
+        pieces += 1;
+        if pieces > MAX_PIECES {
+            return Err(Failure::TooManyPieces);
+        }
         if body.len() + data.len() > limit {
             return Err(Failure::TooLarge);
         }
--- a/tests/gateway_processes/endless.rs
+++ b/tests/gateway_processes/endless.rs
@@ -157,6 +157,23 @@
     assert_eq!(site.status(0, 8001, "/v1/readyz"), 200);
 }
 
+/// Guards against an answer in tiny chunks that holds its caller until the deadline: so many chunks
+/// cannot be read up to the operator's limit in that time.
+#[test]
+fn an_answer_in_too_many_chunks_is_aborted_before_the_deadline() {
+    let endless = Endless::start(chunked, "1\r\nx\r\n", Pace::AsFastAsRead);
+    let site = Site::ready();
+    let mut configuration = config(TIMEOUT_MS);
+    configuration["Limits"]["MaxBodyBytes"] = json!(4 << 20);
+    site.platform.configure(&configuration);
+    wait_for("the configuration", || {
+        site.state(0)["version"] == TIMEOUT_MS
+    });
+    endless.raw_server.replace(&site, "app", &[]);
+    let answer = site.ask("/issue/x", "r1", "");
+    assert_eq!(status(&answer), 502, "{answer}");
+}
+
 /// Guards against endless responses, by which the caller gets no response until its deadline, the
 /// connection and its memory are held as long, or the result looks complete. Garbage that arrives
 /// as fast as it is read must be detected before the deadline.
