Keep departures that only answers announced in the store

Class: knowledge that all must have ends with the processes that have it (as with crash records before).

A departure that the list does not show within one to two seconds gets a row, which is read at each start and removed once the list shows it or ten minutes later. In a usual release nothing is written, since entries follow at once. Test: a_server_that_announced_its_departure_gets_no_requests_after_the_restart_of_all_instances; without the rows there is none to wait for, so on the code before it ends with 'not in time: the row'.

--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -2,6 +2,7 @@
 
 use super::origins;
 use crate::common::*;
+use crate::decide::notice::Process;
 use crate::decide::quarantine::Parts;
 use crate::decide::roster::Change;
 use crate::decide::speed::Speeds;
@@ -18,6 +19,8 @@
 
 /// Key prefix of the lease rows, one for each shard.
 pub const LEASE_KEY_PREFIX: &str = "lease.shard.";
+/// Key prefix of the rows of servers that announced their departure in their answers only.
+pub const LEAVING_KEY_PREFIX: &str = "leaving.";
 /// Key prefix of the rows of software versions, one for each version of a service.
 pub const VERSION_KEY_PREFIX: &str = "version.";
 /// Key prefix of the rows of unfinished streams, one for each start of an instance.
@@ -43,6 +46,8 @@
     Members(Vec<Member>),
     /// All rows of the quarantine: the parts of each entry, and the number of its crashes.
     Quarantine(BTreeMap<Parts, u32>),
+    /// All rows of leaving servers.
+    Leaving(BTreeSet<Process>),
     /// All rows of software versions and unfinished streams.
     Origins(origins::Rows),
     /// Lease rows, some of which this instance may have held before it restarted.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -7,7 +7,7 @@
 use super::event::{Announcement, CHANNEL_CAPACITY, Call, PlacerEvent, StoreUpdate, Subscription};
 use super::journal::Journal;
 use super::traffic::{Tier, Traffic};
-use super::{admin, gossip, ingress, origins, placer, quarantine, store};
+use super::{admin, gossip, ingress, notices, origins, placer, quarantine, store};
 use crate::common::*;
 use crate::node::clock::{Clock, incarnation};
 use crate::platform::settings;
@@ -199,6 +199,7 @@
     spawn_local(apply_store_updates(Rc::clone(&traffic), updates));
     spawn_local(tick_periodically(Rc::clone(&traffic)));
     spawn_local(quarantine::keep_in_store(Rc::clone(&traffic)));
+    spawn_local(notices::keep_in_store(Rc::clone(&traffic)));
     spawn_local(origins::tell_peers(Rc::clone(&traffic)));
     spawn_local(origins::keep_in_store(Rc::clone(&traffic)));
     spawn_local(ingress::serve(Rc::clone(&traffic), callers, closing));
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -1,14 +1,22 @@
-//! Notices that servers give in responses (departure, Retry-After, rate limit), and their exchange
-//! between instances.
+//! Notices that servers give in responses (departure, Retry-After, rate limit), their exchange
+//! between instances, and departures in the store.
 
-use super::event::PlacerEvent;
+use super::event::{LEAVING_KEY_PREFIX, PlacerEvent};
 use super::traffic::Traffic;
 use crate::common::*;
+use crate::decide::notice::{Process, Write};
 use crate::decide::roster::Change;
+use crate::platform::rows;
 use crate::wire::generated_gossip::{Limit, Start};
 use crate::world::id;
 use crate::world::message::Notice;
+use crate::world::table::Txn;
 use crate::world::unit::{Incarnation, Rate};
+use std::rc::Rc;
+use tokio::time::sleep;
+
+/// Interval between checks for rows to write.
+const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 impl Traffic {
     /// Applies the notice in a server's response.
@@ -132,4 +140,72 @@
         });
         starts.collect()
     }
+
+    /// Applies the rows of leaving servers that were read from the store.
+    pub(super) fn on_leaving_rows(&self, rows: &BTreeSet<Process>) {
+        for (worker, boot) in rows {
+            self.on_leaving(worker, *boot, "store");
+        }
+        let now = self.clock.now();
+        self.balance.borrow_mut().on_leaving_rows(now, rows);
+    }
+
+    async fn write_leaving(&self, write: &Write) -> bool {
+        let (Write::Insert((worker, boot)) | Write::Remove((worker, boot))) = write;
+        let key = format!("{LEAVING_KEY_PREFIX}{worker}");
+        self.commit(match write {
+            Write::Insert(_) => {
+                let row = json!(Row {
+                    worker: worker.clone(),
+                    boot: *boot,
+                });
+                Txn::write(key, row)
+            }
+            Write::Remove(_) => Txn::default().remove(key),
+        })
+        .await
+    }
+}
+
+/// A leaving server as it is kept in the store.
+#[derive(Debug, Serialize, Deserialize)]
+struct Row {
+    worker: id::Worker,
+    boot: Incarnation,
+}
+
+/// Keeps departures that the platform's list does not show in the store.
+pub async fn keep_in_store(traffic: Rc<Traffic>) {
+    loop {
+        sleep(WRITE_CHECK_INTERVAL).await;
+        let now = traffic.clock.now();
+        let writes = {
+            let mut balance = traffic.balance.borrow_mut();
+            balance.notices_mut().take_writes(now, traffic.spread)
+        };
+        for write in writes {
+            let is_written = traffic.write_leaving(&write).await;
+            let values = json!({"write": format!("{write:?}"), "done": is_written});
+            traffic.journal.note("leaving_row", &values);
+            if is_written {
+                let mut balance = traffic.balance.borrow_mut();
+                balance.notices_mut().on_written(&write);
+            }
+        }
+    }
+}
+
+/// Decodes the rows of leaving servers among others; those that can't be decoded are logged and
+/// skipped.
+pub(super) fn decode_rows(rows: &[rows::Row]) -> BTreeSet<Process> {
+    let rows = rows
+        .iter()
+        .filter(|row| row.key.starts_with(LEAVING_KEY_PREFIX));
+    let stored = rows.filter_map(|row| {
+        let stored: Result<Row, _> = serde_json::from_slice(row.value.as_deref()?);
+        let stored = stored
+            .inspect_err(|error| log::error!("row {} is invalid: {error}; remove it", row.key));
+        stored.ok().map(|stored| (stored.worker, stored.boot))
+    });
+    stored.collect()
 }
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -12,7 +12,7 @@
 use crate::world::backend::Software;
 use crate::world::id;
 use crate::world::message::TakeUp;
-use crate::world::table::{Put, Txn};
+use crate::world::table::Txn;
 use std::rc::Rc;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
@@ -218,12 +218,7 @@
         } else {
             json!(rows)
         };
-        let put = Put { key, value };
-        self.commit(Txn {
-            checks: Vec::new(),
-            puts: vec![put],
-        })
-        .await
+        self.commit(Txn::write(key, value)).await
     }
 }
 
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -1,9 +1,10 @@
 //! Registers this instance in the store and reads the rows of the other instances. The same reads
-//! return the rows of the quarantine, of software versions and of streams, whose keys are greater.
+//! return the rows of the quarantine, of leaving servers, of software versions and of streams, whose
+//! keys are greater.
 
 use super::event::{LEASE_KEY_PREFIX, Member, StoreUpdate};
 use super::store::{MAX_RETRY_DELAY, RETRY_DELAY, Store, commit, decode_row};
-use super::{origins, quarantine};
+use super::{notices, origins, quarantine};
 use crate::common::*;
 use crate::decide::retry::backoff;
 use crate::platform::rows::{self, Page};
@@ -61,6 +62,8 @@
             .await;
         let entries = quarantine::decode_rows(&page.rows);
         store.send_update(StoreUpdate::Quarantine(entries)).await;
+        let leaving = notices::decode_rows(&page.rows);
+        store.send_update(StoreUpdate::Leaving(leaving)).await;
         let rows = origins::decode_rows(&page.rows);
         store.send_update(StoreUpdate::Origins(rows)).await;
         sleep(match (is_written, has_read_after_write) {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -102,9 +102,8 @@
     /// Newest configuration in force at a peer.
     pub(super) peer_configuration_version: Cell<u64>,
     pub(super) lags: RefCell<Lags>,
-    /// How long peers may be ahead of this instance's configuration before it reads the store; not
-    /// the same for all, so that the first to read it can serve the others.
-    max_site_lag: Duration,
+    /// A number from 0 to 1 that differs between instances, so that they don't act at the same moment.
+    pub(super) spread: f64,
     /// Whether the store answered the last call.
     pub(super) reaches_store: Cell<bool>,
     /// Whether a configuration was read from the store that has not been announced to peers yet.
@@ -238,7 +237,7 @@
             peer_servers_version: Cell::default(),
             peer_configuration_version: Cell::new(0),
             lags: RefCell::default(),
-            max_site_lag: MAX_LAG.mul_f64(1.0 + spread),
+            spread,
             subscription,
             demands: RefCell::default(),
             demand_sums: RefCell::default(),
@@ -335,6 +334,7 @@
             }
             StoreUpdate::FormerLeases(rows) => self.notify_placer(PlacerEvent::FormerLeases(rows)),
             StoreUpdate::Quarantine(rows) => self.on_quarantine_rows(&rows),
+            StoreUpdate::Leaving(rows) => self.on_leaving_rows(&rows),
             StoreUpdate::Origins(rows) => self.on_origin_rows(&rows),
             StoreUpdate::FirstStart => self.on_first_start(),
             StoreUpdate::Members(members) => self.on_members(members),
@@ -485,7 +485,9 @@
             self.configuration_version(),
             self.peer_configuration_version.get(),
         );
-        let misses_site = lags.site.is_late(now, in_force, newest, self.max_site_lag);
+        // The first instance that reads the store can then serve the others.
+        let max_lag = MAX_LAG.mul_f64(1.0 + self.spread);
+        let misses_site = lags.site.is_late(now, in_force, newest, max_lag);
         drop(lags);
         let old = *self.subscription.borrow();
         let topology = self.topology.borrow();
--- a/src/world/table.rs
+++ b/src/world/table.rs
@@ -54,6 +54,16 @@
         self
     }
 
+    /// Returns a transaction that writes a row whatever its version.
+    #[must_use]
+    pub fn write(key: impl Into<String>, value: Value) -> Self {
+        let key = key.into();
+        Self {
+            checks: Vec::new(),
+            puts: vec![Put { key, value }],
+        }
+    }
+
     /// Adds the unconditional removal of a row.
     #[must_use]
     pub fn remove(mut self, key: impl Into<String>) -> Self {
--- a/tests/gateway/notice.rs
+++ b/tests/gateway/notice.rs
@@ -2,10 +2,11 @@
 
 use super::build::{SERVICE, backend, deployment, generation, ms, site, worker};
 use poplarseam::decide::balance::{Balancer, Choice, Need};
-use poplarseam::decide::notice::Notices;
+use poplarseam::decide::notice::{Notices, Write};
 use poplarseam::world::backend::Backend;
 use poplarseam::world::id;
 use poplarseam::world::unit::Incarnation;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 const BOOT: Incarnation = Incarnation(1);
@@ -142,3 +143,35 @@
     let shorter = notices.on_rest(ms(200), &worker("a"), BOOT, ms(0));
     assert_eq!(shorter, until, "a shorter rest does not end a longer one");
 }
+
+/// The list shows most departures within a second, so that the store need not be written.
+#[test]
+fn a_departure_is_stored_until_the_list_shows_it() {
+    let mut notices = Notices::default();
+    let process = (worker("a"), BOOT);
+    notices.on_leaving(ms(0), &process.0, BOOT);
+    assert!(notices.take_writes(ms(900), 0.0).is_empty());
+    let insert = Write::Insert(process.clone());
+    assert_eq!(
+        notices.take_writes(ms(1_000), 0.0),
+        std::slice::from_ref(&insert)
+    );
+    assert!(notices.take_writes(ms(1_500), 0.0).is_empty());
+    notices.on_written(&insert);
+    assert!(notices.take_writes(ms(9_000), 0.0).is_empty());
+    notices.on_listed_leaving(&process.0, BOOT);
+    assert_eq!(
+        notices.take_writes(ms(9_500), 0.0),
+        [Write::Remove(process)]
+    );
+}
+
+#[test]
+fn a_stored_departure_is_known_after_a_restart() {
+    let mut notices = Notices::default();
+    let process = (worker("a"), BOOT);
+    notices.on_rows(ms(0), &BTreeSet::from([process.clone()]));
+    assert!(notices.is_leaving(&process.0, BOOT));
+    assert!(!notices.is_leaving(&process.0, LATER_BOOT));
+    assert!(notices.take_writes(ms(5_000), 1.0).is_empty());
+}
--- a/tests/gateway_processes/notices.rs
+++ b/tests/gateway_processes/notices.rs
@@ -80,6 +80,37 @@
     assert_eq!(arrivals(&site, "p"), seen);
 }
 
+/// Guards against knowledge of departures that ends with the processes: after a restart of all instances,
+/// a server that only its answers had announced as leaving got requests again.
+#[test]
+fn a_server_that_announced_its_departure_gets_no_requests_after_the_restart_of_all_instances() {
+    let mut site = Site::start(2);
+    site.wait_until_ready();
+    site.platform.worker("p").leave();
+    send_until_received(&site, 0, "p");
+    wait_for("the row", || {
+        site.platform.keys("poplarseam", "leaving.").len() == 1
+    });
+    for instance in 0..2 {
+        site.instances[instance].1.kill();
+    }
+    for instance in 0..2 {
+        site.relaunch(instance);
+    }
+    site.wait_until_ready();
+    wait_for("the row is read", || {
+        (0..2).all(|instance| is_known_as_leaving(&site, instance, "p"))
+    });
+    let seen = arrivals(&site, "p");
+    send_probes(&site, 0, "one");
+    send_probes(&site, 1, "two");
+    assert_eq!(arrivals(&site, "p"), seen);
+    site.platform.list(site.platform.worker("p"), "draining");
+    wait_for("the row is removed", || {
+        site.platform.keys("poplarseam", "leaving.").is_empty()
+    });
+}
+
 /// Guards against requests to a full server before its Retry-After has passed.
 #[test]
 fn a_server_that_sends_retry_after_gets_no_requests_until_it_expires() {
