End a stop only after the last connection was accepted

The process that was being stopped had no connection open, logged 'stopped' and ended 25 ms later, while it went on accepting connections for 100 ms; a request that came 10 ms after was passed on and cut with the process. Fix: the stop waits until no more connections are accepted, and a connection counts as open from the moment it is accepted.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -20,7 +20,7 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{interval, sleep};
 
 /// Callers' connections that may wait to be accepted.
@@ -202,9 +202,9 @@
     spawn_local(notices::keep_in_store(Rc::clone(&traffic)));
     spawn_local(origins::tell_peers(Rc::clone(&traffic)));
     spawn_local(origins::keep_in_store(Rc::clone(&traffic)));
-    spawn_local(ingress::serve(Rc::clone(&traffic), callers, closing));
+    let accepting = spawn_local(ingress::serve(Rc::clone(&traffic), callers, closing));
     wait_for_stop(&traffic).await?;
-    stop(&traffic, &placer, &close).await;
+    stop(&traffic, &placer, &close, accepting).await;
     Ok(())
 }
 
@@ -263,8 +263,13 @@
 }
 
 /// Shuts down without cutting requests: reports unready, then closes idle connections, and
-/// returns when no connection is open or the grace time is nearly over.
-async fn stop(traffic: &Traffic, placer: &flume::Sender<PlacerEvent>, close: &watch::Sender<bool>) {
+/// returns when no connection is accepted or open any more, or the grace time is nearly over.
+async fn stop(
+    traffic: &Traffic,
+    placer: &flume::Sender<PlacerEvent>,
+    close: &watch::Sender<bool>,
+    accepting: JoinHandle<()>,
+) {
     let stop_began_at = traffic.clock.now();
     traffic
         .journal
@@ -286,6 +291,9 @@
     }
     sleep(UNREADY_TIME).await;
     close.send_replace(true);
+    if let Err(error) = accepting.await {
+        log::error!("the task that accepts callers ended: {error}");
+    }
     while traffic.open_connections.get() > 0 && traffic.clock.now() < last {
         sleep(CONNECTION_POLL_INTERVAL).await;
     }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -58,7 +58,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let connection = run_connection(Rc::clone(&traffic), stream, closing.clone());
+                let guard = ConnectionGuard::new(&traffic);
+                let connection = run_connection(guard, stream, closing.clone());
                 tokio::task::spawn_local(connection);
             }
             Err(error) => {
@@ -70,11 +71,11 @@
 }
 
 async fn run_connection(
-    traffic: Rc<Traffic>,
+    guard: ConnectionGuard,
     stream: TcpStream,
     mut closing: watch::Receiver<bool>,
 ) {
-    let _guard = ConnectionGuard::new(&traffic);
+    let traffic = Rc::clone(&guard.0);
     channel::set_keepalive(&stream);
     let limits = limits(&traffic);
     let first_request = Rc::new(Notify::new());
--- a/tests/gateway_processes/operators.rs
+++ b/tests/gateway_processes/operators.rs
@@ -15,6 +15,9 @@
 const LONG_DEADLINE_MS: u64 = 30_000;
 /// Concurrent callers during a stop; each sends one request after the other.
 const CALLER_COUNT: usize = 8;
+/// Instances that are stopped at the same time, and when the first of them stops accepting connections.
+const STOPPED_INSTANCES: u8 = 12;
+const ACCEPTING_TIME: Duration = Duration::from_millis(2_290);
 /// Minimum gap between orders of two holders, according to the stand-in's settings.
 const MIN_HOLDER_GAP: Duration = Duration::from_secs(3);
 /// Number of checks of the server list after a takeover, with a pause before each.
@@ -26,6 +29,35 @@
     request(path, id, model).replace("-Ms: 4000", &format!("-Ms: {LONG_DEADLINE_MS}"))
 }
 
+/// Guards against a stop that ends while connections are still accepted: none was open for a moment,
+/// and the stream of the next one was cut before its caller had a byte.
+#[test]
+fn a_request_on_a_connection_accepted_at_the_end_of_a_stop_is_answered() {
+    let site = Site::start(STOPPED_INSTANCES);
+    site.wait_until_ready();
+    let callers = (0..usize::from(STOPPED_INSTANCES)).map(|instance| {
+        let address = site.callers(instance);
+        let step = u32::try_from(instance).unwrap();
+        let delay = ACCEPTING_TIME + Duration::from_millis(3) * step;
+        site.instances[instance].1.signal("TERM");
+        let text = request("/draft/x", &format!("r{instance}"), "m2");
+        std::thread::spawn(move || {
+            std::thread::sleep(delay);
+            let stream = TcpStream::connect(address).ok()?;
+            exchange_on(stream, &text, WAIT_TIMEOUT).ok()
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    for (instance, caller) in callers.into_iter().enumerate() {
+        let answer = caller.join().unwrap().unwrap_or_default();
+        let has_run = site.run_count(&format!("r{instance}")) > 0;
+        assert!(
+            !has_run || answer.contains("piece 10"),
+            "{instance}: {answer}"
+        );
+    }
+}
+
 /// A server sends a second copy of a response late, on a connection that is in use again.
 #[test]
 fn a_late_duplicate_of_a_response_reaches_no_other_caller() {
