Let only instances that follow the server list store versions and departures

From reading the whole change again: every instance wrote each row of a version (a conflict for all but the first), and woke its urgent gossip ten times a second whether or not there was a stream to tell of. Instances that follow the list, the planner and a standby, write now; peers are told when there is something new. Bounds of versions follow from the list itself.

--- a/src/decide/origin.rs
+++ b/src/decide/origin.rs
@@ -17,9 +17,8 @@
 /// Instances that know of the same change to the store each wait for a different part of this time,
 /// so that usually one of them makes it.
 const WRITE_SPREAD: Duration = Duration::from_secs(2);
-/// Bounds of the state.
+/// Limit on the recorded streams, and on the unfinished ones.
 const MAX_STREAMS: usize = 50_000;
-const MAX_VERSIONS: usize = 256;
 /// Streams that one row of the store holds.
 pub const MAX_STORED_STREAMS: usize = 2_000;
 
@@ -110,10 +109,6 @@
         software: Option<&Software>,
     ) {
         let key = (service.clone(), software.cloned());
-        if self.versions.len() >= MAX_VERSIONS && !self.versions.contains_key(&key) {
-            self.versions
-                .retain(|_, sighting| !sighting.is_expired(now));
-        }
         let sighting = self.versions.entry(key).or_insert_with(|| {
             self.is_row_stale = true;
             Sighting {
@@ -278,11 +273,11 @@
         news
     }
 
-    /// Whether a stream of this instance must still be told of.
+    /// Whether peers must be told of a stream of this instance.
     #[must_use]
-    pub fn is_untold(&self, now: Duration, stream: StreamId) -> bool {
-        let unfinished = self.unfinished.get(&stream);
-        unfinished.is_some_and(|it| !it.is_told && self.is_mixed(now, &it.release.0))
+    pub fn has_news(&self, now: Duration) -> bool {
+        let mut untold = self.unfinished.values().filter(|it| !it.is_told);
+        untold.any(|it| self.is_mixed(now, &it.release.0))
     }
 
     /// Returns the unfinished streams for this instance's row in the store, the newest first if there
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -164,7 +164,7 @@
             )
             .await;
         }
-        if traffic.has_broken_stream.take() {
+        if traffic.has_new_streams.take() {
             for streams in traffic.take_stream_news() {
                 let mut gossip = traffic.envelope();
                 gossip.streams = vec![streams];
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -174,11 +174,15 @@
     boot: Incarnation,
 }
 
-/// Keeps departures that the platform's list does not show in the store.
+/// Keeps departures that the platform's list does not show in the store, if this instance follows the
+/// list.
 pub async fn keep_in_store(traffic: Rc<Traffic>) {
     loop {
         sleep(WRITE_CHECK_INTERVAL).await;
         let now = traffic.clock.now();
+        if !traffic.should_follow_servers(now) {
+            continue;
+        }
         let writes = {
             let mut balance = traffic.balance.borrow_mut();
             balance.notices_mut().take_writes(now, traffic.spread)
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -78,8 +78,16 @@
         let mut origins = self.origins.borrow_mut();
         if is_whole {
             origins.on_finished(stream);
-        } else if origins.is_untold(self.clock.now(), stream) {
-            self.has_broken_stream.set(true);
+        } else {
+            drop(origins);
+            self.announce_streams();
+        }
+    }
+
+    /// Has peers told now of the streams that they don't know of.
+    fn announce_streams(&self) {
+        if self.origins.borrow().has_news(self.clock.now()) {
+            self.has_new_streams.set(true);
             self.gossip_pending.notify_one();
         }
     }
@@ -226,12 +234,12 @@
 pub async fn tell_peers(traffic: Rc<Traffic>) {
     loop {
         sleep(traffic.scaled(TELL_INTERVAL, MAX_TELL_INTERVAL)).await;
-        traffic.has_broken_stream.set(true);
-        traffic.gossip_pending.notify_one();
+        traffic.announce_streams();
     }
 }
 
-/// Keeps the rows in the store in line with the known versions and this instance's streams.
+/// Keeps the rows in the store in line with this instance's streams and, if it follows the server list,
+/// with the known versions.
 pub async fn keep_in_store(traffic: Rc<Traffic>) {
     loop {
         sleep(traffic.scaled(ROW_INTERVAL, MAX_ROW_INTERVAL)).await;
@@ -242,7 +250,10 @@
         {
             traffic.origins.borrow_mut().on_row_failed();
         }
-        let writes = traffic.origins.borrow_mut().take_writes(now);
+        let mut writes = Vec::new();
+        if traffic.should_follow_servers(now) {
+            writes = traffic.origins.borrow_mut().take_writes(now);
+        }
         for write in writes {
             let is_written = traffic.write_version(&write).await;
             let values = json!({"write": format!("{write:?}"), "done": is_written});
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -87,8 +87,8 @@
     pub(super) origins: RefCell<Origins>,
     /// Wakes requests that wait for the origin of a stream.
     pub(super) origins_changed: Notify,
-    /// Whether peers must be told of streams now.
-    pub(super) has_broken_stream: Cell<bool>,
+    /// Whether peers must be told of new streams now.
+    pub(super) has_new_streams: Cell<bool>,
     /// When this instance last sent its quarantine to peers that have another one.
     pub(super) quarantine_sent_at: Cell<Duration>,
     pub(super) peers_with_other_quarantine: RefCell<BTreeSet<SocketAddr>>,
@@ -228,7 +228,7 @@
             quarantine: RefCell::new(Quarantine::new(seed)),
             origins: RefCell::new(Origins::new(seed)),
             origins_changed: Notify::new(),
-            has_broken_stream: Cell::new(false),
+            has_new_streams: Cell::new(false),
             quarantine_sent_at: Cell::default(),
             peers_with_other_quarantine: RefCell::default(),
             calls,
