Remove what the change wrote twice: leaving rows, a test's setup, a match on a bool

Rows of leaving servers were applied to the views twice, once for each row and once for all; three tests of endless answers repeated their setup; the progress of a configuration was a match on a bool. No change of behaviour, assertions as they were.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -5,7 +5,7 @@
 //! learns the speed of a server from the server's answers.
 
 use super::limit::{Limits, Sharers, Timestamps, Usage};
-use super::notice::{Notices, Process};
+use super::notice::Notices;
 use super::retry::backoff;
 use super::speed::Speeds;
 use super::water_filling;
@@ -294,14 +294,6 @@
         is_new
     }
 
-    /// Applies the rows of leaving servers that were read from the store.
-    pub fn on_leaving_rows(&mut self, now: Duration, rows: &BTreeSet<Process>) {
-        self.notices.on_rows(now, rows);
-        for (worker, view) in &mut self.views {
-            view.backend.leaving |= self.notices.is_leaving(worker, view.backend.boot);
-        }
-    }
-
     /// Returns the notices of servers, for their rows in the store.
     pub fn notices_mut(&mut self) -> &mut Notices {
         &mut self.notices
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -42,10 +42,12 @@
         if now.newest_site_version <= newest.0 {
             seen_stalls = now.site_stalls;
         }
-        let progress = match now.site_stalls > seen_stalls {
-            true => Progress::Late,
-            false if now.newest_site_version > newest.0 => Progress::Behind,
-            false => Progress::Current,
+        let progress = if now.site_stalls > seen_stalls {
+            Progress::Late
+        } else if now.newest_site_version > newest.0 {
+            Progress::Behind
+        } else {
+            Progress::Current
         };
         let situation = Situation {
             follows_store: now.is_following_site || feed.last_version == 0,
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -147,7 +147,8 @@
             self.on_leaving(worker, *boot, "store");
         }
         let now = self.clock.now();
-        self.balance.borrow_mut().on_leaving_rows(now, rows);
+        let mut balance = self.balance.borrow_mut();
+        balance.notices_mut().on_rows(now, rows);
     }
 
     async fn write_leaving(&self, write: &Write) -> bool {
--- a/tests/gateway_processes/endless.rs
+++ b/tests/gateway_processes/endless.rs
@@ -95,6 +95,18 @@
     stream_head(id) + "0\r\n"
 }
 
+/// Starts a site whose configuration allows bodies of 4 MiB.
+fn site_with_large_bodies() -> Site {
+    let site = Site::ready();
+    let mut configuration = config(TIMEOUT_MS);
+    configuration["Limits"]["MaxBodyBytes"] = json!(4 << 20);
+    site.platform.configure(&configuration);
+    wait_for("the configuration", || {
+        site.state(0)["version"] == TIMEOUT_MS
+    });
+    site
+}
+
 /// Returns the peak memory of a process in kB.
 fn peak_memory_kb(pid: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
@@ -124,13 +136,7 @@
         }
         false
     });
-    let site = Site::ready();
-    let mut configuration = config(TIMEOUT_MS);
-    configuration["Limits"]["MaxBodyBytes"] = json!(4 << 20);
-    site.platform.configure(&configuration);
-    wait_for("the configuration", || {
-        site.state(0)["version"] == TIMEOUT_MS
-    });
+    let site = site_with_large_bodies();
     raw_server.replace(&site, "app", &[]);
     let callers = (0..HUNG_ANSWERS).map(|caller| {
         let address = site.callers(0);
@@ -162,13 +168,7 @@
 #[test]
 fn an_answer_in_too_many_chunks_is_aborted_before_the_deadline() {
     let endless = Endless::start(chunked, "1\r\nx\r\n", Pace::AsFastAsRead);
-    let site = Site::ready();
-    let mut configuration = config(TIMEOUT_MS);
-    configuration["Limits"]["MaxBodyBytes"] = json!(4 << 20);
-    site.platform.configure(&configuration);
-    wait_for("the configuration", || {
-        site.state(0)["version"] == TIMEOUT_MS
-    });
+    let site = site_with_large_bodies();
     endless.raw_server.replace(&site, "app", &[]);
     let answer = site.ask("/issue/x", "r1", "");
     assert_eq!(status(&answer), 502, "{answer}");
@@ -195,13 +195,7 @@
     #[values("/issue/x", "/draft/x", "/long/x")] path: &'static str,
 ) {
     let endless = Endless::start(begin, piece, pace);
-    let site = Site::ready();
-    let mut configuration = config(TIMEOUT_MS);
-    configuration["Limits"]["MaxBodyBytes"] = json!(4 << 20);
-    site.platform.configure(&configuration);
-    wait_for("the configuration", || {
-        site.state(0)["version"] == TIMEOUT_MS
-    });
+    let site = site_with_large_bodies();
     let (service, models) = if path == "/issue/x" {
         ("app", [].as_slice())
     } else {
