Log for how long a server had been silent when a caller left

caller_left and stream_ended name the server and the time since anything arrived from it, which tells a path that was cut from a caller's end that was noticed late. No logic changes.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -143,6 +143,8 @@
     peers: BTreeMap<id::Instance, (Duration, Workload)>,
     /// Load that the server last reported in an answer, with the time of the answer.
     reported: Option<(Duration, Load)>,
+    /// When this instance last received bytes from the server or opened a connection to it.
+    heard_at: Option<Duration>,
     /// Models that are about to be unloaded.
     closing: BTreeSet<id::Model>,
     /// Learned factor by which the server is slower than an average one; corrected with each answer
@@ -173,6 +175,7 @@
             requested: Timestamps::default(),
             peers: BTreeMap::new(),
             reported: None,
+            heard_at: None,
             closing: BTreeSet::new(),
             slowness: 1.0,
             service_time: INITIAL_SERVICE_SECONDS,
@@ -563,6 +566,20 @@
         }
     }
 
+    /// Records that bytes from a server arrived here, or that it accepted a connection.
+    pub fn on_heard(&mut self, now: Duration, worker: &id::Worker) {
+        if let Some(view) = self.views.get_mut(worker) {
+            view.heard_at = Some(now);
+        }
+    }
+
+    /// Returns for how long nothing has arrived here from a server; `None` if nothing ever did.
+    #[must_use]
+    pub fn silence(&self, now: Duration, worker: &id::Worker) -> Option<Duration> {
+        let heard_at = self.views.get(worker)?.heard_at?;
+        Some(now.saturating_sub(heard_at))
+    }
+
     /// Records that a server failed while it ran a request.
     pub fn on_failed(&mut self, worker: &id::Worker) {
         if let Some(view) = self.views.get_mut(worker) {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -126,6 +126,7 @@
             let outgoing_request = self.outgoing_request(&worker, last_event);
             match channel.send(outgoing_request).await {
                 Ok(response) => {
+                    self.traffic.on_heard(&worker);
                     return self
                         .handle_response(response, channel, guard, is_pooled)
                         .await;
@@ -160,6 +161,7 @@
         let opened = channel::connect(address).await;
         self.traffic.metrics.connections.inc();
         opened
+            .inspect(|_| self.traffic.on_heard(worker))
             .inspect_err(|error| {
                 if error.kind() == ErrorKind::ConnectionRefused {
                     self.traffic.on_ended(worker);
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -461,8 +461,11 @@
         let exchange = self.exchange;
         exchange.traffic.metrics.callers_left.inc();
         let sent_to = exchange.attempts.borrow().last().cloned();
-        let values = json!({"server": sent_to, "route": exchange.route.name,
-            "time_left_ms": exchange.time_left().as_millis()});
+        let silence = sent_to
+            .as_ref()
+            .and_then(|worker| exchange.traffic.silence_ms(worker));
+        let values = json!({"server": sent_to, "server_silent_ms": silence,
+            "route": exchange.route.name, "time_left_ms": exchange.time_left().as_millis()});
         exchange.note("caller_left", values);
     }
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -129,6 +129,7 @@
                     match frame {
                         Some(Ok(frame)) => {
                             teardown.guard.on_first_byte();
+                            self.exchange.traffic.on_heard(&teardown.guard.worker);
                             let Ok(data) = frame.into_data() else {
                                 continue;
                             };
@@ -331,7 +332,13 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let values = json!({"outcome": self.outcome, "resumed": self.resumptions});
+        let server = match &self.state {
+            State::Reading { teardown, .. } => Some(&teardown.guard.worker),
+            State::Resuming(_) | State::Over => None,
+        };
+        let silence = server.and_then(|worker| self.exchange.traffic.silence_ms(worker));
+        let values = json!({"outcome": self.outcome, "resumed": self.resumptions,
+            "server": server, "server_silent_ms": silence});
         self.exchange.note("stream_ended", values);
         if self.is_recorded.get() {
             let is_whole = self.outcome == "whole";
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -280,6 +280,18 @@
         Some(balance.view(worker)?.backend.address)
     }
 
+    /// Records that bytes from a server arrived, or that it accepted a connection.
+    pub fn on_heard(&self, worker: &id::Worker) {
+        let now = self.clock.now();
+        self.balance.borrow_mut().on_heard(now, worker);
+    }
+
+    /// Returns for how many milliseconds nothing has arrived from a server.
+    pub(super) fn silence_ms(&self, worker: &id::Worker) -> Option<u128> {
+        let silence = self.balance.borrow().silence(self.clock.now(), worker);
+        silence.map(|silence| silence.as_millis())
+    }
+
     /// Returns the incarnation of a server; 0 if it is unknown.
     #[must_use]
     pub fn boot(&self, worker: &id::Worker) -> Incarnation {
