--- a/src/gateway/head_limit.rs
+++ b/src/gateway/head_limit.rs
@@ -95,12 +95,3 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
-
-impl Drop for LimitedStream {
-    fn drop(&mut self) {
-        let lifted = socket2::SockRef::from(&self.stream).set_tcp_user_timeout(None);
-        if let Err(error) = lifted {
-            log::debug!("the limit on unacknowledged data could not be lifted: {error}");
-        }
-    }
-}
