Log when an instance loses the path to all servers of a service

decide/reach concludes it from new connections: several servers accept none within a few seconds, and none does in between.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -126,7 +126,7 @@
             let outgoing_request = self.outgoing_request(&worker, last_event);
             match channel.send(outgoing_request).await {
                 Ok(response) => {
-                    self.traffic.on_heard(&worker);
+                    self.traffic.on_heard(&self.need.service, &worker);
                     return self
                         .handle_response(response, channel, guard, is_pooled)
                         .await;
@@ -161,8 +161,9 @@
         let opened = channel::connect(address).await;
         self.traffic.metrics.connections.inc();
         opened
-            .inspect(|_| self.traffic.on_heard(worker))
+            .inspect(|_| self.traffic.on_connected(&self.need.service, worker))
             .inspect_err(|error| {
+                self.traffic.on_unreached(&self.need.service, worker);
                 if error.kind() == ErrorKind::ConnectionRefused {
                     self.traffic.on_ended(worker);
                 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a gateway.
 
+use crate::decide::reach::Change;
 use crate::world::id;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -25,6 +26,7 @@
     quarantine_changes: Family<Labels, Counter>,
     gossip_bytes: Family<Labels, Counter>,
     take_ups: Family<Labels, Counter>,
+    paths: Family<Labels, Counter>,
     /// Requests whose callers left before their answers began.
     pub callers_left: Counter,
     /// How late the timer of the traffic thread fires.
@@ -95,6 +97,11 @@
                 "take_ups",
                 "Streams that callers take up, by what is known of their software version",
             ),
+            paths: family(
+                &mut registry,
+                "paths",
+                "Changes of the path to all servers of a service, by kind",
+            ),
             callers_left: register(
                 &mut registry,
                 "callers_left",
@@ -203,6 +210,16 @@
         self.take_ups.get_or_create(&labels).inc();
     }
 
+    /// Counts a path to the servers of a service that was lost or restored.
+    pub fn on_path(&self, service: &id::Service, change: Change) {
+        let change = match change {
+            Change::Lost => "lost",
+            Change::Restored => "restored",
+        };
+        let labels = vec![("service", service.to_string()), ("change", change.into())];
+        self.paths.get_or_create(&labels).inc();
+    }
+
     /// Counts the bytes of datagrams to other instances.
     pub fn on_gossip(&self, kind: &'static str, bytes: u64) {
         let labels = vec![("kind", kind.into())];
--- /dev/null
+++ b/src/gateway/paths.rs
@@ -0,0 +1,58 @@
+//! What connections to servers tell about the paths of this instance.
+
+use super::traffic::Traffic;
+use crate::common::*;
+use crate::decide::reach::Change;
+use crate::world::id;
+
+impl Traffic {
+    /// Records that bytes from a server arrived.
+    pub fn on_heard(&self, service: &id::Service, worker: &id::Worker) {
+        let now = self.clock.now();
+        self.balance.borrow_mut().on_heard(now, worker);
+        self.reach.borrow_mut().on_heard(now, service);
+    }
+
+    /// Records that a server accepted a connection.
+    pub fn on_connected(&self, service: &id::Service, worker: &id::Worker) {
+        let now = self.clock.now();
+        self.balance.borrow_mut().on_heard(now, worker);
+        let server_count = self.servers(service).len();
+        let lost_for = self.reach.borrow().lost_for(now, service);
+        let change = self
+            .reach
+            .borrow_mut()
+            .on_connected(service, worker, server_count);
+        self.log_path(service, change, lost_for);
+    }
+
+    /// Records that a server could not be connected to.
+    pub fn on_unreached(&self, service: &id::Service, worker: &id::Worker) {
+        let now = self.clock.now();
+        let server_count = self.servers(service).len();
+        let change = self
+            .reach
+            .borrow_mut()
+            .on_unreached(now, service, worker, server_count);
+        self.log_path(service, change, None);
+    }
+
+    /// Returns the servers of a service that are not leaving.
+    pub(super) fn servers(&self, service: &id::Service) -> Vec<id::Worker> {
+        let balance = self.balance.borrow();
+        let servers = balance.views().map(|view| &view.backend);
+        let servers = servers.filter(|backend| backend.service == *service && !backend.leaving);
+        servers.map(|backend| backend.id.clone()).collect()
+    }
+
+    fn log_path(&self, service: &id::Service, change: Option<Change>, lost_for: Option<Duration>) {
+        let Some(change) = change else {
+            return;
+        };
+        self.metrics.on_path(service, change);
+        let values = json!({"service": service, "change": change,
+            "lost_for_ms": lost_for.map(|lost_for| lost_for.as_millis()),
+            "servers": self.servers(service).len()});
+        self.journal.note("path", &values);
+    }
+}
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -60,7 +60,7 @@
         spawn_local(async move {
             let mut opened = channel::connect(address).await;
             if opened.is_ok() {
-                traffic.on_heard(&worker);
+                traffic.on_connected(&service, &worker);
                 sleep(CLOSE_GRACE).await;
             }
             if opened.as_ref().is_ok_and(Channel::is_closed) {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -129,7 +129,9 @@
                     match frame {
                         Some(Ok(frame)) => {
                             teardown.guard.on_first_byte();
-                            self.exchange.traffic.on_heard(&teardown.guard.worker);
+                            let service = &self.exchange.need.service;
+                            let traffic = &self.exchange.traffic;
+                            traffic.on_heard(service, &teardown.guard.worker);
                             let Ok(data) = frame.into_data() else {
                                 continue;
                             };
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -14,6 +14,7 @@
 use crate::decide::memory::Memory;
 use crate::decide::origin::Origins;
 use crate::decide::quarantine::Quarantine;
+use crate::decide::reach::Reach;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
 use crate::decide::snapshot::Snapshot;
@@ -84,6 +85,7 @@
     /// Memory of the answers that are held in full.
     pub(super) memory: RefCell<Memory>,
     pub(super) quarantine: RefCell<Quarantine>,
+    pub(super) reach: RefCell<Reach>,
     pub(super) origins: RefCell<Origins>,
     /// Wakes requests that wait for the origin of a stream.
     pub(super) origins_changed: Notify,
@@ -226,6 +228,7 @@
             checked_servers: RefCell::default(),
             memory: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
+            reach: RefCell::default(),
             origins: RefCell::new(Origins::new(seed)),
             origins_changed: Notify::new(),
             has_new_streams: Cell::new(false),
@@ -280,12 +283,6 @@
         Some(balance.view(worker)?.backend.address)
     }
 
-    /// Records that bytes from a server arrived, or that it accepted a connection.
-    pub fn on_heard(&self, worker: &id::Worker) {
-        let now = self.clock.now();
-        self.balance.borrow_mut().on_heard(now, worker);
-    }
-
     /// Returns for how many milliseconds nothing has arrived from a server.
     pub(super) fn silence_ms(&self, worker: &id::Worker) -> Option<u128> {
         let silence = self.balance.borrow().silence(self.clock.now(), worker);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
     pub mod progress;
     pub mod quarantine;
     pub mod queue;
+    pub mod reach;
     pub mod retry;
     pub mod rollout;
     pub mod roster;
@@ -123,6 +124,7 @@
     mod metrics;
     mod notices;
     mod origins;
+    mod paths;
     mod peer_state;
     mod placer;
     mod pool;
