Reproduce callers that an instance without a path to the servers doesn't serve

Three cases with real processes: open connections to servers hang, are reset, or live on while new ones are reset, at one of three instances. Connections to servers now come from the instance's own address, by which the stand-in's links tell instances apart; no decision changes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -158,7 +158,8 @@
             return channel;
         }
         let address = self.traffic.address(worker)?;
-        let opened = channel::connect(address).await;
+        let source = self.traffic.deployment.peers.ip();
+        let opened = channel::connect_from(source, address).await;
         self.traffic.metrics.connections.inc();
         opened
             .inspect(|_| self.traffic.on_connected(&self.need.service, worker))
--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -13,7 +13,8 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use std::net::IpAddr;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
@@ -64,6 +65,22 @@
 /// If the server does not accept it in time.
 pub async fn connect(address: SocketAddr) -> std::io::Result<Channel> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    start(stream, address).await
+}
+
+/// Opens a connection from one of this machine's addresses, by which a firewall can tell the instances
+/// apart.
+///
+/// # Errors
+/// If the server does not accept it in time.
+pub async fn connect_from(source: IpAddr, address: SocketAddr) -> std::io::Result<Channel> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind((source, 0).into())?;
+    let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
+    start(stream, address).await
+}
+
+async fn start(stream: TcpStream, address: SocketAddr) -> std::io::Result<Channel> {
     set_keepalive(&stream);
     let head_limit = HeadLimit::default();
     let limited = LimitedStream {
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -58,13 +58,14 @@
         }
         let (traffic, service, worker) = (Rc::clone(self), service.clone(), worker.clone());
         spawn_local(async move {
-            let mut opened = channel::connect(address).await;
+            let source = traffic.deployment.peers.ip();
+            let mut opened = channel::connect_from(source, address).await;
             if opened.is_ok() {
                 traffic.on_connected(&service, &worker);
                 sleep(CLOSE_GRACE).await;
             }
             if opened.as_ref().is_ok_and(Channel::is_closed) {
-                opened = channel::connect(address).await;
+                opened = channel::connect_from(source, address).await;
             }
             traffic.checked_servers.borrow_mut().remove(&worker);
             traffic.metrics.connections.inc();
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -241,6 +241,14 @@
         self.links[name].set(mode);
     }
 
+    /// Changes what all links to workers do with connections from one instance.
+    pub fn cut(&self, instance: Ipv4Addr, mode: Mode) {
+        let links = self.links.iter().filter(|(name, _)| *name != STORE_LINK);
+        for (_, link) in links {
+            link.set_for(instance.into(), mode);
+        }
+    }
+
     /// Writes the operator's configuration.
     pub fn configure(&self, config: &Value) {
         self.write(OPERATOR, "config", Some(config));
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod caller;
 mod configurations;
+mod cuts;
 mod endless;
 mod limits;
 mod notices;
