Have another instance send the requests of one without a path to the servers

Cause: each instance sent to servers itself or not at all; the class of fault is a capability that all instances have but each uses for its own callers only.

Change: decide/reach concludes from new connections that the path to a service is lost, checks it when a request waits longer than expected while the whole service is silent, and checks a lost path twice a second. Meanwhile, and for any request that found two servers unreachable, decide/carrier chooses another instance, nearest first; it gets the request on the port for peers, one hop at most, and sends it as one of its own: its limits, quarantine, versions and departures apply. The answer says whether the request ran. A peer without a path declines at once; two that do stand for their data centre. If none carries it the instance sends itself, so that a wrong belief costs a few milliseconds.

--- a/src/decide/attempts.rs
+++ b/src/decide/attempts.rs
@@ -29,6 +29,19 @@
         }
     }
 
+    /// Marks the request as sent before, by another instance.
+    #[must_use]
+    pub fn as_repeat(mut self, is_repeat: bool) -> Self {
+        self.is_unsent = !is_repeat;
+        self
+    }
+
+    /// Returns the number of further servers that may run the request.
+    #[must_use]
+    pub const fn servers_left(&self) -> usize {
+        self.max_workers.saturating_sub(self.ran_on.len())
+    }
+
     /// Returns whether the request was never sent.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -596,6 +596,15 @@
         }
     }
 
+    /// Ends the back-off from the servers of a service, since it was the path to them that failed.
+    pub fn on_path_restored(&mut self, service: &id::Service) {
+        let views = self.views.values_mut();
+        for view in views.filter(|view| view.backend.service == *service) {
+            view.unreachable_count = 0;
+            view.backoff_until = Duration::ZERO;
+        }
+    }
+
     /// Records that a server is not as listed: it has ended, or does not hold the target.
     pub fn on_misdirected(&mut self, now: Duration, worker: &id::Worker, target: Option<&Target>) {
         let Some(view) = self.views.get_mut(worker) else {
--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -268,6 +268,17 @@
         local.map(|(peer, member)| (peer, member.address))
     }
 
+    /// Returns the peers that may carry requests, with their data centres: in the own one those that are heard, in
+    /// others all that are known.
+    pub fn carriers(&self, now: Duration) -> impl Iterator<Item = (SocketAddr, &id::DataCentre)> {
+        let members = self.members.values();
+        let members = members.filter(move |member| {
+            member.data_centre != self.local_data_centre
+                || is_recent(now, member.heard_at, LIVENESS_TIMEOUT)
+        });
+        members.map(|member| (member.address, &member.data_centre))
+    }
+
     /// Whether this instance reads the configuration from the store: it is among the first by name
     /// of the live instances that the store answers.
     #[must_use]
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use super::body::Body;
 use super::buffer::{self, Failure};
 use super::channel::{self, Channel};
-use super::forward::{DEADLINE_MARGIN, Exchange, Stream};
+use super::forward::{DEADLINE_MARGIN, Exchange, Server, Stream};
 use super::in_flight::Guard;
 use super::reply;
 use crate::common::*;
@@ -26,6 +26,9 @@
 /// A request that may be retried is sent to another server if it has no response after this
 /// multiple of its expected time.
 const SILENCE_FACTOR: f64 = 4.0;
+/// Time without an answer after which the path to the servers is checked, if it is shorter than the time after
+/// which a request is sent to another server.
+const MAX_UNCHECKED_SILENCE: Duration = Duration::from_millis(800);
 /// Longest wait until an open connection accepts a request; also the time to read a rejection's
 /// body.
 const READY_TIMEOUT: Duration = Duration::from_millis(200);
@@ -88,7 +91,8 @@
         } else {
             time_left
         };
-        let attempt = timeout(time_limit, self.send(guard, last_event)).await;
+        let sent = self.send_watched(guard, last_event, silence_limit);
+        let attempt = timeout(time_limit, sent).await;
         attempt.unwrap_or_else(|_| {
             self.traffic.balance.borrow_mut().on_failed(worker);
             if time_limit < time_left {
@@ -99,6 +103,22 @@
         })
     }
 
+    /// Sends the request; has the path to the servers checked if no answer begins within `silence_limit`.
+    async fn send_watched(
+        self: &Rc<Self>,
+        guard: Guard,
+        last_event: Option<&str>,
+        silence_limit: Duration,
+    ) -> Attempt {
+        let check_after = silence_limit.min(MAX_UNCHECKED_SILENCE);
+        let mut sent = std::pin::pin!(self.send(guard, last_event));
+        if let Ok(attempt) = timeout(check_after, sent.as_mut()).await {
+            return attempt;
+        }
+        self.traffic.check_path(&self.need.service);
+        sent.await
+    }
+
     async fn send(self: &Rc<Self>, guard: Guard, last_event: Option<&str>) -> Attempt {
         let worker = guard.worker.clone();
         let mut is_pooled = true;
@@ -121,12 +141,16 @@
                 if is_pooled {
                     continue;
                 }
+                self.traffic.on_unreached(&self.need.service, &worker);
                 return Attempt::NotRun;
             }
             let outgoing_request = self.outgoing_request(&worker, last_event);
             match channel.send(outgoing_request).await {
                 Ok(response) => {
                     self.traffic.on_heard(&self.need.service, &worker);
+                    if !is_pooled {
+                        self.traffic.on_connected(&self.need.service, &worker);
+                    }
                     return self
                         .handle_response(response, channel, guard, is_pooled)
                         .await;
@@ -136,6 +160,7 @@
                         if is_pooled {
                             continue;
                         }
+                        self.traffic.on_unreached(&self.need.service, &worker);
                         return Attempt::NotRun;
                     }
                     self.note(
@@ -162,7 +187,6 @@
         let opened = channel::connect_from(source, address).await;
         self.traffic.metrics.connections.inc();
         opened
-            .inspect(|_| self.traffic.on_connected(&self.need.service, worker))
             .inspect_err(|error| {
                 self.traffic.on_unreached(&self.need.service, worker);
                 if error.kind() == ErrorKind::ConnectionRefused {
@@ -246,8 +270,11 @@
                     head,
                     incoming,
                     channel,
-                    guard,
-                    answer,
+                    server: Some(Server {
+                        guard,
+                        is_reusable: answer.framed && !answer.closes,
+                        keep_alive: answer.keeps,
+                    }),
                 }))
             }
             Outcome::Success | Outcome::Rejected | Outcome::Failed => {
@@ -286,7 +313,7 @@
         })
     }
 
-    fn max_body_bytes(&self) -> usize {
+    pub(super) fn max_body_bytes(&self) -> usize {
         usize::try_from(self.site.limits.body.0).unwrap_or(usize::MAX)
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -3,6 +3,7 @@
 use super::attempt::{Attempt, BROKEN, CUT};
 use super::body::Body;
 use super::channel::Channel;
+use super::detour::{NO_PATH, UNREACHABLE_BEFORE_DETOUR};
 use super::in_flight::Guard;
 use super::origins::Binding;
 use super::relay::Relay;
@@ -14,8 +15,9 @@
 use crate::decide::origin::Origin;
 use crate::decide::{progress, quarantine, shed};
 use crate::platform::request;
+use crate::wire::hop::Hop;
 use crate::world::id;
-use crate::world::message::{Answer, Generation, PartId, Request, TakeUp};
+use crate::world::message::{Generation, PartId, Request, TakeUp};
 use crate::world::site::{Repeat, Route, Site};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -66,6 +68,8 @@
     pub attempts: RefCell<Attempts>,
     /// Software version at which the stream may go on.
     pub binding: RefCell<Binding>,
+    /// Set if another instance passed the request on.
+    pub hop: Option<Hop>,
     pub arrived: Duration,
     /// When the caller's deadline or the route's time-out expires.
     pub deadline: Duration,
@@ -76,8 +80,15 @@
     pub head: response::Parts,
     pub incoming: Incoming,
     pub channel: Channel,
+    /// The server that sends it; none if it comes from another instance.
+    pub server: Option<Server>,
+}
+
+/// A server that sends a stream to this instance.
+pub struct Server {
     pub guard: Guard,
-    pub answer: Answer,
+    pub is_reusable: bool,
+    pub keep_alive: Option<Duration>,
 }
 
 /// How dispatching ended, before any of the response was passed on.
@@ -159,20 +170,29 @@
         let mut failed: Option<Response<Body>> = None;
         let mut rejections = 0;
         let mut unreachable = 0;
+        let mut may_detour = self.may_detour();
         loop {
             let has_run = self.attempts.borrow().has_run();
             if self.time_left() <= DEADLINE_MARGIN {
                 return if has_run {
                     Outcome::TimedOut
                 } else {
-                    Outcome::Refused {
-                        cause: "late",
-                        retry_after: RETRY_AFTER,
-                    }
+                    refused("late")
                 };
             }
-            let (worker, expected) = match self.wait_for_worker().await {
+            let is_lost = self.has_no_path() || unreachable >= UNREACHABLE_BEFORE_DETOUR;
+            if is_lost
+                && std::mem::take(&mut may_detour)
+                && let Some(outcome) = self.detour(last_event).await
+            {
+                return outcome;
+            }
+            let (worker, expected) = match self.wait_for_worker(may_detour).await {
                 Ok(chosen) => chosen,
+                Err(_) if may_detour && (self.has_no_path() || unreachable > 0) => {
+                    unreachable = UNREACHABLE_BEFORE_DETOUR;
+                    continue;
+                }
                 Err(end) if !has_run => return end,
                 Err(_) => {
                     let cause = if self.crashes_servers() {
@@ -187,10 +207,7 @@
             };
             if self.attempts.borrow().is_unsent() {
                 if !self.route.repeat.is_stream() && !self.traffic.memory.borrow().admits() {
-                    return Outcome::Refused {
-                        cause: "answers fill memory",
-                        retry_after: RETRY_AFTER,
-                    };
+                    return refused("answers fill memory");
                 }
                 if let Some(retry_after) = self.overload_retry_after(expected) {
                     return Outcome::Refused {
@@ -226,10 +243,7 @@
                         return if has_run {
                             Outcome::Unknown { cause }
                         } else {
-                            Outcome::Refused {
-                                cause,
-                                retry_after: RETRY_AFTER,
-                            }
+                            refused(cause)
                         };
                     }
                 }
@@ -256,7 +270,7 @@
     }
 
     /// Chooses a server; waits for a limited time until one holds what the request needs.
-    async fn wait_for_worker(&self) -> Result<(id::Worker, f64), Outcome> {
+    async fn wait_for_worker(&self, may_detour: bool) -> Result<(id::Worker, f64), Outcome> {
         let started_at = self.now();
         let time_left = self.time_left_to_start(started_at);
         self.traffic
@@ -271,11 +285,11 @@
                     retry_after: RETRY_AFTER_CRASHES,
                 });
             }
+            if may_detour && self.has_no_path() {
+                return Err(refused(NO_PATH));
+            }
             if !self.has_fitting_server() {
-                return Err(Outcome::Refused {
-                    cause: VERSION_GONE,
-                    retry_after: RETRY_AFTER,
-                });
+                return Err(refused(VERSION_GONE));
             }
             let (max_wait, cause, retry_after) = match self.choose(now) {
                 Choice::Send(worker, expected) => return Ok((worker, expected)),
@@ -399,6 +413,9 @@
         let (response, cause) = match self.begin().await {
             Outcome::Stream(stream) => self.relay_stream(*stream).await,
             Outcome::Complete(response) => (response, "passed on"),
+            Outcome::Refused { cause, retry_after } if self.hop.is_some() => {
+                (reply::refusal(&self.request.id, cause, retry_after), cause)
+            }
             Outcome::Refused { cause, retry_after } => {
                 let spread = xxh3_64(self.request.id.as_bytes()) % 1_000;
                 let retry_after =
@@ -446,6 +463,14 @@
     }
 }
 
+/// Refuses a request that did not run, with the usual Retry-After.
+fn refused(cause: &'static str) -> Outcome {
+    Outcome::Refused {
+        cause,
+        retry_after: RETRY_AFTER,
+    }
+}
+
 /// Logs that a caller left before its answer began: its connection then drops this guard together
 /// with the request.
 struct Departure<'a> {
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -5,6 +5,7 @@
 //! last.
 
 use super::event::{Announcement, CHANNEL_CAPACITY, Call, PlacerEvent, StoreUpdate, Subscription};
+use super::ingress::Door;
 use super::journal::Journal;
 use super::traffic::{Tier, Traffic};
 use super::{admin, gossip, ingress, notices, origins, placer, quarantine, store};
@@ -173,6 +174,7 @@
         source: Box::new(error),
     })?);
     let callers = listen(deployment.callers)?;
+    let carried = listen(peers)?;
     spawn_local(admin::serve(Rc::clone(&traffic), listen(deployment.ready)?));
     spawn_local(admin::serve(
         Rc::clone(&traffic),
@@ -202,7 +204,10 @@
     spawn_local(notices::keep_in_store(Rc::clone(&traffic)));
     spawn_local(origins::tell_peers(Rc::clone(&traffic)));
     spawn_local(origins::keep_in_store(Rc::clone(&traffic)));
-    let accepting = spawn_local(ingress::serve(Rc::clone(&traffic), callers, closing));
+    let accepting = [(callers, Door::Callers), (carried, Door::Peers)].map(|(listener, door)| {
+        let serving = ingress::serve(Rc::clone(&traffic), listener, door, closing.clone());
+        spawn_local(serving)
+    });
     wait_for_stop(&traffic).await?;
     stop(&traffic, &placer, &close, accepting).await;
     Ok(())
@@ -268,7 +273,7 @@
     traffic: &Traffic,
     placer: &flume::Sender<PlacerEvent>,
     close: &watch::Sender<bool>,
-    accepting: JoinHandle<()>,
+    accepting: [JoinHandle<()>; 2],
 ) {
     let stop_began_at = traffic.clock.now();
     traffic
@@ -291,8 +296,10 @@
     }
     sleep(UNREADY_TIME).await;
     close.send_replace(true);
-    if let Err(error) = accepting.await {
-        log::error!("the task that accepts callers ended: {error}");
+    for accepting in accepting {
+        if let Err(error) = accepting.await {
+            log::error!("a task that accepts connections ended: {error}");
+        }
     }
     while traffic.open_connections.get() > 0 && traffic.clock.now() < last {
         sleep(CONNECTION_POLL_INTERVAL).await;
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -3,6 +3,7 @@
 
 use super::body::Body;
 use super::channel;
+use super::detour::NO_PATH;
 use super::forward::{self, Exchange};
 use super::origins::Binding;
 use super::reply;
@@ -11,6 +12,7 @@
 use crate::decide::attempts::Attempts;
 use crate::decide::balance::Need;
 use crate::platform::request;
+use crate::wire::hop::{Hop, Verdict};
 use crate::world::message::Request;
 use crate::world::site::{Limits, Site};
 use bytes::Bytes;
@@ -38,8 +40,21 @@
 /// Buffer space for the request line and other parts of a head, on top of the limit on headers.
 const HEAD_SLACK_BYTES: usize = 16 << 10;
 
-/// Accepts callers' connections until shutdown.
-pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener, closing: watch::Receiver<bool>) {
+/// Who connects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Door {
+    Callers,
+    /// Other instances, with requests of their callers.
+    Peers,
+}
+
+/// Accepts connections until shutdown.
+pub async fn serve(
+    traffic: Rc<Traffic>,
+    listener: TcpListener,
+    door: Door,
+    closing: watch::Receiver<bool>,
+) {
     let mut closing_signal = closing.clone();
     let end = async {
         if closing_signal
@@ -59,7 +74,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let guard = ConnectionGuard::new(&traffic);
-                let connection = run_connection(guard, stream, closing.clone());
+                let connection = run_connection(guard, stream, door, closing.clone());
                 tokio::task::spawn_local(connection);
             }
             Err(error) => {
@@ -73,6 +88,7 @@
 async fn run_connection(
     guard: ConnectionGuard,
     stream: TcpStream,
+    door: Door,
     mut closing: watch::Receiver<bool>,
 ) {
     let traffic = Rc::clone(&guard.0);
@@ -84,7 +100,7 @@
     let answer = service_fn(move |request| {
         let traffic = Rc::clone(&traffic);
         on_first_request.notify_one();
-        async move { Ok::<_, Infallible>(handle(traffic, request).await) }
+        async move { Ok::<_, Infallible>(handle(traffic, door, request).await) }
     });
     let served = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -113,6 +129,19 @@
     let _first = timeout(FIRST_REQUEST_TIMEOUT, first_request.notified()).await;
 }
 
+impl Traffic {
+    /// Whether this instance has no path to the servers of the service to which a request goes.
+    fn lacks_path(&self, head: &hyper::http::request::Parts) -> bool {
+        let site = self.site.borrow();
+        let (Some(site), Some(request)) = (site.as_ref(), request::decode(head)) else {
+            return false;
+        };
+        let route = site.route(&request.host, head.uri.path());
+        let need = route.and_then(|route| need(site, &request, route));
+        need.is_some_and(|need| self.reach.borrow().is_lost(&need.service))
+    }
+}
+
 fn limits(traffic: &Traffic) -> Limits {
     let site = traffic.site.borrow();
     site.as_ref()
@@ -139,12 +168,24 @@
     }
 }
 
-async fn handle(traffic: Rc<Traffic>, incoming: hyper::Request<Incoming>) -> Response<Body> {
+async fn handle(
+    traffic: Rc<Traffic>,
+    door: Door,
+    incoming: hyper::Request<Incoming>,
+) -> Response<Body> {
     let arrived = traffic.clock.now();
-    let (head, body) = incoming.into_parts();
-    let mut response = match read_exchange(&traffic, arrived, head, body).await {
-        Ok(exchange) => Rc::new(exchange).serve().await,
-        Err(response) => response,
+    let (mut head, body) = incoming.into_parts();
+    let mut response = match door {
+        Door::Callers => serve_request(&traffic, arrived, head, body, None).await,
+        Door::Peers => match Hop::take(&mut head.headers) {
+            Some(hop) => carry(&traffic, arrived, head, body, hop).await,
+            None => deny(
+                &traffic,
+                "",
+                StatusCode::BAD_REQUEST,
+                "the request comes from no instance of this version",
+            ),
+        },
     };
     if traffic.is_stopping.get()
         && let Ok(close) = "close".parse()
@@ -154,12 +195,52 @@
     response
 }
 
+async fn serve_request(
+    traffic: &Rc<Traffic>,
+    arrived: Duration,
+    head: hyper::http::request::Parts,
+    body: Incoming,
+    hop: Option<Hop>,
+) -> Response<Body> {
+    match read_exchange(traffic, arrived, head, body, hop).await {
+        Ok(exchange) => Rc::new(exchange).serve().await,
+        Err(response) => response,
+    }
+}
+
+/// Serves a request of another instance, and says in the answer what became of it.
+async fn carry(
+    traffic: &Rc<Traffic>,
+    arrived: Duration,
+    head: hyper::http::request::Parts,
+    body: Incoming,
+    hop: Hop,
+) -> Response<Body> {
+    let declined = if traffic.is_stopping.get() {
+        Some("stopping")
+    } else if traffic.lacks_path(&head) {
+        Some(NO_PATH)
+    } else {
+        None
+    };
+    if let Some(cause) = declined {
+        traffic.metrics.on_answer(503, cause);
+        let mut response = reply::refusal("", cause, RETRY_AFTER);
+        Verdict::Declined.write(response.headers_mut());
+        return response;
+    }
+    let mut response = serve_request(traffic, arrived, head, body, Some(hop)).await;
+    reply::verdict(&response).write(response.headers_mut());
+    response
+}
+
 /// Reads a request completely and finds its route.
 async fn read_exchange(
     traffic: &Rc<Traffic>,
     arrived: Duration,
     head: hyper::http::request::Parts,
     body: Incoming,
+    hop: Option<Hop>,
 ) -> Result<Exchange, Response<Body>> {
     let Some(site) = traffic.site.borrow().clone() else {
         traffic.metrics.on_answer(503, "no configuration");
@@ -191,17 +272,22 @@
     let need = need(&site, &request, &route)
         .ok_or_else(|| reply::refusal(&request.id, "the route has no service", RETRY_AFTER))?;
     let body = read_body(traffic, &site, &request, body, time_allowed).await?;
-    if let Some(generation) = &need.generation {
+    if let Some(generation) = &need.generation
+        && hop.is_none()
+    {
         traffic.on_demand(&generation.target, generation.prompt.0);
     }
+    let max_servers = hop.map_or(route.most_workers, |hop| hop.max_servers);
+    let attempts = Attempts::new(max_servers).as_repeat(hop.is_some_and(|hop| hop.is_repeat));
     Ok(Exchange {
         traffic: Rc::clone(traffic),
         head,
         request,
         body,
         site,
-        attempts: RefCell::new(Attempts::new(route.most_workers)),
+        attempts: RefCell::new(attempts),
         binding: RefCell::new(Binding::Free),
+        hop,
         route,
         need,
         arrived,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -27,6 +27,7 @@
     gossip_bytes: Family<Labels, Counter>,
     take_ups: Family<Labels, Counter>,
     paths: Family<Labels, Counter>,
+    detours: Family<Labels, Counter>,
     /// Requests whose callers left before their answers began.
     pub callers_left: Counter,
     /// How late the timer of the traffic thread fires.
@@ -102,6 +103,11 @@
                 "paths",
                 "Changes of the path to all servers of a service, by kind",
             ),
+            detours: family(
+                &mut registry,
+                "detours",
+                "Requests that were passed to another instance, by outcome",
+            ),
             callers_left: register(
                 &mut registry,
                 "callers_left",
@@ -220,6 +226,12 @@
         self.paths.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was passed to another instance.
+    pub fn on_detour(&self, outcome: &'static str) {
+        let labels = vec![("outcome", outcome.into())];
+        self.detours.get_or_create(&labels).inc();
+    }
+
     /// Counts the bytes of datagrams to other instances.
     pub fn on_gossip(&self, kind: &'static str, bytes: u64) {
         let labels = vec![("kind", kind.into())];
--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -4,6 +4,7 @@
 use crate::common::*;
 use crate::decide::reach::Change;
 use crate::world::id;
+use std::rc::Rc;
 
 impl Traffic {
     /// Records that bytes from a server arrived.
@@ -13,7 +14,7 @@
         self.reach.borrow_mut().on_heard(now, service);
     }
 
-    /// Records that a server accepted a connection.
+    /// Records that a server accepted a connection and did not close it at once.
     pub fn on_connected(&self, service: &id::Service, worker: &id::Worker) {
         let now = self.clock.now();
         self.balance.borrow_mut().on_heard(now, worker);
@@ -23,9 +24,37 @@
             .reach
             .borrow_mut()
             .on_connected(service, worker, server_count);
+        if change == Some(Change::Restored) {
+            self.balance.borrow_mut().on_path_restored(service);
+        }
         self.log_path(service, change, lost_for);
     }
 
+    /// Has the path to the servers of a service checked, since a request waits there for an answer.
+    pub(super) fn check_path(self: &Rc<Self>, service: &id::Service) {
+        let (now, servers) = (self.clock.now(), self.servers(service));
+        let checks = self
+            .reach
+            .borrow_mut()
+            .checks_after_silence(now, service, &servers);
+        for worker in checks {
+            self.check_server(service, &worker);
+        }
+    }
+
+    /// Checks the paths that are lost.
+    pub(super) fn check_lost_paths(self: &Rc<Self>) {
+        let now = self.clock.now();
+        let lost: Vec<id::Service> = self.reach.borrow().lost_services().cloned().collect();
+        for service in lost {
+            let servers = self.servers(&service);
+            let checks = self.reach.borrow_mut().checks(now, &service, &servers);
+            for worker in checks {
+                self.check_server(&service, &worker);
+            }
+        }
+    }
+
     /// Records that a server could not be connected to.
     pub fn on_unreached(&self, service: &id::Service, worker: &id::Worker) {
         let now = self.clock.now();
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -28,6 +28,13 @@
 /// Interval between checks for rows to write.
 const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Opens a connection, and waits for as long as a server that is ending may keep it.
+async fn open_lasting(traffic: &Traffic, address: SocketAddr) -> std::io::Result<Channel> {
+    let opened = channel::connect_from(traffic.deployment.peers.ip(), address).await?;
+    sleep(CLOSE_GRACE).await;
+    Ok(opened)
+}
+
 impl Traffic {
     /// Records that a connection broke while a server worked on a request; `first_event` is when its
     /// answer began, if it did.
@@ -58,24 +65,25 @@
         }
         let (traffic, service, worker) = (Rc::clone(self), service.clone(), worker.clone());
         spawn_local(async move {
-            let source = traffic.deployment.peers.ip();
-            let mut opened = channel::connect_from(source, address).await;
-            if opened.is_ok() {
-                traffic.on_connected(&service, &worker);
-                sleep(CLOSE_GRACE).await;
-            }
+            let mut opened = open_lasting(&traffic, address).await;
             if opened.as_ref().is_ok_and(Channel::is_closed) {
-                opened = channel::connect_from(source, address).await;
+                opened = open_lasting(&traffic, address).await;
             }
             traffic.checked_servers.borrow_mut().remove(&worker);
             traffic.metrics.connections.inc();
             match opened {
-                Ok(channel) => traffic.pool_connection(&service, &worker, channel, None),
+                Ok(channel) if !channel.is_closed() => {
+                    traffic.on_connected(&service, &worker);
+                    traffic.pool_connection(&service, &worker, channel, None);
+                    return;
+                }
+                Ok(_closed) => log::info!("server {worker} closes new connections at once"),
                 Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
                     traffic.on_ended(&worker);
                 }
                 Err(error) => log::info!("server {worker} could not be checked: {error}"),
             }
+            traffic.on_unreached(&service, &worker);
         });
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,8 +5,7 @@
 //! breaks off.
 
 use super::channel::Channel;
-use super::forward::{Exchange, Outcome, Stream};
-use super::in_flight::Guard;
+use super::forward::{Exchange, Outcome, Server, Stream};
 use super::origins::Binding;
 use crate::common::*;
 use crate::decide::progress::Progress;
@@ -42,9 +41,8 @@
 /// Connection and accounting of a stream, released or reused when the stream ends.
 struct Teardown {
     channel: Channel,
-    guard: Guard,
-    is_reusable: bool,
-    server_keep_alive: Option<Duration>,
+    /// The server that sends the stream; none if it comes from another instance.
+    server: Option<Server>,
 }
 
 /// A stream that is being relayed.
@@ -128,10 +126,12 @@
                     let frame = std::task::ready!(Pin::new(incoming).poll_frame(context));
                     match frame {
                         Some(Ok(frame)) => {
-                            teardown.guard.on_first_byte();
-                            let service = &self.exchange.need.service;
-                            let traffic = &self.exchange.traffic;
-                            traffic.on_heard(service, &teardown.guard.worker);
+                            if let Some(server) = &mut teardown.server {
+                                server.guard.on_first_byte();
+                                let service = &self.exchange.need.service;
+                                let traffic = &self.exchange.traffic;
+                                traffic.on_heard(service, &server.guard.worker);
+                            }
                             let Ok(data) = frame.into_data() else {
                                 continue;
                             };
@@ -196,12 +196,19 @@
         self.stall_timer.as_mut().poll(context).is_ready()
     }
 
+    /// Returns the server that sends the stream to this instance.
+    fn server(&self) -> Option<&Server> {
+        match &self.state {
+            State::Reading { teardown, .. } => teardown.server.as_ref(),
+            State::Resuming(_) | State::Over => None,
+        }
+    }
+
     /// Records that the worker broke the stream off.
     fn on_broken(&self) {
-        if let State::Reading { teardown, .. } = &self.state {
-            let worker = &teardown.guard.worker;
+        if let Some(server) = self.server() {
             self.exchange
-                .on_broken(worker, self.progress.first_event_at());
+                .on_broken(&server.guard.worker, self.progress.first_event_at());
         }
     }
 
@@ -211,8 +218,8 @@
 
     /// Lowers the worker's rank in the choice of servers.
     fn penalize_worker(&self) {
-        if let State::Reading { teardown, .. } = &self.state {
-            let worker = &teardown.guard.worker;
+        if let Some(server) = self.server() {
+            let worker = &server.guard.worker;
             self.exchange.traffic.balance.borrow_mut().on_failed(worker);
         }
     }
@@ -245,13 +252,15 @@
 
     /// Binds the stream to the software version of the server that sent its first event.
     fn bind(&self) {
-        let State::Reading { teardown, .. } = &self.state else {
+        let mut binding = self.exchange.binding.borrow_mut();
+        let Some(server) = self.server() else {
+            // Only the instance that carries the stream knows the version and records it.
+            *binding = Binding::Unknown;
             return;
         };
-        let mut binding = self.exchange.binding.borrow_mut();
         let is_taken_up = self.exchange.request.taken_up.is_some();
         if *binding == Binding::Free {
-            *binding = match &teardown.guard.software {
+            *binding = match &server.guard.software {
                 Some(software) => Binding::To(software.clone()),
                 None => Binding::Unknown,
             };
@@ -279,10 +288,8 @@
         if !allowed {
             return false;
         }
-        let mut broken_worker = None;
-        if let State::Reading { teardown, .. } = &self.state {
-            let worker = &teardown.guard.worker;
-            broken_worker = Some(worker.clone());
+        let broken_worker = self.server().map(|server| server.guard.worker.clone());
+        if let Some(worker) = &broken_worker {
             traffic.balance.borrow_mut().on_failed(worker);
             self.exchange.attempts.borrow_mut().on_stream_broken(worker);
         }
@@ -310,17 +317,18 @@
     fn finish(&mut self) -> Poll<Option<io::Result<Bytes>>> {
         let state = std::mem::replace(&mut self.state, State::Over);
         self.outcome = "whole";
-        if let State::Reading { teardown, .. } = state {
+        if let State::Reading { teardown, .. } = state
+            && let Some(server) = teardown.server
+        {
             self.exchange.on_success();
-            let worker = teardown.guard.worker.clone();
-            if teardown.is_reusable {
+            if server.is_reusable {
                 let traffic = &self.exchange.traffic;
                 let service = &self.exchange.need.service;
                 traffic.pool_connection(
                     service,
-                    &worker,
+                    &server.guard.worker,
                     teardown.channel,
-                    teardown.server_keep_alive,
+                    server.keep_alive,
                 );
             }
         }
@@ -334,10 +342,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        let server = match &self.state {
-            State::Reading { teardown, .. } => Some(&teardown.guard.worker),
-            State::Resuming(_) | State::Over => None,
-        };
+        let server = self.server().map(|server| &server.guard.worker);
         let silence = server.and_then(|worker| self.exchange.traffic.silence_ms(worker));
         let values = json!({"outcome": self.outcome, "resumed": self.resumptions,
             "server": server, "server_silent_ms": silence});
@@ -351,14 +356,11 @@
 }
 
 fn reading_state(stream: Stream) -> State {
-    let is_reusable = stream.answer.framed && !stream.answer.closes;
     State::Reading {
         incoming: stream.incoming,
         teardown: Box::new(Teardown {
             channel: stream.channel,
-            guard: stream.guard,
-            is_reusable,
-            server_keep_alive: stream.answer.keeps,
+            server: stream.server,
         }),
     }
 }
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -4,6 +4,7 @@
 use super::buffer::Lease;
 use crate::common::*;
 use crate::platform::request;
+use crate::wire::hop::Verdict;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::http::response;
@@ -31,6 +32,21 @@
     response
 }
 
+/// Marks one of the gateway's own responses.
+#[derive(Debug, Clone, Copy)]
+struct Local;
+
+/// Returns what a response says to the instance that passed the request on.
+pub fn verdict(response: &Response<Body>) -> Verdict {
+    if response.extensions().get::<Local>().is_none() {
+        return Verdict::Answer;
+    }
+    match response.status() {
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => Verdict::Unknown,
+        _ => Verdict::Refused,
+    }
+}
+
 /// Builds one of the gateway's own responses, as problem details.
 #[must_use]
 pub fn problem(id: &str, status: StatusCode, cause: &str) -> Response<Body> {
@@ -38,6 +54,7 @@
     let mut response = Response::new(Body::from(Bytes::from(text)));
     *response.status_mut() = status;
     *response.headers_mut() = request::local_answer_headers(id);
+    response.extensions_mut().insert(Local);
     if let Ok(kind) = "application/problem+json".parse() {
         response.headers_mut().insert("content-type", kind);
     }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -9,6 +9,7 @@
 use super::pool::Pool;
 use crate::common::*;
 use crate::decide::balance::{Balancer, Need};
+use crate::decide::carrier::Carriers;
 use crate::decide::lag::Lag;
 use crate::decide::limit::Sharers;
 use crate::decide::memory::Memory;
@@ -86,6 +87,7 @@
     pub(super) memory: RefCell<Memory>,
     pub(super) quarantine: RefCell<Quarantine>,
     pub(super) reach: RefCell<Reach>,
+    pub(super) carriers: RefCell<Carriers>,
     pub(super) origins: RefCell<Origins>,
     /// Wakes requests that wait for the origin of a stream.
     pub(super) origins_changed: Notify,
@@ -229,6 +231,7 @@
             memory: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
             reach: RefCell::default(),
+            carriers: RefCell::default(),
             origins: RefCell::new(Origins::new(seed)),
             origins_changed: Notify::new(),
             has_new_streams: Cell::new(false),
@@ -588,8 +591,9 @@
     }
 
     /// Updates time-dependent state.
-    pub fn tick(&self) {
+    pub fn tick(self: &Rc<Self>) {
         self.log_gossip_burst();
+        self.check_lost_paths();
         let now = self.clock.now();
         let changes = self.roster.borrow_mut().tick(now);
         if !changes.is_empty() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod decide {
     pub mod attempts;
     pub mod balance;
+    pub mod carrier;
     pub mod claim;
     pub mod config_source;
     pub mod demand;
@@ -85,6 +86,7 @@
   #[rustfmt::skip]
   #[allow(clippy::pedantic, missing_docs)]
   pub mod generated_gossip;
+    pub mod hop;
     pub mod key;
     pub mod link;
     pub mod origin;
@@ -110,6 +112,7 @@
     mod buffer;
     mod channel;
     pub mod command;
+    mod detour;
     mod event;
     mod feed;
     mod follower;
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -147,6 +147,32 @@
     headers
 }
 
+/// Builds the headers of a request that another instance sends to a server; `last_event` is set if it
+/// continues the stream that began under the request's own id.
+#[must_use]
+pub fn encode_passed_on(
+    caller: &HeaderMap,
+    remaining: Duration,
+    id: &str,
+    last_event: Option<&str>,
+) -> HeaderMap {
+    let mut headers = end_to_end(caller);
+    headers.remove("content-length");
+    headers.remove("expect");
+    set(
+        &mut headers,
+        DEADLINE,
+        &remaining.as_millis().max(1).to_string(),
+    );
+    if let Some(event) = last_event {
+        set(&mut headers, LAST_EVENT, event);
+        if !headers.contains_key(RESUMES) {
+            set(&mut headers, RESUMES, id);
+        }
+    }
+    headers
+}
+
 /// Adds the header that names the worker for which a request is meant.
 pub fn set_expected_worker(headers: &mut HeaderMap, worker: &id::Worker) {
     set(headers, EXPECTED_INSTANCE, worker.as_str());
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod balance;
 mod build;
+mod carrier;
 mod config_source;
 mod fleet;
 mod forecast;
@@ -20,6 +21,7 @@
 mod platform;
 mod progress;
 mod quarantine;
+mod reach;
 mod reference;
 mod retry;
 mod roster;
--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -4,6 +4,7 @@
 use standins::platform::Platform;
 use standins::process::Process;
 use standins::worker::{Fault, Worker};
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -27,6 +28,8 @@
 pub struct Site {
     pub platform: Platform,
     pub instances: Vec<(Ipv4Addr, Process)>,
+    /// Data centres of the instances that are not in the usual one.
+    data_centres: BTreeMap<usize, &'static str>,
     folder: PathBuf,
     subnet: u8,
 }
@@ -112,6 +115,7 @@
         let mut site = Self {
             platform,
             instances: Vec::new(),
+            data_centres: BTreeMap::new(),
             folder,
             subnet,
         };
@@ -121,6 +125,12 @@
         site
     }
 
+    /// Adds an instance in another data centre.
+    pub fn add_instance_in(&mut self, data_centre: &'static str, grace_s: u64) {
+        self.data_centres.insert(self.instances.len(), data_centre);
+        self.add_instance(grace_s);
+    }
+
     pub fn add_instance(&mut self, grace_s: u64) {
         let pid = std::process::id().to_le_bytes();
         let number = u8::try_from(self.instances.len() + 1).unwrap();
@@ -146,6 +156,10 @@
         let settings = self.folder.join(format!("{name}.json"));
         let mut values = self.platform.settings(&name, ip);
         values["Bounds"]["GraceS"] = json!(grace_s);
+        let index = usize::from(ip.octets()[3]) - 1;
+        if let Some(data_centre) = self.data_centres.get(&index) {
+            values["Zone"] = json!(data_centre);
+        }
         std::fs::write(&settings, values.to_string()).unwrap();
         let path = settings.to_string_lossy().into_owned();
         let environment = [("POPLARSEAM_SETTINGS".to_owned(), path)];
