--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -11,6 +11,7 @@
 mod operators;
 mod parts;
 mod raw_server;
+mod reports;
 mod site;
 mod soak;
 mod versions;
--- a/tests/gateway_processes/raw_server.rs
+++ b/tests/gateway_processes/raw_server.rs
@@ -49,6 +49,11 @@
         self.ids.lock().unwrap().clone()
     }
 
+    /// Adds the server to a site's server list.
+    pub fn list(&self, site: &Site, name: &str, service: &str, models: &[&str]) {
+        list(site, self.address, name, service, models);
+    }
+
     /// Replaces the servers of a service in a site's server list.
     pub fn replace(&self, site: &Site, service: &str, models: &[&str]) {
         replace_servers(site, self.address, service, models);
@@ -57,14 +62,7 @@
 
 /// Replaces the servers of a service in a site's server list by one at this address.
 pub fn replace_servers(site: &Site, address: SocketAddr, service: &str, models: &[&str]) {
-    let held = models
-        .iter()
-        .map(|model| json!({"Name": model, "Version": 1, "Adapters": []}));
-    let held: Vec<_> = held.collect();
-    let entry = json!({"Service": service, "Address": address, "Zone": "north-1",
-        "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0, "Sequence": 5,
-        "Models": held, "born": 1_000});
-    site.platform.put("servers", "lookalike", &entry);
+    list(site, address, "lookalike", service, models);
     let sound = site.platform.workers();
     for worker in sound.filter(|worker| worker.service == service) {
         site.platform.unlist(worker);
@@ -79,6 +77,18 @@
     });
 }
 
+/// Adds an entry for a server at this address to a site's server list.
+fn list(site: &Site, address: SocketAddr, name: &str, service: &str, models: &[&str]) {
+    let held = models
+        .iter()
+        .map(|model| json!({"Name": model, "Version": 1, "Adapters": []}));
+    let held: Vec<_> = held.collect();
+    let entry = json!({"Service": service, "Address": address, "Zone": "north-1",
+        "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0, "Sequence": 5,
+        "Models": held, "born": 1_000});
+    site.platform.put("servers", name, &entry);
+}
+
 fn serve(
     mut stream: TcpStream,
     ids: &Mutex<Vec<String>>,
--- a/tests/gateway_processes/soak.rs
+++ b/tests/gateway_processes/soak.rs
@@ -24,6 +24,10 @@
 const INSTANCES: u8 = 4;
 const CALLER_COUNT: usize = 10;
 const FAULT_COUNT: usize = 12;
+/// Cuts of instances from all workers, in addition to these faults.
+const CUT_COUNT: usize = 2;
+/// Time after a cut in which its instances may still have others send their requests.
+const HEALING_TIME: Duration = Duration::from_millis(1_500);
 /// Faults begin within the first span; callers continue for the second one after the last fault
 /// has ended.
 const FAULT_SPAN_MS: u64 = 6_000;
@@ -41,10 +45,21 @@
     Workers(Vec<&'static str>, Fault, Duration),
     /// Faulty connections to workers or to the store.
     Links(Vec<&'static str>, Mode, Duration),
+    /// Instances without a path to any worker.
+    Cut(Vec<usize>, Mode, Duration),
     StoreDown(Duration),
     StoreSilent(Duration),
 }
 
+fn random_cut(rng: &mut SmallRng) -> FaultEvent {
+    let all: Vec<usize> = (0..usize::from(INSTANCES)).collect();
+    let count = rng.random_range(1..=all.len());
+    let instances = all.choose_multiple(rng, count).copied().collect();
+    let modes = [Mode::Cut, Mode::Reset, Mode::Closed];
+    let length = Duration::from_millis(rng.random_range(500..5_000));
+    FaultEvent::Cut(instances, *modes.choose(rng).unwrap(), length)
+}
+
 fn random_fault(rng: &mut SmallRng) -> FaultEvent {
     let target = rng.random_range(0..usize::from(INSTANCES));
     let length = Duration::from_millis(rng.random_range(100..3_000));
@@ -128,6 +143,18 @@
                 sleep(length).await;
                 set(Mode::Open);
             }
+            FaultEvent::Cut(instances, mode, length) => {
+                self.note(None, length + HEALING_TIME);
+                let set = |mode| {
+                    let site = self.site.borrow();
+                    for instance in &instances {
+                        site.platform.cut(site.instances[*instance].0, mode);
+                    }
+                };
+                set(mode);
+                sleep(length).await;
+                set(Mode::Open);
+            }
             FaultEvent::StoreDown(length) => {
                 self.site.borrow().platform.set_down(true);
                 sleep(length).await;
@@ -384,9 +411,13 @@
         .map(|caller| tokio::task::spawn_local(caller.run()))
         .collect();
     let mut fault_events = Vec::new();
-    for _ in 0..FAULT_COUNT {
+    for number in 0..FAULT_COUNT + CUT_COUNT {
         let at = Duration::from_millis(rng.random_range(0..FAULT_SPAN_MS));
-        let fault_event = random_fault(&mut rng);
+        let fault_event = if number < FAULT_COUNT {
+            random_fault(&mut rng)
+        } else {
+            random_cut(&mut rng)
+        };
         println!("seed {seed}: after {at:?} {fault_event:?}");
         let soak = Rc::clone(&soak);
         fault_events.push(tokio::task::spawn_local(async move {
