Bound rejections at servers that fall over when they reject too much

Servers say in Server-Brittle how many rejections in a second each of them bears from all instances; nobody read it. Each instance now counts the requests that a server may reject, those sent while it has no free place, and sends no more than its share; where there are more instances than rejections they take turns and use half of it. Excess is refused before it is sent. The bound holds for the whole service from any of its answers.

--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -4,6 +4,7 @@
 //! An instance knows its own workload exactly, and that of its peers as of their last gossip. It
 //! learns the speed of a server from the server's answers.
 
+use super::brittle::{self, Exposure};
 use super::limit::{Limits, Sharers, Timestamps, Usage};
 use super::notice::Notices;
 use super::retry::backoff;
@@ -16,7 +17,7 @@
 use crate::world::message::{Generation, Load, Target};
 use crate::world::site::{Service, Site};
 use crate::world::unit::{Incarnation, Rate, Tokens, float};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Round-trip times to a server in the same region and in another one, from the fact sheets of both
 /// sites.
@@ -34,6 +35,8 @@
 /// Bounds of the learned slowness of a server, relative to the average server.
 const MAX_SLOWNESS: f64 = 8.0;
 const MIN_SLOWNESS: f64 = 0.5;
+/// Time after which the load in a server's last answer says nothing about its free places.
+const REPORTED_LOAD_TTL: Duration = Duration::from_millis(500);
 /// Time after which the workload reported by a peer is ignored.
 const PEER_REPORT_TTL: Duration = Duration::from_secs(2);
 /// Mean age of a peer's report and of an aggregate report on arrival: half of the gossip interval
@@ -139,6 +142,9 @@
     /// servers; recorded while it has a rate limit.
     #[serde(skip)]
     requested: Timestamps,
+    /// Requests that the server may reject, or did.
+    #[serde(skip)]
+    exposure: Exposure,
     /// Last reported workloads of peers, with the time of the report.
     peers: BTreeMap<id::Instance, (Duration, Workload)>,
     /// Load that the server last reported in an answer, with the time of the answer.
@@ -173,6 +179,7 @@
             own: Workload::default(),
             sent: Timestamps::default(),
             requested: Timestamps::default(),
+            exposure: Exposure::default(),
             peers: BTreeMap::new(),
             reported: None,
             heard_at: None,
@@ -209,6 +216,19 @@
         fresh.map(|(peer, (_, running))| (peer, *running))
     }
 
+    /// Whether the server may have no place for one more request, as far as this instance knows.
+    fn may_be_full(&self, now: Duration) -> bool {
+        let load = self
+            .reported
+            .filter(|(at, _)| now < *at + REPORTED_LOAD_TTL);
+        let places = self.backend.places;
+        let is_full = match load {
+            Some((_, load)) => load.waiting > 0 || load.running >= places,
+            None => self.exposure.was_rejected(now),
+        };
+        is_full || self.running(now).requests >= places
+    }
+
     fn holds(&self, target: &Target) -> bool {
         let Some(adapters) = self.backend.holdings.get(&target.model) else {
             return false;
@@ -232,6 +252,9 @@
     speeds: Speeds,
     notices: Notices,
     limits: Limits,
+    bounds: brittle::Bounds,
+    /// Differs between instances, so that they don't risk rejections at the same moment.
+    stagger_seed: u64,
     sharers: Sharers,
     /// Servers for which each peer last reported a workload, with the time of the report.
     reported_servers: Map<id::Instance, (Duration, Vec<id::Worker>)>,
@@ -246,6 +269,7 @@
         Self {
             local_data_centre: deployment.data_centre.clone(),
             regions: deployment.regions.clone(),
+            stagger_seed: xxh3_64(deployment.instance.as_str().as_bytes()),
             ..Self::default()
         }
     }
@@ -324,6 +348,24 @@
         &mut self.limits
     }
 
+    /// Applies the bound on rejections that a server named in an answer, or its absence; returns whether
+    /// the bound of the service has changed.
+    pub fn on_max_rejections(
+        &mut self,
+        now: Duration,
+        service: &id::Service,
+        bound: Option<u32>,
+    ) -> bool {
+        self.bounds.on_answer(now, service, bound)
+    }
+
+    /// Records that a server rejected a request for want of room.
+    pub fn on_rejected(&mut self, now: Duration, worker: &id::Worker) {
+        if let Some(view) = self.views.get_mut(worker) {
+            view.exposure.on_rejected(now);
+        }
+    }
+
     /// Records how many instances share the rate limits of servers.
     pub fn on_sharers(&mut self, sharers: Sharers) {
         self.sharers = sharers;
@@ -500,6 +542,9 @@
             kept: need.generation.as_ref().map_or(0, kept),
             recent: 0,
         };
+        if self.bounds.bound(now, &need.service).is_some() && view.may_be_full(now) {
+            view.exposure.on_sent_at_risk(now);
+        }
         view.sent.add(now);
         view.own.requests += added.requests;
         view.own.reading_us += added.reading_us;
@@ -740,7 +785,17 @@
             let draw = xxh3_64_with_seed(id.as_str().as_bytes(), need.draw);
             usage.wait(to_unit_interval(draw))
         });
-        rest.max(wait.map(|wait| now + wait))
+        let rejection_wait = self
+            .bounds
+            .bound(now, &view.backend.service)
+            .filter(|_| view.may_be_full(now))
+            .and_then(|bound| {
+                let key = xxh3_64_with_seed(id.as_str().as_bytes(), self.stagger_seed);
+                let stagger = to_unit_interval(key);
+                view.exposure.wait(now, bound, self.sharers, stagger)
+            });
+        let waits = [wait, rejection_wait].into_iter().flatten();
+        rest.max(waits.max().map(|wait| now + wait))
     }
 
     fn choose_best(&self, now: Duration, need: &Need, views: &[&View]) -> Choice {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -238,6 +238,7 @@
         }
         if answer.outcome != Outcome::Foreign {
             traffic.on_notice(&worker, guard.boot, answer.notice);
+            traffic.on_max_rejections(&self.need.service, &worker, answer.notice);
         }
         let has_run = matches!(
             answer.outcome,
@@ -248,6 +249,7 @@
         }
         match answer.outcome {
             Outcome::Full => {
+                traffic.balance.borrow_mut().on_rejected(now, &worker);
                 traffic.balance.borrow_mut().on_unreachable(now, &worker);
                 self.recycle_connection(incoming, channel, &worker, &answer)
                     .await;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -9,7 +9,7 @@
 use crate::platform::rows;
 use crate::wire::generated_gossip::{Limit, Start};
 use crate::world::id;
-use crate::world::message::Notice;
+use crate::world::message::{MaxRejections, Notice};
 use crate::world::table::Txn;
 use crate::world::unit::{Incarnation, Rate};
 use std::rc::Rc;
@@ -73,6 +73,35 @@
         }
     }
 
+    /// Applies the number of rejections that a server said it bears, or its absence.
+    pub(super) fn on_max_rejections(
+        &self,
+        service: &id::Service,
+        worker: &id::Worker,
+        notice: Notice,
+    ) {
+        let now = self.clock.now();
+        let bound = match notice.max_rejections {
+            MaxRejections::Unstated => None,
+            MaxRejections::Stated(bound) => Some(bound),
+            MaxRejections::Unclear => {
+                self.metrics.on_limit("unclear");
+                let error = "its bound on rejections is no number";
+                let values = json!({"server": worker, "error": error});
+                self.journal.note("bad_limit", &values);
+                return;
+            }
+        };
+        let mut balance = self.balance.borrow_mut();
+        let has_changed = balance.on_max_rejections(now, service, bound);
+        drop(balance);
+        if has_changed {
+            self.metrics.on_limit("rejections");
+            let values = json!({"service": service, "server": worker, "bound": bound});
+            self.journal.note("brittle", &values);
+        }
+    }
+
     /// Applies rate limits reported by a peer.
     pub(super) fn on_peer_limits(&self, reports: &[Limit]) {
         let now = self.clock.now();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod decide {
     pub mod attempts;
     pub mod balance;
+    pub mod brittle;
     pub mod carrier;
     pub mod claim;
     pub mod config_source;
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -2,7 +2,9 @@
 
 use crate::common::*;
 use crate::world::id;
-use crate::world::message::{Answer, Generation, Load, Notice, Outcome, Part, Request, TakeUp};
+use crate::world::message::{
+    Answer, Generation, Load, MaxRejections, Notice, Outcome, Part, Request, TakeUp,
+};
 use crate::world::unit::{Rate, Tokens};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{StatusCode, request, response};
@@ -26,6 +28,8 @@
 const RETRY_AFTER: &str = "retry-after";
 /// Requests per second that a server accepts from all instances together.
 const LIMIT: &str = "server-limit";
+/// Rejections in a second beyond which a server falls over.
+const MAX_REJECTIONS: &str = "server-brittle";
 
 /// Headers that only this system may set; they are removed from callers' requests.
 const RESERVED: [&str; 9] = [
@@ -221,7 +225,7 @@
 
 /// Decodes what an answer says about the backend server itself.
 ///
-/// Of several `retry-after` headers the longest counts, of several rate limits the lowest.
+/// Of several `retry-after` headers the longest counts, of several rate limits or bounds the lowest.
 #[must_use]
 pub fn decode_notice(status: StatusCode, headers: &HeaderMap) -> Notice {
     let is_full = status == StatusCode::SERVICE_UNAVAILABLE;
@@ -235,9 +239,28 @@
         is_rest_unclear: rests.contains(&None),
         limit: readable_limits.reduce(|a, b| if b < a { b } else { a }),
         is_limit_unclear: limits.contains(&None),
+        max_rejections: decode_max_rejections(headers),
     }
 }
 
+fn decode_max_rejections(headers: &HeaderMap) -> MaxRejections {
+    let stated = headers.get_all(MAX_REJECTIONS).iter().map(parse_count);
+    let stated: Option<Vec<u32>> = stated.collect();
+    let lowest = stated.map(|stated| stated.into_iter().min());
+    match lowest {
+        Some(Some(bound)) => MaxRejections::Stated(bound),
+        Some(None) => MaxRejections::Unstated,
+        None => MaxRejections::Unclear,
+    }
+}
+
+/// Parses a number, also one with a fraction, which is dropped; `None` if it is negative or not a number.
+fn parse_count(value: &HeaderValue) -> Option<u32> {
+    let text = value.to_str().ok()?.trim();
+    let whole = text.parse::<f64>().ok().and(text.split('.').next())?;
+    whole.parse().ok()
+}
+
 /// Parses a rate in requests per second; returns `None` if it is negative or not a finite number.
 fn parse_rate(value: &HeaderValue) -> Option<Rate> {
     let rate: f64 = value.to_str().ok()?.trim().parse().ok()?;
--- a/src/world/message.rs
+++ b/src/world/message.rs
@@ -154,6 +154,18 @@
     pub limit: Option<Rate>,
     /// Whether a rate limit header could not be parsed.
     pub is_limit_unclear: bool,
+    /// Rejections in a second beyond which each server of the service falls over.
+    pub max_rejections: MaxRejections,
+}
+
+/// What an answer says of the rejections that a server bears in a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize)]
+pub enum MaxRejections {
+    #[default]
+    Unstated,
+    Stated(u32),
+    /// The header could not be parsed.
+    Unclear,
 }
 
 /// Outcome of an attempt, from the head of the answer.
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -155,6 +155,12 @@
         self.state().says = says.into_iter().collect();
     }
 
+    /// Names in all answers from now on how many rejections in a second it bears.
+    pub fn bear_rejections(&self, most: u32) {
+        let says = ("server-brittle".into(), most.to_string());
+        self.state().says = vec![says];
+    }
+
     /// Turns requests away from now on, with these values of `Retry-After`.
     pub fn turn_away(&self, rests: &[&str]) {
         let mut state = self.state();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod balance;
+mod brittle;
 mod build;
 mod carrier;
 mod config_source;
--- a/tests/gateway_processes/limits.rs
+++ b/tests/gateway_processes/limits.rs
@@ -1,6 +1,7 @@
 //! Rate limits that servers report, checked against the requests that the servers count.
 
 use super::site::{Site, exchange, request, status, wait_for};
+use standins::worker::Fault;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
@@ -133,3 +134,36 @@
         assert_eq!(status(&answer), 200, "{answer}");
     }
 }
+
+/// Rejections in a second that a server bears.
+const MAX_REJECTIONS: u32 = 4;
+
+/// Guards against servers that fall over because all instances together have them reject more than they said
+/// they bear; what is refused instead must not have run.
+#[test]
+fn servers_without_room_reject_no_more_than_they_bear() {
+    let site = start_ready_site();
+    for worker in ["p", "q"] {
+        site.platform.worker(worker).bear_rejections(MAX_REJECTIONS);
+    }
+    let warm = load(&site, "/check/x", || std::thread::sleep(SETTLE));
+    assert!(warm.iter().all(|(_, answer)| status(answer) == 200));
+    site.set_fault(&["p", "q"], Fault::TurnAway);
+    let full = Instant::now();
+    let answers = load(&site, "/issue/x", || std::thread::sleep(SETTLE + 2 * SPAN));
+    for worker in ["p", "q"] {
+        let arrivals = site.platform.worker(worker).arrivals();
+        let times = arrivals.iter().map(|(at, _)| *at).filter(|at| *at >= full);
+        let times: Vec<Instant> = times.collect();
+        for (index, start) in times.iter().enumerate() {
+            let within = times[index..].iter();
+            let within = within.take_while(|at| **at < *start + Duration::from_secs(1));
+            assert!(within.count() <= MAX_REJECTIONS as usize, "{worker}");
+        }
+    }
+    assert!(answers.iter().all(|(_, answer)| status(answer) == 503));
+    site.set_fault(&["p", "q"], Fault::None);
+    wait_for("the servers are used again", || {
+        status(&site.ask("/issue/x", "again", "")) == 200
+    });
+}
