Take a stream for stalled only when its server has sent nothing, not when its caller read nothing

Callers who read nothing for longer than a server may pause had their sound stream cut, and the server was suspected of a crash: the timer had fired while nobody polled, and was looked at before the bytes that waited.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -113,17 +113,21 @@
         if self.deadline_timer.as_mut().poll(context).is_ready() {
             return self.fail("late");
         }
-        if self.stall_timer.as_mut().poll(context).is_ready() && self.has_stalled(context) {
-            self.on_broken();
-            if !self.resume("stalled") {
-                return self.fail("stalled");
-            }
-        }
         loop {
             match &mut self.state {
                 State::Over => return Poll::Ready(None),
                 State::Reading { incoming, teardown } => {
-                    let frame = std::task::ready!(Pin::new(incoming).poll_frame(context));
+                    let Poll::Ready(frame) = Pin::new(incoming).poll_frame(context) else {
+                        let is_due = self.stall_timer.as_mut().poll(context).is_ready();
+                        if !is_due || !self.has_stalled(context) {
+                            return Poll::Pending;
+                        }
+                        self.on_broken();
+                        if !self.resume("stalled") {
+                            return self.fail("stalled");
+                        }
+                        continue;
+                    };
                     match frame {
                         Some(Ok(frame)) => {
                             if let Some(server) = &mut teardown.server {
