Let callers read nothing for 15 s before their connection ends

TCP_USER_TIMEOUT was set on connections to callers, peers, servers and the store alike, 2.5 s. As on Linux it also ends connections whose other end answers probes but has no room, so a caller that read nothing for 2.5 s got a reset in the middle of a sound stream (test: ConnectionReset in both cases of 3.5 s). Connections to callers keep their probes, and a write that is blocked for 15 s, the longest deadline of callers, ends them instead. Connections that this process opens keep the limit; it sends a request on them and reads, so that a slow reader is never its other end. Whether probes or the limit decide there, an idle connection without answers ends after 3 s, and a server that is silent for a second survives both.

--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -42,18 +42,28 @@
     }
 }
 
-/// Sets keep-alive probes and the limit on unacknowledged data, so that a silent connection is
-/// closed.
+/// Sets keep-alive probes, so that a connection on which nothing is under way is closed when the other end
+/// has vanished.
 pub(crate) fn set_keepalive(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(MAX_UNANSWERED_PROBES);
     let set = stream
         .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_keepalive(&probes))
-        .and_then(|()| socket.set_tcp_user_timeout(Some(MAX_UNACKNOWLEDGED_TIME)));
+        .and_then(|()| SockRef::from(stream).set_tcp_keepalive(&probes));
+    log_unset(set);
+}
+
+/// Sets the limit on unacknowledged data as well, which on Linux also ends connections whose keep-alive probes go
+/// unanswered for that long, whatever their number.
+fn set_limits(stream: &TcpStream) {
+    set_keepalive(stream);
+    let limit = Some(MAX_UNACKNOWLEDGED_TIME);
+    log_unset(SockRef::from(stream).set_tcp_user_timeout(limit));
+}
+
+fn log_unset(set: std::io::Result<()>) {
     if let Err(error) = set {
         log::warn!("keep-alive could not be set on a connection: {error}");
     }
@@ -81,7 +91,7 @@
 }
 
 async fn start(stream: TcpStream, address: SocketAddr) -> std::io::Result<Channel> {
-    set_keepalive(&stream);
+    set_limits(&stream);
     let head_limit = HeadLimit::default();
     let limited = LimitedStream {
         stream,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -139,6 +139,7 @@
     mod retry_budget;
     mod store;
     mod traffic;
+    mod write_limit;
 }
 
 /// The entry, placer and settings processes, whose threads pass events to `decide` and carry out
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -13,6 +13,7 @@
 mod raw_server;
 mod reports;
 mod site;
+mod slow_callers;
 mod soak;
 mod versions;
 
