Take a refused connection for the end of a server only if the path to the others is sound

Cause: each refused connection confirmed a crash, and with it the suspicion against the prompt parts that ran there; at an instance without a path all servers refuse. Now the first one still counts at once; further ones wait until another server is heard within two seconds, and count for nothing if none is.

--- a/src/decide/reach.rs
+++ b/src/decide/reach.rs
@@ -11,6 +11,8 @@
 
 /// Time after which a failed connection is no evidence any more.
 const EVIDENCE_TTL: Duration = Duration::from_secs(5);
+/// Time within which another server must be heard to show that one that refused a connection has ended.
+const DOUBT_TTL: Duration = Duration::from_secs(2);
 /// Number of servers without a path that are enough, however many servers the service has.
 const MAX_EVIDENCE: usize = 6;
 /// Number of servers that must accept a connection before the path counts as restored.
@@ -33,6 +35,9 @@
 struct Path {
     /// Servers that accepted no connection since another one did, with the time of the last failure.
     unreached: BTreeMap<id::Worker, Duration>,
+    /// Servers that refused a connection while others could not be reached either: they have ended, or the path
+    /// is lost.
+    doubtful: BTreeMap<id::Worker, Duration>,
     lost_at: Option<Duration>,
     /// Servers that accepted a connection since the path was lost.
     restored: BTreeSet<id::Worker>,
@@ -93,9 +98,45 @@
         }
         path.lost_at = Some(now);
         path.checked_at = Some(now);
+        path.doubtful.clear();
         Some(Change::Lost)
     }
 
+    /// Records that a server refused a connection, after [`Self::on_unreached`]; returns whether that means that the
+    /// server has ended.
+    pub fn on_refused(
+        &mut self,
+        now: Duration,
+        service: &id::Service,
+        worker: &id::Worker,
+    ) -> bool {
+        let path = self.path(service);
+        let is_alone = path.unreached.keys().all(|unreached| unreached == worker);
+        if !is_alone && path.lost_at.is_none() {
+            path.doubtful.insert(worker.clone(), now);
+        }
+        is_alone
+    }
+
+    /// Returns the servers that have ended after all, since another one, `heard`, is in reach.
+    pub fn take_ended(
+        &mut self,
+        now: Duration,
+        service: &id::Service,
+        heard: &id::Worker,
+    ) -> Vec<id::Worker> {
+        let path = self.path(service);
+        if path.doubtful.is_empty() {
+            return Vec::new();
+        }
+        let still_doubtful = path.doubtful.remove_entry(heard);
+        let ended = std::mem::take(&mut path.doubtful).into_iter();
+        let ended = ended.filter(|(_, at)| now < *at + DOUBT_TTL);
+        let ended = ended.map(|(worker, _)| worker).collect();
+        path.doubtful.extend(still_doubtful);
+        ended
+    }
+
     /// Whether this instance has no path to the servers of a service.
     #[must_use]
     pub fn is_lost(&self, service: &id::Service) -> bool {
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -190,7 +190,7 @@
             .inspect_err(|error| {
                 self.traffic.on_unreached(&self.need.service, worker);
                 if error.kind() == ErrorKind::ConnectionRefused {
-                    self.traffic.on_ended(worker);
+                    self.traffic.on_refused(&self.need.service, worker);
                 }
                 self.note(
                     "unreachable",
--- a/src/gateway/paths.rs
+++ b/src/gateway/paths.rs
@@ -12,12 +12,30 @@
         let now = self.clock.now();
         self.balance.borrow_mut().on_heard(now, worker);
         self.reach.borrow_mut().on_heard(now, service);
+        self.confirm_ends(now, service, worker);
+    }
+
+    /// Records that a server refused a connection: it has ended, unless the path to the whole service is in doubt.
+    pub fn on_refused(&self, service: &id::Service, worker: &id::Worker) {
+        let now = self.clock.now();
+        let has_ended = self.reach.borrow_mut().on_refused(now, service, worker);
+        if has_ended {
+            self.on_ended(worker);
+        }
+    }
+
+    fn confirm_ends(&self, now: Duration, service: &id::Service, heard: &id::Worker) {
+        let ended = self.reach.borrow_mut().take_ended(now, service, heard);
+        for worker in ended {
+            self.on_ended(&worker);
+        }
     }
 
     /// Records that a server accepted a connection and did not close it at once.
     pub fn on_connected(&self, service: &id::Service, worker: &id::Worker) {
         let now = self.clock.now();
         self.balance.borrow_mut().on_heard(now, worker);
+        self.confirm_ends(now, service, worker);
         let server_count = self.servers(service).len();
         let lost_for = self.reach.borrow().lost_for(now, service);
         let change = self
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -75,15 +75,19 @@
                 Ok(channel) if !channel.is_closed() => {
                     traffic.on_connected(&service, &worker);
                     traffic.pool_connection(&service, &worker, channel, None);
-                    return;
                 }
-                Ok(_closed) => log::info!("server {worker} closes new connections at once"),
-                Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-                    traffic.on_ended(&worker);
+                Ok(_closed) => {
+                    traffic.on_unreached(&service, &worker);
+                    log::info!("server {worker} closes new connections at once");
+                }
+                Err(error) => {
+                    traffic.on_unreached(&service, &worker);
+                    log::info!("server {worker} could not be checked: {error}");
+                    if error.kind() == ErrorKind::ConnectionRefused {
+                        traffic.on_refused(&service, &worker);
+                    }
                 }
-                Err(error) => log::info!("server {worker} could not be checked: {error}"),
             }
-            traffic.on_unreached(&service, &worker);
         });
     }
 
--- a/tests/gateway/reach.rs
+++ b/tests/gateway/reach.rs
@@ -124,3 +124,36 @@
     let checks = reach.checks_after_silence(ms(1_400), &service(), &servers);
     assert_eq!(checks, [], "checks are spaced");
 }
+
+/// Guards against servers that look as if they had crashed, and their requests as if they crashed servers, because
+/// the path to all of them was reset.
+#[test]
+fn refused_connections_are_no_ends_of_servers_when_the_path_is_lost() {
+    let mut reach = Reach::default();
+    let mut ended = Vec::new();
+    for (at, server) in servers(12).iter().enumerate() {
+        let now = ms(at as u64);
+        reach.on_unreached(now, &service(), server, 12);
+        if reach.on_refused(now, &service(), server) {
+            ended.push(server.clone());
+        }
+    }
+    assert!(reach.is_lost(&service()));
+    reach.on_connected(&service(), &worker("s0"), 12);
+    ended.extend(reach.take_ended(ms(500), &service(), &worker("s0")));
+    assert_eq!(ended, [worker("s0")], "the first one only");
+}
+
+#[test]
+fn refused_connections_are_ends_of_servers_when_others_are_heard() {
+    let mut reach = Reach::default();
+    for name in ["s0", "s1", "s2"] {
+        reach.on_unreached(ms(0), &service(), &worker(name), 12);
+    }
+    assert!(!reach.on_refused(ms(0), &service(), &worker("s1")));
+    assert!(!reach.on_refused(ms(0), &service(), &worker("s2")));
+    let ended = reach.take_ended(ms(10), &service(), &worker("s2"));
+    assert_eq!(ended, [worker("s1")], "what is heard from has not ended");
+    let ended = reach.take_ended(ms(5_000), &service(), &worker("s3"));
+    assert_eq!(ended, [], "too long ago");
+}
