--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -8,7 +8,7 @@
 use super::origins::Binding;
 use super::reply;
 use super::traffic::Traffic;
-use super::write_limit::LimitedStream;
+use super::write_limit;
 use crate::common::*;
 use crate::decide::attempts::Attempts;
 use crate::decide::balance::Need;
@@ -107,7 +107,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
         .max_buf_size(head + HEAD_SLACK_BYTES)
-        .serve_connection(TokioIo::new(LimitedStream::new(stream)), answer);
+        .serve_connection(TokioIo::new(write_limit::Stream::new(stream)), answer);
     let mut served = std::pin::pin!(served);
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
--- a/src/gateway/write_limit.rs
+++ b/src/gateway/write_limit.rs
@@ -16,13 +16,13 @@
 const MAX_BLOCKED_TIME: Duration = Duration::from_secs(15);
 
 /// A connection to a caller.
-pub struct LimitedStream {
+pub struct Stream {
     stream: TcpStream,
     /// Runs while a write is blocked.
     limit: Option<Pin<Box<Sleep>>>,
 }
 
-impl LimitedStream {
+impl Stream {
     pub fn new(stream: TcpStream) -> Self {
         Self {
             stream,
@@ -48,7 +48,7 @@
     }
 }
 
-impl AsyncRead for LimitedStream {
+impl AsyncRead for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -58,7 +58,7 @@
     }
 }
 
-impl AsyncWrite for LimitedStream {
+impl AsyncWrite for Stream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
