Test that a server which is silent for a second loses nothing

All four kinds of requests, with one server of each service silent for 1.2 s: every answer is whole, calls run once, no crash is counted.

--- a/standins/src/link.rs
+++ b/standins/src/link.rs
@@ -28,6 +28,8 @@
     Silent,
     /// Nothing arrives from the far end, and what was open then never comes back.
     Mute,
+    /// Nothing arrives until this ends, and nothing is lost.
+    Paused,
     /// What was open never comes back, and new connections are reset.
     Cut,
     /// What was open lives on, and new connections are reset.
@@ -146,6 +148,12 @@
         if mode == Mode::Reset {
             return true;
         }
+        if mode == Mode::Paused {
+            match modes.changed().await {
+                Ok(()) => continue,
+                Err(_) => return false,
+            }
+        }
         if silent.contains(&mode) {
             std::future::pending::<()>().await;
         }
@@ -162,6 +170,11 @@
         if let Mode::Delayed(time) = mode {
             sleep(time).await;
         }
+        while modes.borrow_and_update().mode(source) == Mode::Paused {
+            if modes.changed().await.is_err() {
+                return false;
+            }
+        }
         if to.write_all(&buffer[..length]).await.is_err() {
             return false;
         }
--- a/tests/gateway_processes/cuts.rs
+++ b/tests/gateway_processes/cuts.rs
@@ -11,6 +11,8 @@
 
 /// Time after the beginning of a cut from which its instances must serve like the others.
 const STABLE_WINDOW: Duration = Duration::from_secs(4);
+/// How long a sound server may be silent.
+const SILENCE: Duration = Duration::from_millis(1_200);
 /// Time within which a server must hear that a caller left.
 const MAX_CLOSE_DELAY: Duration = Duration::from_millis(500);
 /// First tries of each kind that are counted at each instance.
@@ -220,3 +222,40 @@
     assert_eq!(status(&answer.unwrap()), 400);
     assert_eq!(site.run_count("r2"), 0);
 }
+
+/// Guards against a sound server that falls silent for a second being taken for one that has ended, and against
+/// requests there that are lost, cut or run twice.
+#[test]
+fn a_server_that_is_silent_for_a_second_loses_nothing() {
+    let site = linked_site(2);
+    let (address, started_at) = (site.callers(0), Instant::now());
+    let callers = KINDS.map(|(route, model)| {
+        std::thread::spawn(move || {
+            let mut answers = Vec::new();
+            while started_at.elapsed() < 3 * SILENCE {
+                let id = format!("{route}-{}", answers.len());
+                let text = request(&format!("/{route}/x"), &id, model);
+                answers.push((id, exchange(address, &text).unwrap_or_default()));
+            }
+            answers
+        })
+    });
+    std::thread::sleep(SILENCE / 2);
+    for worker in ["b", "p"] {
+        site.platform.disturb(worker, Mode::Paused);
+    }
+    std::thread::sleep(SILENCE);
+    for worker in ["b", "p"] {
+        site.platform.disturb(worker, Mode::Open);
+    }
+    for (id, answer) in callers.into_iter().flat_map(|it| it.join().unwrap()) {
+        assert!(is_served(&id, &answer), "{id}: {answer}");
+        if !id.starts_with("check") && !id.starts_with("long") {
+            assert_eq!(site.run_count(&id), 1, "{id}");
+        }
+    }
+    assert_eq!(
+        site.counter(0, "poplarseam_crashes_total{outcome=\"confirmed\"}"),
+        0
+    );
+}
