--- a/src/decide/reach.rs
+++ b/src/decide/reach.rs
@@ -125,10 +125,10 @@
         service: &id::Service,
         heard: &id::Worker,
     ) -> Vec<id::Worker> {
-        let path = self.path(service);
-        if path.doubtful.is_empty() {
+        let path = self.paths.get_mut(service);
+        let Some(path) = path.filter(|path| !path.doubtful.is_empty()) else {
             return Vec::new();
-        }
+        };
         let still_doubtful = path.doubtful.remove_entry(heard);
         let ended = std::mem::take(&mut path.doubtful).into_iter();
         let ended = ended.filter(|(_, at)| now < *at + DOUBT_TTL);
