--- a/review/rig/src/config.rs
+++ b/review/rig/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::Record;
 use crate::http::{self, Reply, Request};
-use crate::machines::{FRONTEND, Machines, READY};
+use crate::machines::{FRONTEND, Machines};
 use crate::store::Store;
 use serde_json::{Value, json};
 use std::io;
@@ -15,7 +15,7 @@
 const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 /// `MaxSkewMs`: the page grants as much again while the core isn't stable. It is stable here; the script
 /// grants it all the same.
-const MAX_SKEW: Duration = Duration::from_millis(6_000);
+const MAX_SKEW: Duration = Duration::from_secs(6);
 /// Machines to which the store doesn't respond: two of eight, a share of 0.25.
 const UNANSWERED: [usize; 2] = [0, 1];
 const MACHINES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
@@ -106,7 +106,7 @@
     for machine in 0..MACHINES.len() {
         machines.start(machine)?;
     }
-    wait_until_ready(&machines)?;
+    machines.wait_until_ready()?;
     sleep(Duration::from_secs(10));
     for (key, value) in store.read("poplarseam", "lease.") {
         record.note(&format!("{key} is held by {}", value["instance"]));
@@ -149,26 +149,6 @@
     Ok(broken == 0)
 }
 
-fn wait_until_ready(machines: &Machines) -> io::Result<()> {
-    let head = "GET /v1/readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
-    for _ in 0..100 {
-        let mut ready = machines.all.iter().map(|machine| {
-            let answer = http::exchange(
-                (machine.ip, READY).into(),
-                head,
-                b"",
-                Duration::from_secs(1),
-            );
-            answer.is_ok_and(|answer| answer.status == 200)
-        });
-        if ready.all(|is_ready| is_ready) {
-            return Ok(());
-        }
-        sleep(Duration::from_millis(200));
-    }
-    Err(io::Error::other("the machines aren't ready"))
-}
-
 /// How a request was handled.
 struct Handled {
     sent_at: Duration,
--- a/review/rig/src/machines.rs
+++ b/review/rig/src/machines.rs
@@ -1,11 +1,14 @@
 //! The project's own program on several machines, each with a loopback address.
 
+use crate::http;
 use serde_json::{Value, json};
 use std::fs::{self, File};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::thread::sleep;
+use std::time::Duration;
 
 pub const FRONTEND: u16 = 8149;
 pub const READY: u16 = 8141;
@@ -29,13 +32,13 @@
 fn free_network(count: u8) -> io::Result<[u8; 3]> {
     let seed = std::process::id();
     for offset in 0..200_u32 {
-        let [a, b, ..] = (seed.wrapping_add(offset * 7)).to_le_bytes();
-        let network = [127, 20 + a % 200, b % 250];
+        let [low, high, ..] = (seed.wrapping_add(offset * 7)).to_le_bytes();
+        let network = [127, 20 + low % 200, high % 250];
         let mut ports = (1..=count)
             .flat_map(|host| [FRONTEND, READY, INTERNAL, INTERNAL + 1].map(|port| (host, port)));
         let is_free = ports.all(|(host, port)| {
-            let [x, y, z] = network;
-            TcpListener::bind((Ipv4Addr::new(x, y, z, host), port)).is_ok()
+            let [first, second, third] = network;
+            TcpListener::bind((Ipv4Addr::new(first, second, third, host), port)).is_ok()
         });
         if is_free {
             return Ok(network);
@@ -49,14 +52,15 @@
     pub fn new(root: &Path, names: &[(&str, &str)], stores: &[SocketAddr]) -> io::Result<Self> {
         let folder = std::env::temp_dir().join(format!("poplarseam-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        let [x, y, z] = free_network(u8::try_from(names.len()).map_err(io::Error::other)?)?;
+        let [first, second, third] =
+            free_network(u8::try_from(names.len()).map_err(io::Error::other)?)?;
         let machines = names
             .iter()
             .zip(stores)
             .zip(1..)
             .map(|(((name, zone), store), host)| Machine {
                 name: (*name).into(),
-                ip: Ipv4Addr::new(x, y, z, host),
+                ip: Ipv4Addr::new(first, second, third, host),
                 zone: (*zone).into(),
                 store: *store,
                 child: None,
@@ -116,6 +120,23 @@
         Ok(())
     }
 
+    /// Waits until all machines say that they are ready.
+    pub fn wait_until_ready(&self) -> io::Result<()> {
+        let head = "GET /v1/readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+        for _ in 0..100 {
+            let mut ready = self.all.iter().map(|machine| {
+                let address = (machine.ip, READY).into();
+                let answer = http::exchange(address, head, b"", Duration::from_secs(1));
+                answer.is_ok_and(|answer| answer.status == 200)
+            });
+            if ready.all(|is_ready| is_ready) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(200));
+        }
+        Err(io::Error::other("the machines aren't ready"))
+    }
+
     /// Kills a machine's program.
     pub fn kill(&mut self, index: usize) {
         if let Some(mut child) = self.all[index].child.take() {
@@ -123,12 +144,6 @@
             let _ = child.wait();
         }
     }
-
-    #[allow(dead_code)]
-    pub fn log(&self, index: usize) -> String {
-        let path = self.folder.join(format!("{}.log", self.all[index].name));
-        fs::read_to_string(path).unwrap_or_default()
-    }
 }
 
 impl Drop for Machines {
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod http;
+mod limit;
 mod machines;
 mod store;
 
@@ -52,6 +53,7 @@
     let folder = Path::new(folder);
     let held = Record::new(folder).and_then(|record| match case.as_str() {
         "config" => config::play(record, has_trouble),
+        "limit" => limit::play(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     });
     match held {
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -22,6 +22,7 @@
     version: u64,
     /// Machines whose calls get no answer.
     unanswered: BTreeSet<usize>,
+    is_down: bool,
     /// Time that each answer takes.
     delay: Duration,
 }
@@ -55,9 +56,19 @@
         self.state().unanswered = machines.iter().copied().collect();
     }
 
-    #[allow(dead_code)]
-    pub fn set_delay(&self, delay: Duration) {
-        self.state().delay = delay;
+    fn is_unanswered(&self, machine: usize) -> bool {
+        let state = self.state();
+        state.is_down || state.unanswered.contains(&machine)
+    }
+
+    /// Leaves all calls without an answer and without effect, those of servers included, or answers
+    /// new ones again.
+    pub fn set_down(&self, is_down: bool) {
+        self.state().is_down = is_down;
+    }
+
+    pub fn is_down(&self) -> bool {
+        self.state().is_down
     }
 
     /// Writes a row as the operator or a server does; the return is the acknowledgement.
@@ -90,6 +101,9 @@
     /// Answers a call of a machine.
     pub fn answer(&self, machine: usize, request: &Request) -> Reply {
         let delay = self.state().delay;
+        if self.is_unanswered(machine) {
+            return Reply::Silence;
+        }
         let answer = match request.path.as_str() {
             "/v1/rows-tx" => {
                 self.transaction(&serde_json::from_slice(&request.body).unwrap_or_default())
@@ -99,7 +113,7 @@
             _ => (404, json!({})),
         };
         thread::sleep(delay);
-        if self.state().unanswered.contains(&machine) {
+        if self.is_unanswered(machine) {
             return Reply::Silence;
         }
         let headers = vec![("content-type", "application/json".to_owned())];
