--- a/review/rig/src/config.rs
+++ b/review/rig/src/config.rs
@@ -1,4 +1,5 @@
-//! A configuration changes while the store answers neither of two machines.
+//! A configuration changes while the store answers neither of two machines, or after it has come back
+//! from an old copy.
 
 use crate::Record;
 use crate::http::{self, Reply, Request};
@@ -8,7 +9,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::thread::sleep;
+use std::thread::{self, sleep};
 use std::time::Duration;
 
 const HOST: &str = "ficu95.example";
@@ -20,6 +21,24 @@
 const UNANSWERED: [usize; 2] = [0, 1];
 const MACHINES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 
+/// The store is away for a moment and comes back from a copy some seconds old.
+const COPY_AGE: Duration = Duration::from_secs(8);
+/// Time between the last configuration before that and the absence, and between the return and the time
+/// at which the operator has written that configuration again.
+const LAST_CHANGE: Duration = Duration::from_millis(1_500);
+const REWRITE_AFTER: Duration = Duration::from_millis(500);
+const AWAY: Duration = Duration::from_secs(1);
+/// `StableWindowMs`, and a little more.
+const STABLE_AFTER: Duration = Duration::from_millis(4_500);
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// What happens before the configuration changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    Unanswered,
+    OldCopy,
+}
+
 fn route(name: &str, service: &str) -> Value {
     json!({"Name": name, "Hostname": HOST, "PathPrefix": format!("/{name}/"), "Type": "safe",
         "TimeoutMs": 1200, "TargetLatencyMs": 200, "Priority": 2, "Service": service,
@@ -62,7 +81,7 @@
     Ok(address)
 }
 
-pub fn play(record: Record, has_trouble: bool) -> io::Result<bool> {
+pub fn play(record: Record, trouble: Trouble, has_trouble: bool) -> io::Result<bool> {
     let record = Arc::new(record);
     let store = Arc::new(Store::new());
     let mut stores = Vec::new();
@@ -86,6 +105,16 @@
             "Version": "v1", "Slots": 6, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1,
             "born": 1_779_413_999_092_u64});
         store.write("servers", id, Some(&entry));
+        let (store, mut entry) = (Arc::clone(&store), entry);
+        thread::spawn(move || {
+            for count in 2_u64.. {
+                sleep(HEARTBEAT);
+                entry["Sequence"] = json!(count);
+                if !store.is_down() {
+                    store.write("servers", id, Some(&entry));
+                }
+            }
+        });
     }
     let first = [
         route("moved", "old"),
@@ -114,6 +143,7 @@
     let mut probe = Probe {
         record: &record,
         machines: &machines,
+        asked: (0..MACHINES.len()).collect(),
         count: 0,
     };
     if probe.round(Duration::ZERO).iter().any(|it| !it.is_first) {
@@ -121,12 +151,46 @@
             "the first configuration isn't in force everywhere",
         ));
     }
-    if has_trouble {
-        store.set_unanswered(&UNANSWERED);
-        let names = UNANSWERED.map(|it| machines.all[it].name.clone());
-        record.note(&format!("the store no longer responds to {names:?}"));
-    }
-    sleep(Duration::from_secs(1));
+    let asked: Vec<usize> = match trouble {
+        Trouble::Unanswered => {
+            if has_trouble {
+                store.set_unanswered(&UNANSWERED);
+                let names = UNANSWERED.map(|it| machines.all[it].name.clone());
+                record.note(&format!("the store no longer responds to {names:?}"));
+            }
+            sleep(Duration::from_secs(1));
+            let all = 0..MACHINES.len();
+            all.filter(|it| !UNANSWERED.contains(it)).collect()
+        }
+        Trouble::OldCopy => {
+            let copy = store.copy();
+            sleep(COPY_AGE - LAST_CHANGE);
+            store.write("op", "config", Some(&config(11, &first)));
+            record
+                .note("the store acknowledges the configuration with version 11, the same routes");
+            sleep(LAST_CHANGE);
+            store.set_down(has_trouble);
+            record.note(if has_trouble {
+                "the store is away"
+            } else {
+                "nothing happens"
+            });
+            sleep(AWAY);
+            if has_trouble {
+                store.return_from(&copy);
+                record.note(&format!(
+                    "the store is back from a copy {:?} old",
+                    COPY_AGE + AWAY
+                ));
+            }
+            sleep(REWRITE_AFTER);
+            store.write("op", "config", Some(&config(11, &first)));
+            record.note("the operator has written version 11 again");
+            sleep(STABLE_AFTER - REWRITE_AFTER);
+            (0..MACHINES.len()).collect()
+        }
+    };
+    probe.asked = asked;
     let second = [
         route("moved", "new"),
         route("kept", "old"),
@@ -156,18 +220,19 @@
     is_first: bool,
 }
 
-/// Sends requests to the machines that the store answers all the while.
+/// Sends requests to the machines in touch.
 struct Probe<'a> {
     record: &'a Record,
     machines: &'a Machines,
+    /// Machines that are asked.
+    asked: Vec<usize>,
     count: u32,
 }
 
 impl Probe<'_> {
     fn round(&mut self, acked_at: Duration) -> Vec<Handled> {
-        let in_touch = (0..MACHINES.len()).filter(|it| !UNANSWERED.contains(it));
-        let asked =
-            in_touch.flat_map(|machine| ["moved", "dropped", "added"].map(|it| (machine, it)));
+        let asked = self.asked.clone().into_iter();
+        let asked = asked.flat_map(|machine| ["moved", "dropped", "added"].map(|it| (machine, it)));
         asked
             .map(|(machine, name)| self.ask(machine, name, acked_at))
             .collect()
--- a/review/rig/src/limit.rs
+++ b/review/rig/src/limit.rs
@@ -268,6 +268,9 @@
             let is_ending = elapsed >= next_outage + OUTAGE;
             if store.is_down() == is_ending {
                 store.set_down(!is_ending);
+                if !is_ending {
+                    cut_count = cut_some(&workers, cut_count, &record);
+                }
                 record.note(if is_ending {
                     "the store answers again"
                 } else {
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -52,7 +52,8 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = Path::new(folder);
     let held = Record::new(folder).and_then(|record| match case.as_str() {
-        "config" => config::play(record, has_trouble),
+        "config" => config::play(record, config::Trouble::Unanswered, has_trouble),
+        "old-copy" => config::play(record, config::Trouble::OldCopy, has_trouble),
         "limit" => limit::play(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     });
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -23,10 +23,15 @@
     /// Machines whose calls get no answer.
     unanswered: BTreeSet<usize>,
     is_down: bool,
+    /// Counts the returns from an old copy.
+    era: u64,
     /// Time that each answer takes.
     delay: Duration,
 }
 
+/// All rows as of some time, and the newest version then.
+pub struct Copy(BTreeMap<(String, String), Row>, u64);
+
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
@@ -67,6 +72,21 @@
         self.state().is_down = is_down;
     }
 
+    /// Takes a copy of all rows.
+    pub fn copy(&self) -> Copy {
+        let state = self.state();
+        Copy(state.rows.clone(), state.version)
+    }
+
+    /// Comes back from a copy: what was written since is gone, and versions are given out again.
+    pub fn return_from(&self, copy: &Copy) {
+        let mut state = self.state();
+        state.rows.clone_from(&copy.0);
+        state.version = copy.1;
+        state.era += 1;
+        state.is_down = false;
+    }
+
     pub fn is_down(&self) -> bool {
         self.state().is_down
     }
@@ -116,7 +136,11 @@
         if self.is_unanswered(machine) {
             return Reply::Silence;
         }
-        let headers = vec![("content-type", "application/json".to_owned())];
+        let era = self.state().era.to_string();
+        let headers = vec![
+            ("content-type", "application/json".to_owned()),
+            ("store-era", era),
+        ];
         Reply::Answer(answer.0, headers, answer.1.to_string().into_bytes())
     }
 
@@ -197,6 +221,9 @@
         loop {
             let rows = Self::rows(&state, &table, |_, row| row.version > after);
             let now = Instant::now();
+            if after > state.version {
+                return (410, json!({"Ver": state.version, "NowMs": self.now_ms()}));
+            }
             if !rows.is_empty() || now >= until || state.unanswered.contains(&machine) {
                 let body = json!({"Rows": rows, "HasMore": false, "Ver": state.version, "NowMs": self.now_ms()});
                 return (200, body);
