--- a/review/rig/src/config.rs
+++ b/review/rig/src/config.rs
@@ -94,28 +94,7 @@
             Arc::new(move |request| store.answer(machine, &request)),
         );
     }
-    for (id, service) in [
-        ("i-1", "old"),
-        ("i-2", "old"),
-        ("i-3", "new"),
-        ("i-4", "new"),
-    ] {
-        let address = serve(&record, id, service)?;
-        let entry = json!({"Service": service, "Address": address, "Zone": "north-a",
-            "Version": "v1", "Slots": 6, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1,
-            "born": 1_779_413_999_092_u64});
-        store.write("servers", id, Some(&entry));
-        let (store, mut entry) = (Arc::clone(&store), entry);
-        thread::spawn(move || {
-            for count in 2_u64.. {
-                sleep(HEARTBEAT);
-                entry["Sequence"] = json!(count);
-                if !store.is_down() {
-                    store.write("servers", id, Some(&entry));
-                }
-            }
-        });
-    }
+    list_servers(&store, &record)?;
     let first = [
         route("moved", "old"),
         route("dropped", "old"),
@@ -151,7 +130,66 @@
             "the first configuration isn't in force everywhere",
         ));
     }
-    let asked: Vec<usize> = match trouble {
+    probe.asked = disturb(trouble, has_trouble, &store, &machines, &record, &first);
+    let second = [
+        route("moved", "new"),
+        route("kept", "old"),
+        route("added", "old"),
+    ];
+    store.write("op", "config", Some(&config(13, &second)));
+    let acked_at = record.now();
+    record.note("the store acknowledges the configuration with version 13");
+    let mut broken = 0;
+    while record.now() < acked_at + Duration::from_secs(32) {
+        for it in probe.round(acked_at) {
+            broken += u32::from(it.is_first && it.sent_at > acked_at + CONFIG_APPLY + MAX_SKEW);
+        }
+        sleep(Duration::from_secs(1));
+    }
+    record.note(&format!(
+        "{broken} requests at machines in touch, sent later than ConfigApplyMs + MaxSkewMs after \
+         the ack, were handled as only the older version allows"
+    ));
+    Ok(broken == 0)
+}
+
+/// Starts the servers and keeps their entries in the store.
+fn list_servers(store: &Arc<Store>, record: &Arc<Record>) -> io::Result<()> {
+    for (id, service) in [
+        ("i-1", "old"),
+        ("i-2", "old"),
+        ("i-3", "new"),
+        ("i-4", "new"),
+    ] {
+        let address = serve(record, id, service)?;
+        let entry = json!({"Service": service, "Address": address, "Zone": "north-a",
+            "Version": "v1", "Slots": 6, "State": "ready", "ColdRemainingMs": 0, "Sequence": 1,
+            "born": 1_779_413_999_092_u64});
+        store.write("servers", id, Some(&entry));
+        let (store, mut entry) = (Arc::clone(store), entry);
+        thread::spawn(move || {
+            for count in 2_u64.. {
+                sleep(HEARTBEAT);
+                entry["Sequence"] = json!(count);
+                if !store.is_down() {
+                    store.write("servers", id, Some(&entry));
+                }
+            }
+        });
+    }
+    Ok(())
+}
+
+/// Brings the trouble about, and returns the machines that are in touch afterwards.
+fn disturb(
+    trouble: Trouble,
+    has_trouble: bool,
+    store: &Store,
+    machines: &Machines,
+    record: &Record,
+    first: &[Value],
+) -> Vec<usize> {
+    match trouble {
         Trouble::Unanswered => {
             if has_trouble {
                 store.set_unanswered(&UNANSWERED);
@@ -164,8 +202,8 @@
         }
         Trouble::OldCopy => {
             let copy = store.copy();
-            sleep(COPY_AGE - LAST_CHANGE);
-            store.write("op", "config", Some(&config(11, &first)));
+            sleep(COPY_AGE.saturating_sub(LAST_CHANGE));
+            store.write("op", "config", Some(&config(11, first)));
             record
                 .note("the store acknowledges the configuration with version 11, the same routes");
             sleep(LAST_CHANGE);
@@ -184,33 +222,12 @@
                 ));
             }
             sleep(REWRITE_AFTER);
-            store.write("op", "config", Some(&config(11, &first)));
+            store.write("op", "config", Some(&config(11, first)));
             record.note("the operator has written version 11 again");
-            sleep(STABLE_AFTER - REWRITE_AFTER);
+            sleep(STABLE_AFTER.saturating_sub(REWRITE_AFTER));
             (0..MACHINES.len()).collect()
         }
-    };
-    probe.asked = asked;
-    let second = [
-        route("moved", "new"),
-        route("kept", "old"),
-        route("added", "old"),
-    ];
-    store.write("op", "config", Some(&config(13, &second)));
-    let acked_at = record.now();
-    record.note("the store acknowledges the configuration with version 13");
-    let mut broken = 0;
-    while record.now() < acked_at + Duration::from_secs(32) {
-        for it in probe.round(acked_at) {
-            broken += u32::from(it.is_first && it.sent_at > acked_at + CONFIG_APPLY + MAX_SKEW);
-        }
-        sleep(Duration::from_secs(1));
     }
-    record.note(&format!(
-        "{broken} requests at machines in touch, sent later than ConfigApplyMs + MaxSkewMs after \
-         the ack, were handled as only the older version allows"
-    ));
-    Ok(broken == 0)
 }
 
 /// How a request was handled.
--- a/review/rig/src/http.rs
+++ b/review/rig/src/http.rs
@@ -79,7 +79,7 @@
             Reply::Answer(status, headers, body) => {
                 let mut head = format!("HTTP/1.1 {status} x\r\ncontent-length: {}\r\n", body.len());
                 for (name, value) in headers {
-                    head += &format!("{name}: {value}\r\n");
+                    head.extend([name, ": ", &value, "\r\n"]);
                 }
                 writer.write_all(&[head.as_bytes(), b"\r\n", &body].concat())?;
             }
@@ -178,13 +178,12 @@
     let status = line.split(' ').nth(1).and_then(|code| code.parse().ok());
     let status = status.ok_or_else(|| io::Error::other("no answer"))?;
     let headers = read_headers(&mut reader)?;
-    let body = match read_body(&mut reader, &headers)? {
-        Some(body) => body,
-        None => {
-            let mut body = Vec::new();
-            reader.read_to_end(&mut body)?;
-            body
-        }
+    let mut rest = Vec::new();
+    let body = if let Some(body) = read_body(&mut reader, &headers)? {
+        body
+    } else {
+        reader.read_to_end(&mut rest)?;
+        rest
     };
     Ok(Answer { status, body })
 }
--- a/review/rig/src/limit.rs
+++ b/review/rig/src/limit.rs
@@ -1,5 +1,5 @@
-//! The store is down for some seconds while demand moves between models; workers check that they are
-//! never ordered to load more than they hold.
+//! Model workers while demand moves between models. They check that they are never ordered to load more
+//! than they hold, and that no order bears a fencing token that another holder has used, or a lower one.
 
 use crate::Record;
 use crate::http::{self, Reply, Request};
@@ -32,13 +32,13 @@
 const ASKED_MODELS: usize = 12;
 const SHIFT_INTERVAL: Duration = Duration::from_millis(350);
 const FIRST_OUTAGE: Duration = Duration::from_secs(8);
-const OUTAGE: Duration = Duration::from_millis(5_200);
-const OUTAGE_INTERVAL: Duration = Duration::from_millis(11_500);
+const OUTAGE: Duration = Duration::from_millis(5_600);
+const OUTAGE_INTERVAL: Duration = Duration::from_secs(11);
 /// Workers that can't reach the store for some time around the end of an outage: a share of 0.17.
 const CUT_WORKERS: usize = 3;
-const CUT_FROM: Duration = Duration::from_millis(3_500);
+const CUT_FROM: Duration = Duration::from_millis(4_500);
 const CUT: Duration = Duration::from_secs(5);
-const LENGTH: Duration = Duration::from_secs(100);
+const LENGTH: Duration = Duration::from_secs(102);
 
 /// What a worker holds from some time on.
 #[derive(Debug, Clone)]
@@ -58,8 +58,27 @@
     record: Arc<Record>,
     /// When the worker can reach the store again.
     cut_until: Mutex<Instant>,
-    /// Set when any worker was ordered to load more than it holds.
-    is_overloaded: Arc<AtomicBool>,
+    /// Highest fencing token of an order, and its holder.
+    last_fence: Mutex<(u64, String)>,
+    broken: Arc<Broken>,
+}
+
+/// What any worker has found.
+#[derive(Debug, Default)]
+struct Broken {
+    /// One was ordered to load more than it holds.
+    limit: AtomicBool,
+    /// One got an order with the token of another holder, or with a lower one.
+    one: AtomicBool,
+}
+
+/// What happens meanwhile.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// The store is down again and again, and some workers can't reach it for a little longer.
+    Outages,
+    /// The store leaves a holder without a response for some seconds, and comes back from an old copy later.
+    OldCopy,
 }
 
 impl Worker {
@@ -100,6 +119,7 @@
     fn order(&self, order: &Value) -> u16 {
         let now = Instant::now();
         let step = self.at(now);
+        self.check_fence(order);
         let model = order["Model"].as_str().unwrap_or_default().to_owned();
         let is_load = order["Operation"] == "load";
         let expected = order["Expected"].as_u64();
@@ -111,7 +131,7 @@
         }
         let needed = MODEL_MB * (step.models.len() as u64 + 1);
         if is_load && needed > WORKER_MB {
-            self.is_overloaded.store(true, Ordering::SeqCst);
+            self.broken.limit.store(true, Ordering::SeqCst);
             self.record.note(&format!(
                 "LIMIT: worker {} holds {:?} and is ordered by {} to load {model} as well: \
                  {needed} MB of {WORKER_MB}; it crashes",
@@ -153,6 +173,22 @@
         202
     }
 
+    fn check_fence(&self, order: &Value) {
+        let fence = order["FencingToken"].as_u64().unwrap_or_default();
+        let holder = order["Holder"].as_str().unwrap_or_default().to_owned();
+        let mut last = self.last_fence.lock().expect("the last token");
+        if holder != last.1 && fence <= last.0 {
+            self.broken.one.store(true, Ordering::SeqCst);
+            self.record.note(&format!(
+                "ONE: worker {} gets an order of {holder} with token {fence} after one of {} with token {}",
+                self.id, last.1, last.0,
+            ));
+        }
+        if fence >= last.0 {
+            *last = (fence, holder);
+        }
+    }
+
     fn answer(&self, request: &Request) -> Reply {
         let expected = request.header("x-expected-instance");
         let id = ("x-request-id", request.header("x-request-id").to_owned());
@@ -220,7 +256,7 @@
             "IdleTimeoutMs": 15000}})
 }
 
-pub fn play(record: Record, has_trouble: bool) -> io::Result<bool> {
+pub fn play(record: Record, trouble: Trouble, has_trouble: bool) -> io::Result<bool> {
     let record = Arc::new(record);
     let store = Arc::new(Store::new());
     let mut stores = Vec::new();
@@ -233,8 +269,8 @@
             Arc::new(move |request| store.answer(machine, &request)),
         );
     }
-    let is_overloaded = Arc::new(AtomicBool::new(false));
-    let workers = (0..WORKERS).map(|number| start_worker(number, &store, &record, &is_overloaded));
+    let broken = Arc::new(Broken::default());
+    let workers = (0..WORKERS).map(|number| start_worker(number, &store, &record, &broken));
     let workers: Vec<Arc<Worker>> = workers.collect::<io::Result<_>>()?;
     store.write("op", "config", Some(&config()));
     let names: Vec<String> = MACHINES
@@ -261,21 +297,48 @@
         let (addresses, record) = (addresses.clone(), Arc::clone(&record));
         thread::spawn(move || ask(consumer, started, &addresses, &record));
     }
+    let held = match trouble {
+        Trouble::Outages => {
+            play_outages(&store, &workers, &record, &broken, has_trouble);
+            !broken.limit.load(Ordering::SeqCst)
+        }
+        Trouble::OldCopy => {
+            play_old_copy(&store, &machines, &record, has_trouble);
+            !broken.one.load(Ordering::SeqCst)
+        }
+    };
+    record.note(if held {
+        "the rule held"
+    } else {
+        "the rule was broken"
+    });
+    Ok(held)
+}
+
+fn play_outages(
+    store: &Store,
+    workers: &[Arc<Worker>],
+    record: &Record,
+    broken: &Broken,
+    has_trouble: bool,
+) {
+    let started = Instant::now();
     let (mut next_outage, mut cut_count) = (FIRST_OUTAGE, 0);
-    while started.elapsed() < LENGTH && !is_overloaded.load(Ordering::SeqCst) {
+    while started.elapsed() < LENGTH && !broken.limit.load(Ordering::SeqCst) {
         let elapsed = started.elapsed();
         if has_trouble && elapsed >= next_outage && next_outage + OUTAGE < LENGTH {
             let is_ending = elapsed >= next_outage + OUTAGE;
             if store.is_down() == is_ending {
                 store.set_down(!is_ending);
+                let change = if is_ending {
+                    "answers again"
+                } else {
+                    "is down"
+                };
+                record.note(&format!("the store {change}"));
                 if !is_ending {
-                    cut_count = cut_some(&workers, cut_count, &record);
+                    cut_count = cut_some(workers, cut_count, record);
                 }
-                record.note(if is_ending {
-                    "the store answers again"
-                } else {
-                    "the store is down"
-                });
             }
             if is_ending {
                 next_outage += OUTAGE_INTERVAL;
@@ -283,13 +346,63 @@
         }
         sleep(Duration::from_millis(10));
     }
-    let held = !is_overloaded.load(Ordering::SeqCst);
-    record.note(if held {
-        "no worker was overloaded"
-    } else {
-        "a worker was overloaded"
-    });
-    Ok(held)
+}
+
+/// The times of the drill: a copy, a holder without a response, the absence, the end.
+const COPY_AT: Duration = Duration::from_secs(6);
+const UNANSWERED_FROM: Duration = Duration::from_millis(6_500);
+const UNANSWERED_UNTIL: Duration = Duration::from_millis(11_500);
+const AWAY_AT: Duration = Duration::from_secs(15);
+const BACK_AT: Duration = Duration::from_secs(16);
+const END: Duration = Duration::from_secs(40);
+
+fn play_old_copy(store: &Store, machines: &Machines, record: &Record, has_trouble: bool) {
+    let started = Instant::now();
+    let wait_until = |time: Duration| sleep(time.saturating_sub(started.elapsed()));
+    let note_holders = || {
+        for (key, value) in store.read("poplarseam", "lease.") {
+            record.note(&format!(
+                "{key}: {} with token {}",
+                value["instance"], value["fence"]
+            ));
+        }
+    };
+    wait_until(COPY_AT);
+    let copy = store.copy();
+    note_holders();
+    let holder = store
+        .read("poplarseam", "lease.shard.0")
+        .remove("lease.shard.0");
+    let holder = holder.and_then(|row| row["instance"].as_str().map(str::to_owned));
+    let index = machines
+        .all
+        .iter()
+        .position(|it| Some(&it.name) == holder.as_ref());
+    wait_until(UNANSWERED_FROM);
+    if let (Some(index), true) = (index, has_trouble) {
+        store.set_unanswered(&[index]);
+        record.note(&format!(
+            "the store no longer responds to {}",
+            machines.all[index].name
+        ));
+    }
+    wait_until(UNANSWERED_UNTIL);
+    store.set_unanswered(&[]);
+    record.note("the store responds to all machines");
+    wait_until(AWAY_AT);
+    note_holders();
+    if has_trouble {
+        store.set_down(true);
+        record.note("the store is away");
+    }
+    wait_until(BACK_AT);
+    if has_trouble {
+        store.return_from(&copy);
+        record.note("the store is back from the copy of 10 s ago");
+        store.write("op", "config", Some(&config()));
+    }
+    wait_until(END);
+    note_holders();
 }
 
 /// Cuts the next workers in turn off from the store for a time that begins later; they have no store to
@@ -314,7 +427,7 @@
     number: usize,
     store: &Arc<Store>,
     record: &Arc<Record>,
-    is_overloaded: &Arc<AtomicBool>,
+    broken: &Arc<Broken>,
 ) -> io::Result<Arc<Worker>> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
     let held: BTreeSet<String> = (0..3).map(|slot| model(number * 3 + slot)).collect();
@@ -331,7 +444,8 @@
         copies: Mutex::new(held),
         record: Arc::clone(record),
         cut_until: Mutex::new(Instant::now()),
-        is_overloaded: Arc::clone(is_overloaded),
+        last_fence: Mutex::default(),
+        broken: Arc::clone(broken),
     });
     store.write("servers", &worker.id, Some(&worker.entry()));
     let serving = Arc::clone(&worker);
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -35,6 +35,11 @@
         self.started.elapsed()
     }
 
+    /// Adds a line.
+    ///
+    /// # Panics
+    ///
+    /// If the file can't be written.
     pub fn note(&self, text: &str) {
         let line = format!("{:8.3} {text}\n", self.now().as_secs_f64());
         let mut file = self.file.lock().expect("the record");
@@ -54,7 +59,8 @@
     let held = Record::new(folder).and_then(|record| match case.as_str() {
         "config" => config::play(record, config::Trouble::Unanswered, has_trouble),
         "old-copy" => config::play(record, config::Trouble::OldCopy, has_trouble),
-        "limit" => limit::play(record, has_trouble),
+        "limit" => limit::play(record, limit::Trouble::Outages, has_trouble),
+        "fence" => limit::play(record, limit::Trouble::OldCopy, has_trouble),
         _ => Err(io::Error::other("no such case")),
     });
     match held {
