--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.."
-exec target/review/release/rig old-copy "$folder"
+exec target/review/release/rig config "$folder"
