--- a/review/rig/src/limit.rs
+++ b/review/rig/src/limit.rs
@@ -454,10 +454,19 @@
     let writing = Arc::clone(&worker);
     thread::spawn(move || {
         sleep(HEARTBEAT * u32::try_from(number).unwrap_or(0) / 18);
+        let mut silence = 0;
         loop {
             sleep(HEARTBEAT);
             let is_cut = Instant::now() < *writing.cut_until.lock().expect("the time");
-            if !store.is_down() && !is_cut {
+            // The platform removes an entry after three intervals of silence; not while it is away.
+            silence = if store.is_down() || !is_cut {
+                0
+            } else {
+                silence + 1
+            };
+            if silence == 3 {
+                store.write("servers", &writing.id, None);
+            } else if !store.is_down() && !is_cut {
                 store.write("servers", &writing.id, Some(&writing.entry()));
             }
         }
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -160,9 +160,17 @@
             row["Ver"].as_u64() == Some(known.map_or(0, |row| row.version))
         });
         if !holds {
+            let ids: BTreeSet<(String, String)> = list("Expected").iter().map(id).collect();
+            let tables: BTreeSet<&String> = ids.iter().map(|(table, _)| table).collect();
+            let rows = tables.into_iter().flat_map(|table| {
+                Self::rows(&state, table, |key, row| {
+                    row.value.is_some() && ids.contains(&(table.clone(), key.to_owned()))
+                })
+            });
+            let rows: Vec<Value> = rows.collect();
             return (
                 412,
-                json!({"Rows": [], "Ver": state.version, "NowMs": self.now_ms()}),
+                json!({"Rows": rows, "Ver": state.version, "NowMs": self.now_ms()}),
             );
         }
         state.version += 1;
