Never reuse a fencing token after the store came back from an old copy

Cause: `decide/lease.rs` took the next token from the lease's row alone, and nothing read `Store-Era`. In the copy the row named the holder before the last one, so the next holder counted on from its token.

Ruled out: a renewal whose condition holds by chance in the new era; it is played by a test now, the case does not need it.

Change: `world::table::Version` orders by era, then number. Answers, pages and announced leases carry the era. Tokens hold the era in their upper bits, so the first one of an era is above all earlier ones. A row of an earlier era proves nothing: a holder in its term commits again before it acts, everybody else waits a whole term from the first answer in the new era and then for the last orders of a holder that may be forgotten. Answers of an earlier era count as lost. An announcement without an era (an older build) is of unknown era and shortens no wait.

The stand-in's store comes back from a copy, answers with the era, says 410 to a feed after a version that it doesn't have, and can leave one instance without an answer.

--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -4,11 +4,16 @@
 //! acting a safety margin before the term ends. Other processes wait until they have observed the
 //! row unchanged for a whole term on their own clocks. A paused holder may still believe that it
 //! holds the lease, so safety must not depend on the lease alone: the ledger's row versions decide.
+//!
+//! The service may come back from an old copy, which starts a new era: it may then have forgotten
+//! the last holders. A row counts as proven if its fencing token is of the current era. Until then
+//! nobody acts on it; a holder whose term has not ended proves its lease by a commit, and others
+//! claim the row only after they have observed it unchanged for a whole term.
 
 use crate::common::*;
 use crate::world::id;
-use crate::world::table::{Check, Commit, Failure, Row, Txn};
-use crate::world::unit::{Fence, Incarnation};
+use crate::world::table::{Check, Commit, Failure, Row, Txn, Version};
+use crate::world::unit::{Era, Fence, Incarnation};
 
 /// Lease term, and the safety margin by which the holder stops acting before its end.
 #[derive(Debug, Clone, Copy)]
@@ -55,12 +60,19 @@
 /// State of the row, as last observed.
 #[derive(Debug, Clone, PartialEq)]
 struct Observation {
-    version: u64,
+    version: Version,
     /// Time from which the row counts as unchanged.
     since: Duration,
     holder: Option<Holder>,
 }
 
+#[derive(Debug, Clone)]
+struct Takeover {
+    /// `None` if the service may have forgotten who it was.
+    previous: Option<id::Instance>,
+    acted_until: Duration,
+}
+
 /// One process's view of a lease that it competes for.
 #[derive(Debug, Clone)]
 pub struct Lease {
@@ -72,11 +84,15 @@
     proposed: Option<(Holder, Duration)>,
     /// Time at which the last successful renewal was sent; `None` if the lease is not held.
     held_since: Option<Duration>,
-    /// Previous holder and the latest time at which it may have acted, recorded at the last
-    /// takeover.
-    last_takeover: Option<(id::Instance, Duration)>,
+    /// Previous holder, and the latest time at which another one may have acted, recorded at the
+    /// last takeover.
+    last_takeover: Option<Takeover>,
     /// Row version that the holder advertised, and when the advertisement arrived.
-    advertised: Option<(u64, Duration)>,
+    advertised: Option<(Version, Duration)>,
+    /// Newest era of the table service; `None` if it does not count them.
+    era: Option<Era>,
+    /// Whether the era has changed, so that the service may have forgotten holders.
+    has_changed_era: bool,
     /// Whether a row of an earlier incarnation of this instance may be taken over without waiting.
     may_reclaim: bool,
     resigned: bool,
@@ -107,6 +123,8 @@
             held_since: None,
             last_takeover: None,
             advertised: None,
+            era: None,
+            has_changed_era: false,
             may_reclaim: false,
             resigned: false,
         }
@@ -126,30 +144,59 @@
     /// Returns the fencing number if the lease may be acted on now.
     #[must_use]
     pub fn fence(&self, now: Duration) -> Option<Fence> {
-        let usable_term = self.timing.term.saturating_sub(self.timing.margin);
-        let since = self.held_since?;
-        (now < since + usable_term).then_some(self.own_entry.fence)
+        (self.is_in_term(now) && self.is_proven(self.own_entry.fence))
+            .then_some(self.own_entry.fence)
     }
 
-    /// Returns the previous holder, if it was another instance, and the latest time at which it may
-    /// have acted.
+    /// Returns the previous holder, if it may have been another instance, and the latest time at
+    /// which it may have acted. The holder is `None` if the table service may have forgotten it.
     #[must_use]
-    pub fn previous_holder(&self) -> Option<(&id::Instance, Duration)> {
-        let (before, until) = self.last_takeover.as_ref()?;
-        (*before != self.own_entry.instance).then_some((before, *until))
+    pub fn previous_holder(&self) -> Option<(Option<&id::Instance>, Duration)> {
+        let takeover = self.last_takeover.as_ref()?;
+        let previous = takeover.previous.as_ref();
+        let is_other = previous.is_none_or(|previous| *previous != self.own_entry.instance);
+        is_other.then_some((previous, takeover.acted_until))
     }
 
     /// Returns the version of the row after this holder's last renewal.
     #[must_use]
-    pub fn version(&self) -> Option<u64> {
-        self.check().map(|check| check.version)
+    pub fn version(&self) -> Option<Version> {
+        self.held_since?;
+        self.observed.as_ref().map(|observed| observed.version)
+    }
+
+    /// Records the era in which the table service answered. Returns whether that is the newest era
+    /// seen; an answer of an older one says nothing about the row.
+    pub fn on_era(&mut self, era: Option<Era>) -> bool {
+        if era > self.era {
+            self.has_changed_era |= self.era.is_some();
+            self.era = era;
+            self.observed = None;
+            self.proposed = None;
+            self.advertised = None;
+        }
+        era.is_none() || era == self.era
+    }
+
+    /// Whether this process held the lease in an earlier era and may still prove it, since no other
+    /// process can have acted in the meantime.
+    #[must_use]
+    pub fn may_prove(&self, now: Duration) -> bool {
+        self.is_in_term(now) && !self.is_proven(self.own_entry.fence)
+    }
+
+    /// Whether the row was observed without a holder, and none can have been forgotten.
+    #[must_use]
+    pub fn is_vacant(&self) -> bool {
+        let observed = self.observed.as_ref();
+        observed.is_some_and(|observed| observed.holder.is_none()) && !self.has_changed_era
     }
 
     /// Records a row version that the holder advertised outside the table service.
     ///
     /// The row is still read before a takeover, but the time for which it was unchanged counts from
     /// the arrival of the advertisement.
-    pub fn on_advertised(&mut self, now: Duration, version: u64) {
+    pub fn on_advertised(&mut self, now: Duration, version: Version) {
         let is_newer = self
             .observed
             .as_ref()
@@ -167,7 +214,7 @@
         let observed = self.observed.as_ref()?;
         Some(Check {
             key: self.key.clone(),
-            version: observed.version,
+            version: observed.version.number,
         })
     }
 
@@ -187,11 +234,21 @@
             holder.released || (self.may_reclaim && self.is_earlier_incarnation(holder))
         });
         let is_expired = now >= observed.since + self.timing.term;
-        if !(is_mine || is_free || is_expired) {
+        let is_proven = observed
+            .holder
+            .as_ref()
+            .map_or(!self.has_changed_era, |holder| self.is_proven(holder.fence));
+        let may_claim = if is_proven {
+            is_mine || is_free
+        } else {
+            self.is_in_term(now)
+        };
+        if !(may_claim || is_expired) {
             return Action::Read;
         }
         let renewal_interval = self.timing.term / RENEWALS_PER_TERM;
         if is_mine
+            && is_proven
             && self
                 .held_since
                 .is_some_and(|since| now < since + renewal_interval)
@@ -203,32 +260,42 @@
             .as_ref()
             .map_or(Fence(0), |holder| holder.fence);
         let proposed_entry = Holder {
-            fence: if is_mine { fence } else { Fence(fence.0 + 1) },
+            fence: if is_mine && is_proven {
+                fence
+            } else {
+                fence.max(self.own_entry.fence).next(self.era)
+            },
             renewals: observed.holder.as_ref().map_or(0, |holder| holder.renewals) + 1,
             ..self.own_entry.clone()
         };
-        if !is_mine {
-            let usable_term = self.timing.term.saturating_sub(self.timing.margin);
-            self.last_takeover = observed.holder.map(|holder| {
-                let acted_until = if holder.released {
+        let unused_until = observed.since + self.usable_term();
+        if !is_proven {
+            // A holder in its term was the last of the earlier era.
+            self.last_takeover = (!self.is_in_term(now)).then_some(Takeover {
+                previous: None,
+                acted_until: unused_until,
+            });
+        } else if !is_mine {
+            self.last_takeover = observed.holder.map(|holder| Takeover {
+                acted_until: if holder.released {
                     observed.since
                 } else {
-                    observed.since + usable_term
-                };
-                (holder.instance, acted_until)
+                    unused_until
+                },
+                previous: Some(holder.instance),
             });
         }
         self.proposed = Some((proposed_entry.clone(), now));
         Action::Commit(Txn::default().put(
             self.key.clone(),
-            observed.version,
+            observed.version.number,
             json!(proposed_entry),
         ))
     }
 
     /// Handles the row that was read; `None` if it does not exist.
     pub fn on_read(&mut self, now: Duration, row: Option<&Row>) {
-        let version = row.map_or(0, |row| row.version);
+        let version = self.current(row.map_or(0, |row| row.version));
         let holder = row.and_then(|row| Holder::deserialize(&row.value).ok());
         let confirmed = self
             .proposed
@@ -236,7 +303,7 @@
             .filter(|(proposed_entry, _)| Some(proposed_entry) == holder.as_ref());
         if let Some((proposed_entry, sent_at)) = confirmed {
             self.on_acquired(proposed_entry, sent_at);
-        } else if !holder.as_ref().is_some_and(|holder| self.is_self(holder)) {
+        } else if self.is_lost_to(holder.as_ref()) {
             self.held_since = None;
         }
         let is_unchanged = self
@@ -262,7 +329,7 @@
                 let Some((proposed_entry, sent_at)) = self.proposed.take() else {
                     return;
                 };
-                let version = versions.first().copied().unwrap_or(0);
+                let version = self.current(versions.first().copied().unwrap_or(0));
                 self.observed = Some(Observation {
                     version,
                     since: now,
@@ -289,7 +356,41 @@
             released: true,
             ..self.own_entry.clone()
         };
-        Some(Txn::default().put(self.key.clone(), observed.version, json!(released_entry)))
+        let version = observed.version.number;
+        Some(Txn::default().put(self.key.clone(), version, json!(released_entry)))
+    }
+
+    fn usable_term(&self) -> Duration {
+        self.timing.term.saturating_sub(self.timing.margin)
+    }
+
+    /// Whether this process holds the lease of some era and may still act on it.
+    fn is_in_term(&self, now: Duration) -> bool {
+        let usable_term = self.usable_term();
+        self.held_since
+            .is_some_and(|since| now < since + usable_term)
+    }
+
+    /// Whether a holder with this token took or proved the lease in the current era.
+    fn is_proven(&self, fence: Fence) -> bool {
+        self.era.is_none_or(|era| fence.era() >= era)
+    }
+
+    /// Whether the row shows that another process holds the lease, or none. A row of an earlier era
+    /// does not: the service may have forgotten that this process took the lease after it.
+    fn is_lost_to(&self, holder: Option<&Holder>) -> bool {
+        match holder {
+            Some(holder) => self.is_proven(holder.fence) && !self.is_self(holder),
+            None => !self.has_changed_era,
+        }
+    }
+
+    /// Returns a version in the current era.
+    fn current(&self, number: u64) -> Version {
+        Version {
+            era: self.era,
+            number,
+        }
     }
 
     fn on_acquired(&mut self, proposed_entry: Holder, sent_at: Duration) {
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -11,7 +11,7 @@
 use crate::world::message::Notice;
 use crate::world::site::Site;
 use crate::world::table::{Commit, Failure, Row, Txn};
-use crate::world::unit::{Incarnation, Rate};
+use crate::world::unit::{Era, Incarnation, Rate};
 use bytes::Bytes;
 
 /// Capacity of each channel between the threads.
@@ -50,8 +50,11 @@
     Leaving(BTreeSet<Process>),
     /// All rows of software versions and unfinished streams.
     Origins(origins::Rows),
-    /// Lease rows, some of which this instance may have held before it restarted.
-    FormerLeases(Vec<Row>),
+    /// Lease rows, some of which this instance may have held before it restarted, and the era in
+    /// which they were read.
+    FormerLeases(Vec<Row>, Option<Era>),
+    /// The store answered in this era for the first time; before it in the other one, if any.
+    Era { era: Era, before: Option<Era> },
     /// The store became reachable or unreachable.
     Store { up: bool },
     /// Rows or a configuration were fetched; only for the logs.
@@ -110,8 +113,11 @@
     Gossip(Box<Gossip>),
     /// Prefill speeds of engines, as observed by this instance's requests.
     Speeds(Speeds),
-    /// Lease rows, some of which this instance may have held before it restarted.
-    FormerLeases(Vec<Row>),
+    /// Lease rows, some of which this instance may have held before it restarted, and the era in
+    /// which they were read.
+    FormerLeases(Vec<Row>, Option<Era>),
+    /// The store answered in this era for the first time.
+    Era(Era),
     /// A server sent Retry-After; it gets no orders before this time.
     Throttled(id::Worker, Incarnation, Duration),
     /// A server reported a rate limit at this time, or lifted it.
@@ -134,8 +140,25 @@
 /// A call that the store thread makes for another thread.
 #[derive(Debug)]
 pub enum Call {
-    Read(String, flume::Sender<Result<Option<Row>, Failure>>),
-    Commit(Txn, flume::Sender<Result<Commit, Failure>>),
+    Read(String, flume::Sender<Answer<Option<Row>>>),
+    Commit(Txn, flume::Sender<Answer<Commit>>),
+}
+
+/// Result of a call, and the era in which the store answered; no era if it gave none.
+#[derive(Debug)]
+pub struct Answer<T> {
+    pub era: Option<Era>,
+    pub result: Result<T, Failure>,
+}
+
+impl<T> Answer<T> {
+    /// Returns the result of a call without an answer from the store.
+    pub fn failed(failure: Failure) -> Self {
+        Self {
+            era: None,
+            result: Err(failure),
+        }
+    }
 }
 
 /// Returns a duration in whole milliseconds.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -96,7 +96,7 @@
 
     async fn read_all(&mut self) -> Result<Option<Change>> {
         let page = self.read_table().await?;
-        self.last_version = page.version;
+        self.last_version = page.version.number;
         Ok(Some(Change::Snapshot(page.rows)))
     }
 
@@ -162,7 +162,7 @@
         }
         let page = decode(reply)?;
         self.store.record_call(true).await;
-        self.last_version = self.last_version.max(page.version);
+        self.last_version = self.last_version.max(page.version.number);
         if page.rows.is_empty() {
             return Ok(None);
         }
@@ -173,11 +173,11 @@
     /// Reads the complete table, and discards a response older than the last version seen.
     async fn reread_after_gap(&mut self) -> Result<Option<Change>> {
         let page = self.read_table().await?;
-        if page.version < self.last_version {
+        if page.version.number < self.last_version {
             sleep(RETRY_DELAY).await;
             return Ok(None);
         }
-        self.last_version = page.version;
+        self.last_version = page.version.number;
         Ok(Some(Change::Snapshot(page.rows)))
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -36,12 +36,13 @@
     pub quarantined: Gauge,
     pub first_byte: Histogram,
     pub connections: Counter,
+    /// Times that the store came back from an old copy.
+    pub era_changes: Counter,
 }
 
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("poplarseam");
-        let latency = || Histogram::new(exponential_buckets(0.001, 2.0, 14));
         Self {
             answers: family(
                 &mut registry,
@@ -108,17 +109,15 @@
                 "detours",
                 "Requests that were passed to another instance, by outcome",
             ),
-            callers_left: register(
+            callers_left: counter(
                 &mut registry,
                 "callers_left",
                 "Requests whose callers left before their answers began",
-                Counter::default(),
             ),
-            timer_delay: register(
+            timer_delay: histogram(
                 &mut registry,
                 "timer_delay_seconds",
                 "Delay with which the periodic timer of the traffic thread fires",
-                latency(),
             ),
             quarantined: register(
                 &mut registry,
@@ -126,17 +125,20 @@
                 "Sets of prompt parts in quarantine",
                 Gauge::default(),
             ),
-            first_byte: register(
+            first_byte: histogram(
                 &mut registry,
                 "first_byte_seconds",
                 "Time to the first byte",
-                latency(),
             ),
-            connections: register(
+            connections: counter(
                 &mut registry,
                 "connections",
                 "Connections opened to servers",
-                Counter::default(),
+            ),
+            era_changes: counter(
+                &mut registry,
+                "era_changes",
+                "Times that the store came back from an old copy",
             ),
             registry,
         }
@@ -148,6 +150,17 @@
     register(registry, name, help, Family::default())
 }
 
+/// Registers a histogram of times from 1 ms to 8 s and returns it.
+fn histogram(registry: &mut Registry, name: &str, help: &str) -> Histogram {
+    let buckets = exponential_buckets(0.001, 2.0, 14);
+    register(registry, name, help, Histogram::new(buckets))
+}
+
+/// Registers a counter and returns it.
+fn counter(registry: &mut Registry, name: &str, help: &str) -> Counter {
+    register(registry, name, help, Counter::default())
+}
+
 /// Registers a metric and returns it.
 fn register<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
     registry.register(name, help, metric.clone());
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -6,7 +6,7 @@
 
 use super::announcements;
 use super::channel;
-use super::event::{Announcement, Call, LEASE_KEY_PREFIX, PlacerEvent};
+use super::event::{Announcement, Answer, Call, LEASE_KEY_PREFIX, PlacerEvent};
 use super::journal::Journal;
 use crate::common::*;
 use crate::decide::fleet::{Fleet, Task};
@@ -24,8 +24,8 @@
 use crate::world::message::Notice;
 use crate::world::order::{Order, Reply};
 use crate::world::shard::Shard;
-use crate::world::table::{Commit, Failure, Row, Txn};
-use crate::world::unit::{Fence, Incarnation};
+use crate::world::table::{Commit, Failure, Row, Txn, Version};
+use crate::world::unit::{Era, Fence, Incarnation};
 use hyper::Method;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -155,7 +155,12 @@
         PlacerEvent::Server(change) => this.on_server(change),
         PlacerEvent::Gossip(gossip) => this.on_gossip(&gossip),
         PlacerEvent::Speeds(speeds) => this.fleet.speeds = speeds,
-        PlacerEvent::FormerLeases(rows) => this.on_former_leases(&rows),
+        PlacerEvent::FormerLeases(rows, era) => this.on_former_leases(&rows, era),
+        PlacerEvent::Era(era) => {
+            for shard_state in &mut this.shards {
+                shard_state.lease.on_era(Some(era));
+            }
+        }
         PlacerEvent::Throttled(worker, boot, until) => this.fleet.on_throttled(worker, boot, until),
         PlacerEvent::Limit(at, worker, boot, rate) => this.fleet.on_limit(at, &worker, boot, rate),
         PlacerEvent::Stop => {
@@ -230,11 +235,12 @@
         }
     }
 
-    fn on_former_leases(&mut self, rows: &[Row]) {
+    fn on_former_leases(&mut self, rows: &[Row], era: Option<Era>) {
         let now = self.clock.now();
         for shard_state in &mut self.shards {
             let key = format!("{LEASE_KEY_PREFIX}{}", shard_state.shard);
-            if let Some(row) = rows.iter().find(|row| row.key == key) {
+            let row = rows.iter().find(|row| row.key == key);
+            if let Some(row) = row.filter(|_| shard_state.lease.on_era(era)) {
                 shard_state.should_reclaim = shard_state.lease.reclaim(now, row);
             }
         }
@@ -275,7 +281,13 @@
             let shards = self.shards.iter_mut();
             for shard_state in shards.filter(|shard_state| shard_state.shard.0 == lead.shard) {
                 shard_state.holder_heard_at = now;
-                shard_state.lease.on_advertised(now, lead.version);
+                let era = lead.era.map(Era);
+                if shard_state.lease.on_era(era) {
+                    let number = lead.version;
+                    shard_state
+                        .lease
+                        .on_advertised(now, Version { era, number });
+                }
             }
         }
         for holding in &gossip.holdings {
@@ -301,7 +313,9 @@
         let now = self.clock.now();
         let lease = self.deployment.bounds.lease;
         let shard_state = &mut self.shards[index];
-        let is_holder = shard_state.lease.fence(now).is_some();
+        let lease_state = &shard_state.lease;
+        let is_holder = lease_state.fence(now).is_some()
+            || (shard_state.was_holder && lease_state.may_prove(now));
         if is_holder == shard_state.was_holder {
             return;
         }
@@ -320,6 +334,7 @@
             "shard": shard_state.shard,
             "holder": is_holder,
             "version": shard_state.lease.version(),
+            "fence": shard_state.lease.fence(now),
             "orders_from_ms": shard_state.orders_from.as_millis(),
         });
         self.journal.note("lease", &values);
@@ -391,9 +406,11 @@
             return None;
         }
         let leads = self.shards.iter().filter_map(|shard_state| {
+            let version = shard_state.lease.version()?;
             Some(Lead {
                 shard: shard_state.shard.0,
-                version: shard_state.lease.version()?,
+                version: version.number,
+                era: version.era.map(|era| era.0),
                 fence: shard_state.lease.fence(now)?.0,
             })
         });
@@ -489,8 +506,8 @@
     let may_claim = (is_open || is_startup_claim) && !is_claiming_another;
     let should_poll = shard_state.should_reclaim
         || (may_claim && now >= shard_state.polled_at + shard_state.poll_interval());
-    let should_renew =
-        shard_state.was_holder && now >= shard_state.polled_at + LEASE_RENEWAL_INTERVAL;
+    let should_renew = (shard_state.was_holder || shard_state.lease.may_prove(now))
+        && now >= shard_state.polled_at + LEASE_RENEWAL_INTERVAL;
     if shard_state.has_pending_call || is_stopping || !(should_renew || should_poll) {
         return;
     }
@@ -514,43 +531,46 @@
     }
 }
 
-async fn on_lease_read(
-    placer: Shared,
-    index: usize,
-    answer: flume::Receiver<Result<Option<Row>, Failure>>,
-) {
+async fn on_lease_read(placer: Shared, index: usize, answer: flume::Receiver<Answer<Option<Row>>>) {
     let answer = answer.recv_async().await;
     let mut this = placer.borrow_mut();
     let now = this.clock.now();
     let shard_state = &mut this.shards[index];
     shard_state.has_pending_call = false;
     shard_state.failed_polls += 1;
-    if let Ok(Ok(row)) = answer {
+    if let Ok(Answer {
+        era,
+        result: Ok(row),
+    }) = answer
+    {
         shard_state.failed_polls = 0;
-        shard_state.lease.on_read(now, row.as_ref());
-        if row.is_none() {
+        if shard_state.lease.on_era(era) {
+            shard_state.lease.on_read(now, row.as_ref());
+        }
+        if shard_state.lease.is_vacant() {
             shard_state.polled_at = Duration::ZERO;
         }
     }
 }
 
-async fn on_lease_commit(
-    placer: Shared,
-    index: usize,
-    answer: flume::Receiver<Result<Commit, Failure>>,
-) {
+async fn on_lease_commit(placer: Shared, index: usize, answer: flume::Receiver<Answer<Commit>>) {
     let answer = answer.recv_async().await;
     let mut this = placer.borrow_mut();
     let now = this.clock.now();
     let shard_state = &mut this.shards[index];
     shard_state.has_pending_call = false;
-    let answer = answer.unwrap_or(Err(Failure::Lost));
-    shard_state.failed_polls = if answer.is_ok() {
+    let answer = answer.unwrap_or_else(|_| Answer::failed(Failure::Lost));
+    shard_state.failed_polls = if answer.result.is_ok() {
         0
     } else {
         shard_state.failed_polls + 1
     };
-    shard_state.lease.on_commit(now, answer);
+    let is_current = shard_state.lease.on_era(answer.era);
+    let result = answer.result.and_then(|commit| {
+        let current = is_current.then_some(commit);
+        current.ok_or(Failure::Lost)
+    });
+    shard_state.lease.on_commit(now, result);
     this.update_holder(index);
 }
 
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -36,7 +36,7 @@
     loop {
         if !is_written {
             let txn = Txn::default().put(key.clone(), version, row.clone());
-            is_written = matches!(commit(&store, &txn).await, Ok(Commit::Done(_)));
+            is_written = matches!(commit(&store, &txn).await.result, Ok(Commit::Done(_)));
             if is_written && version == 0 {
                 store.send_update(StoreUpdate::FirstStart).await;
             }
@@ -52,7 +52,7 @@
             && own_row.is_some_and(|own_row| own_row.value == Some(encoded_row.clone()));
         if is_first && already_exists {
             store
-                .send_update(StoreUpdate::FormerLeases(leases(&page)))
+                .send_update(StoreUpdate::FormerLeases(leases(&page), page.version.era))
                 .await;
         }
         is_first = false;
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -2,12 +2,13 @@
 //! to the store for other threads.
 
 use super::channel::{self, Reply};
-use super::event::{Call, Fetch, StoreUpdate, Subscription};
+use super::event::{Answer, Call, Fetch, StoreUpdate, Subscription};
 use super::{follower, registration};
 use crate::common::*;
 use crate::platform::rows;
 use crate::world::deployment::Deployment;
-use crate::world::table::{Commit, Failure, Row, Txn};
+use crate::world::table::{Commit, Failure, Row, Txn, Version};
+use crate::world::unit::Era;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
@@ -32,6 +33,8 @@
     updates: flume::Sender<StoreUpdate>,
     failed_at: Cell<Option<Duration>>,
     pub is_up: Cell<bool>,
+    /// Newest era in which the store answered.
+    era: Cell<Option<Era>>,
     /// Wakes feeds after an outage, since their long polls may hang.
     pub recovered: Notify,
 }
@@ -50,6 +53,7 @@
         updates,
         failed_at: Cell::new(None),
         is_up: Cell::new(true),
+        era: Cell::new(None),
         recovered: Notify::new(),
     });
     let site = follower::follow_site(
@@ -85,6 +89,22 @@
         }
     }
 
+    /// Records the era of an answer. A change has feeds call again, since the versions after which
+    /// they wait are of the earlier era, and entries that are missing may be written again.
+    pub async fn record_era(&self, era: Option<Era>) {
+        let before = self.era.get();
+        let Some(newer) = era.filter(|_| era > before) else {
+            return;
+        };
+        self.era.set(era);
+        if before.is_some() {
+            self.failed_at.set(Some(self.clock.now()));
+            self.recovered.notify_waiters();
+        }
+        self.send_update(StoreUpdate::Era { era: newer, before })
+            .await;
+    }
+
     /// Reports what was fetched, for the logs.
     pub async fn log_fetch(&self, fetch: Fetch) {
         self.send_update(StoreUpdate::Fetched(fetch)).await;
@@ -109,6 +129,9 @@
             .as_ref()
             .is_ok_and(|reply| reply.status.as_u16() < 429);
         self.record_call(up).await;
+        if let Ok(reply) = &reply {
+            self.record_era(rows::decode_era(&reply.headers)).await;
+        }
         reply
     }
 
@@ -117,7 +140,10 @@
         let mut complete = Page {
             rows: Vec::new(),
             more: true,
-            version: u64::MAX,
+            version: Version {
+                era: self.era.get(),
+                number: u64::MAX,
+            },
             size: 0,
         };
         let mut from = from.to_owned();
@@ -126,7 +152,16 @@
                 .call_once(self.get(&rows::read_path(table, &from)))
                 .await?;
             let page = decode(reply)?;
-            complete.version = complete.version.min(page.version);
+            if !complete.rows.is_empty() && page.version.era != complete.version.era {
+                return Err(Error::Call {
+                    url: "the platform's store".into(),
+                    reason: "it came back from an old copy while a table was read".into(),
+                });
+            }
+            complete.version = Version {
+                number: complete.version.number.min(page.version.number),
+                ..page.version
+            };
             complete.size += page.size;
             complete.more = page.more && !page.rows.is_empty();
             if let Some(last) = page.rows.last() {
@@ -140,7 +175,8 @@
 
 /// Decodes the rows in a response.
 pub(super) fn decode(reply: Reply) -> Result<Page> {
-    rows::decode_page(&reply.require_ok("the platform's store")?)
+    let headers = reply.headers.clone();
+    rows::decode_page(&headers, &reply.require_ok("the platform's store")?)
 }
 
 pub(super) fn decode_row(row: &rows::Row) -> Option<Row> {
@@ -161,32 +197,45 @@
     }
 }
 
-async fn fetch_row(store: &Store, key: &str) -> Result<Option<Row>, Failure> {
+async fn fetch_row(store: &Store, key: &str) -> Answer<Option<Row>> {
     let path = format!("{}&Limit=1", rows::read_path(rows::SYSTEM_TABLE, key));
     let reply = store.call_once(store.get(&path)).await;
     let page = reply.and_then(decode);
-    let page = page.map_err(|error| {
-        log::info!("reading row {key} failed: {error}");
-        Failure::Refused
-    })?;
-    let row = page.rows.iter().find(|row| row.key == key);
-    Ok(row.and_then(decode_row))
+    match page {
+        Ok(page) => {
+            let row = page.rows.iter().find(|row| row.key == key);
+            Answer {
+                era: page.version.era,
+                result: Ok(row.and_then(decode_row)),
+            }
+        }
+        Err(error) => {
+            log::info!("reading row {key} failed: {error}");
+            Answer::failed(Failure::Refused)
+        }
+    }
 }
 
-pub(super) async fn commit(store: &Store, txn: &Txn) -> Result<Commit, Failure> {
+pub(super) async fn commit(store: &Store, txn: &Txn) -> Answer<Commit> {
     let body = rows::encode_commit(txn);
     let request = channel::build_request(Method::POST, store.address, rows::COMMIT_PATH, body);
-    let reply = store.call_once(request).await.map_err(|error| {
-        log::info!("a commit got no response: {error}");
-        Failure::Lost
-    })?;
-    match reply.status.as_u16() {
-        200 => {
-            let version = rows::decode_commit(&reply.body).map_err(|_| Failure::Lost)?;
-            Ok(Commit::Done(vec![version; txn.puts.len()]))
+    let reply = match store.call_once(request).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::info!("a commit got no response: {error}");
+            return Answer::failed(Failure::Lost);
         }
+    };
+    let result = match reply.status.as_u16() {
+        200 => rows::decode_commit(&reply.headers, &reply.body)
+            .map(|version| Commit::Done(vec![version.number; txn.puts.len()]))
+            .map_err(|_| Failure::Lost),
         412 => Ok(Commit::Conflict(Vec::new())),
         429 | 503 => Err(Failure::Refused),
         _ => Err(Failure::Lost),
+    };
+    Answer {
+        era: rows::decode_era(&reply.headers),
+        result,
     }
 }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -319,7 +319,7 @@
         }
         // A conflict means that another instance has written the same row.
         matches!(
-            committed.recv_async().await,
+            committed.recv_async().await.map(|answer| answer.result),
             Ok(Ok(Commit::Done(_) | Commit::Conflict(_)))
         )
     }
@@ -344,7 +344,17 @@
                     self.gossip_pending.notify_one();
                 }
             }
-            StoreUpdate::FormerLeases(rows) => self.notify_placer(PlacerEvent::FormerLeases(rows)),
+            StoreUpdate::FormerLeases(rows, era) => {
+                self.notify_placer(PlacerEvent::FormerLeases(rows, era));
+            }
+            StoreUpdate::Era { era, before } => {
+                if before.is_some() {
+                    self.metrics.era_changes.inc();
+                    self.journal
+                        .note("era", &json!({"era": era, "before": before}));
+                }
+                self.notify_placer(PlacerEvent::Era(era));
+            }
             StoreUpdate::Quarantine(rows) => self.on_quarantine_rows(&rows),
             StoreUpdate::Leaving(rows) => self.on_leaving_rows(&rows),
             StoreUpdate::Origins(rows) => self.on_origin_rows(&rows),
--- a/src/platform/rows.rs
+++ b/src/platform/rows.rs
@@ -1,13 +1,17 @@
 //! Paths and bodies of calls to the platform's store.
 
 use crate::common::*;
-use crate::world::table::Txn;
+use crate::world::table::{Txn, Version};
+use crate::world::unit::Era;
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
+use hyper::HeaderMap;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
 /// Table of the rows that this system writes.
 pub const SYSTEM_TABLE: &str = "poplarseam";
+/// Header in all answers: how often the store has come back from an old copy of its data.
+const ERA: &str = "store-era";
 /// Path that takes transactions.
 pub const COMMIT_PATH: &str = "/v1/rows-tx";
 
@@ -33,8 +37,9 @@
     pub rows: Vec<Row>,
     /// Whether further rows follow this page.
     pub more: bool,
-    /// Newest version in the store at the time of the answer.
-    pub version: u64,
+    /// Newest version in the store at the time of the answer; the rows' versions are of the same
+    /// era.
+    pub version: Version,
     /// Bytes of the encoded page.
     pub size: usize,
 }
@@ -74,11 +79,17 @@
     format!("/v1/rows-feed?Table={table}&after={after}&WaitMs={wait}")
 }
 
+/// Decodes the era in which the store answered.
+#[must_use]
+pub fn decode_era(headers: &HeaderMap) -> Option<Era> {
+    headers.get(ERA)?.to_str().ok()?.trim().parse().ok()
+}
+
 /// Decodes a page of rows.
 ///
 /// # Errors
 /// [`Error::Call`] if the body is not a page.
-pub fn decode_page(bytes: &[u8]) -> Result<Page> {
+pub fn decode_page(headers: &HeaderMap, bytes: &[u8]) -> Result<Page> {
     let wire: WirePage = serde_json::from_slice(bytes).map_err(|error| Error::Call {
         url: "the platform's store".into(),
         reason: error.to_string(),
@@ -86,7 +97,10 @@
     Ok(Page {
         rows: wire.rows.into_iter().map(WireRow::decode).collect(),
         more: wire.has_more,
-        version: wire.ver,
+        version: Version {
+            era: decode_era(headers),
+            number: wire.ver,
+        },
         size: bytes.len(),
     })
 }
@@ -130,6 +144,6 @@
 ///
 /// # Errors
 /// [`Error::Call`] if the body is not an answer to a transaction.
-pub fn decode_commit(bytes: &[u8]) -> Result<u64> {
-    decode_page(bytes).map(|page| page.version)
+pub fn decode_commit(headers: &HeaderMap, bytes: &[u8]) -> Result<Version> {
+    decode_page(headers, bytes).map(|page| page.version)
 }
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -232,6 +232,10 @@
     pub version: u64,
     #[prost(uint64, tag = "3")]
     pub fence: u64,
+    /// Era of the store that the version belongs to; absent if the store does not count them, or from
+    /// a sender that does not know eras.
+    #[prost(uint64, optional, tag = "4")]
+    pub era: ::core::option::Option<u64>,
 }
 /// Models of a worker, as the holder of its lease knows them.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/src/world/table.rs
+++ b/src/world/table.rs
@@ -3,8 +3,27 @@
 //! A row has a key, a version and a JSON value. A transaction commits only if every checked row has
 //! the expected version; version 0 stands for an absent row.
 
+use super::unit::Era;
 use crate::common::*;
 
+/// Version of a row or of the whole store. The store gives numbers out again after it came back from
+/// an old copy of its data, so a version of a later era is newer whatever its number. An unknown
+/// era orders before every known one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct Version {
+    pub era: Option<Era>,
+    pub number: u64,
+}
+
+impl Display for Version {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self.era {
+            Some(era) => write!(f, "{era}/{}", self.number),
+            None => write!(f, "{}", self.number),
+        }
+    }
+}
+
 /// A stored row.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Row {
--- a/src/world/unit.rs
+++ b/src/world/unit.rs
@@ -53,11 +53,32 @@
   Revision, "";
   /// Fencing token of an order; increases monotonically for each worker.
   Fence, "";
+  /// Number of times that the platform's store has come back from an old copy of its data.
+  Era, "";
   /// Incarnation of a process: its start time in milliseconds since the Unix epoch, so that a
   /// restart has a larger one.
   Incarnation, "";
 }
 
+/// Bits of a fencing token that count the holders within one era; the bits above hold the era.
+const FENCE_COUNT_BITS: u32 = 32;
+
+impl Fence {
+    /// Returns the era in which the token was first used.
+    #[must_use]
+    pub fn era(self) -> Era {
+        Era(self.0 >> FENCE_COUNT_BITS)
+    }
+
+    /// Returns the token of the next holder. The first one of an era is greater than all tokens of
+    /// earlier eras, which the store may have forgotten.
+    #[must_use]
+    pub fn next(self, era: Option<Era>) -> Self {
+        let first = era.map_or(0, |era| era.0 << FENCE_COUNT_BITS);
+        Self(self.0.max(first) + 1)
+    }
+}
+
 /// Converts a count to `f64`; exact up to 2^53.
 #[must_use]
 #[allow(clippy::cast_precision_loss)]
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -25,9 +25,18 @@
 const SERVERS: &str = "servers";
 /// Name of the link to the store.
 pub const STORE_LINK: &str = "store";
+/// Number of addresses of the store, one for each of the first instances of a network.
+const STORE_ADDRESSES: usize = 16;
 /// How long a feed is kept waiting at most.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
+/// Rows of the store at some time, for its return from an old copy.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    rows: BTreeMap<(String, String), Row>,
+    version: u64,
+}
+
 #[derive(Debug, Clone)]
 struct Row {
     table: String,
@@ -44,6 +53,10 @@
     is_down: bool,
     /// Calls hang for good, also after this is cleared.
     is_silent: bool,
+    /// Addresses, by their index, at which calls hang for good.
+    silent_addresses: BTreeSet<usize>,
+    /// How often it came back from an old copy.
+    era: u64,
     /// Reads of whole tables, by table.
     reads: BTreeMap<String, usize>,
 }
@@ -87,6 +100,10 @@
         (200, json!({"Ver": self.version, "NowMs": 1}))
     }
 
+    fn is_silent_at(&self, address: usize) -> bool {
+        self.is_silent || self.silent_addresses.contains(&address)
+    }
+
     fn rows(&self, table: &str, is_wanted: impl Fn(&Row) -> bool) -> Vec<Value> {
         let rows = self.rows.values().filter(|row| row.table == table);
         let rows = rows.filter(|row| is_wanted(row));
@@ -101,7 +118,8 @@
 /// The platform with its workers.
 #[derive(Debug)]
 pub struct Platform {
-    pub address: SocketAddr,
+    /// Addresses of the store.
+    addresses: Vec<SocketAddr>,
     store: Arc<Mutex<Store>>,
     changed: Arc<Notify>,
     workers: BTreeMap<String, Arc<Worker>>,
@@ -124,8 +142,11 @@
     }
 
     fn start_at(workers: Vec<Worker>, linked: bool) -> Self {
-        let listener = listen();
-        let address = listener.local_addr().expect("an address");
+        let stores: Vec<TcpListener> = (0..STORE_ADDRESSES).map(|_| listen()).collect();
+        let addresses = stores.iter().map(TcpListener::local_addr);
+        let addresses: Vec<SocketAddr> = addresses
+            .map(|address| address.expect("an address"))
+            .collect();
         let store = Arc::new(Mutex::new(Store::default()));
         let changed = Arc::new(Notify::new());
         let workers = workers.into_iter().map(Arc::new);
@@ -135,7 +156,7 @@
         let targets = workers
             .values()
             .map(|worker| (worker.id.clone(), worker.address));
-        let targets = targets.chain([(STORE_LINK.to_owned(), address)]);
+        let targets = targets.chain([(STORE_LINK.to_owned(), addresses[0])]);
         let (mut links, mut listeners) = (BTreeMap::new(), Vec::new());
         for (name, target) in targets.filter(|_| linked) {
             let (link, listener) = Link::new();
@@ -151,9 +172,12 @@
                 .expect("a runtime");
             let local = tokio::task::LocalSet::new();
             local.block_on(&runtime, async move {
-                tokio::task::spawn_local(host(listener, move |request| {
-                    answer(Arc::clone(&rows), Arc::clone(&feed), request)
-                }));
+                for (index, listener) in stores.into_iter().enumerate() {
+                    let (rows, feed) = (Arc::clone(&rows), Arc::clone(&feed));
+                    tokio::task::spawn_local(host(listener, move |request| {
+                        answer(Arc::clone(&rows), Arc::clone(&feed), index, request)
+                    }));
+                }
                 for worker in hosted {
                     tokio::task::spawn_local(worker::host(worker));
                 }
@@ -164,7 +188,7 @@
             });
         });
         let platform = Self {
-            address,
+            addresses,
             store,
             changed,
             workers,
@@ -265,6 +289,49 @@
         self.changed.notify_waiters();
     }
 
+    /// Has the store hang on every call of an instance, or answer its new ones again.
+    pub fn set_silent_to(&self, instance: Ipv4Addr, is_silent: bool) {
+        let index = store_index(instance);
+        let mut store = self.store();
+        if is_silent {
+            store.silent_addresses.insert(index);
+        } else {
+            store.silent_addresses.remove(&index);
+        }
+        drop(store);
+        self.changed.notify_waiters();
+    }
+
+    /// Takes a copy of all rows.
+    #[must_use]
+    pub fn copy(&self) -> Copy {
+        let store = self.store();
+        Copy {
+            rows: store.rows.clone(),
+            version: store.version,
+        }
+    }
+
+    /// Has the store come back from a copy: what was written since is lost, and versions are given out
+    /// again.
+    pub fn return_from(&self, copy: &Copy) {
+        let mut store = self.store();
+        store.rows.clone_from(&copy.rows);
+        store.version = copy.version;
+        store.era += 1;
+        drop(store);
+        self.changed.notify_waiters();
+    }
+
+    /// The value of a row of JSON.
+    #[must_use]
+    pub fn value(&self, table: &str, key: &str) -> Option<Value> {
+        let store = self.store();
+        let row = store.rows.get(&(table.to_owned(), key.to_owned()))?;
+        let bytes = BASE64.decode(row.value.as_ref()?).ok()?;
+        serde_json::from_slice(&bytes).ok()
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<&Value>) {
         self.write_value(
             table,
@@ -285,7 +352,7 @@
     #[must_use]
     pub fn settings(&self, name: &str, ip: Ipv4Addr) -> Value {
         let link = self.links.get(STORE_LINK);
-        let store = link.map_or(self.address, |link| link.address);
+        let store = link.map_or(self.addresses[store_index(ip)], |link| link.address);
         json!({
             "NodeName": name, "Zone": "north-1", "Ip": ip, "InternalPorts": [7000, 7015],
             "Zones": {"north-1": "north", "north-2": "north"},
@@ -297,6 +364,11 @@
     }
 }
 
+/// Index of the store's address that an instance is given.
+fn store_index(instance: Ipv4Addr) -> usize {
+    usize::from(instance.octets()[3]) % STORE_ADDRESSES
+}
+
 /// Listens on a free loopback port.
 pub(crate) fn listen() -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -329,6 +401,7 @@
 async fn answer(
     store: Arc<Mutex<Store>>,
     changed: Arc<Notify>,
+    address: usize,
     request: Request<Incoming>,
 ) -> Option<Response<worker::Body>> {
     let path = request.uri().path().to_owned();
@@ -336,7 +409,7 @@
     let body = request.into_body().collect().await.ok()?.to_bytes();
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let lock = || store.lock().unwrap_or_else(PoisonError::into_inner);
-    if lock().is_silent {
+    if lock().is_silent_at(address) {
         std::future::pending::<()>().await;
     }
     let (status, body) = match path.as_str() {
@@ -362,7 +435,7 @@
             let longest = tokio::time::sleep(LONGEST_WAIT);
             let mut longest = std::pin::pin!(longest);
             loop {
-                if lock().is_silent {
+                if lock().is_silent_at(address) {
                     std::future::pending::<()>().await;
                 }
                 let woken = changed.notified();
@@ -370,6 +443,9 @@
                     let store = lock();
                     (store.rows(&table, |row| row.version > after), store.version)
                 };
+                if after > version {
+                    break (410, json!({"Ver": version}));
+                }
                 if !rows.is_empty() || longest.is_elapsed() {
                     break (200, json!({"Rows": rows, "HasMore": false, "Ver": version}));
                 }
@@ -382,7 +458,12 @@
         _ => (404, json!({})),
     };
     let body = worker::Body::Whole(Full::new(Bytes::from(body.to_string())));
-    Response::builder().status(status).body(body).ok()
+    let era = lock().era;
+    Response::builder()
+        .status(status)
+        .header("store-era", era)
+        .body(body)
+        .ok()
 }
 
 fn parameter(query: &str, name: &str) -> String {
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -37,6 +37,8 @@
     /// When orders and questions came, and from whom orders did.
     calls: Vec<Instant>,
     holders: Vec<(Instant, String)>,
+    /// Fencing tokens of orders, with their holders, in order.
+    fences: Vec<(u64, String)>,
 }
 
 /// What a worker does wrong.
@@ -144,6 +146,12 @@
         self.state().holders.clone()
     }
 
+    /// Fencing tokens of the orders that came, with their holders, in order.
+    #[must_use]
+    pub fn fences(&self) -> Vec<(u64, String)> {
+        self.state().fences.clone()
+    }
+
     /// Says in all answers from now on that it leaves.
     pub fn leave(&self) {
         self.state().says = vec![("server-leaving".into(), "1".into())];
@@ -206,6 +214,8 @@
     fn order(&self, order: &Value) -> u16 {
         let mut state = self.state();
         let holder = order["Holder"].as_str().unwrap_or_default().to_owned();
+        let fence = order["FencingToken"].as_u64().unwrap_or_default();
+        state.fences.push((fence, holder.clone()));
         state.holders.push((Instant::now(), holder));
         if order["Expected"].as_u64() != Some(state.orders) {
             return 409;
--- a/tests/gateway/lease.rs
+++ b/tests/gateway/lease.rs
@@ -3,8 +3,8 @@
 
 use super::build::ms;
 use poplarseam::decide::lease::{Action, Lease, Timing};
-use poplarseam::world::table::{Commit, Row, Txn};
-use poplarseam::world::unit::Incarnation;
+use poplarseam::world::table::{Commit, Row, Txn, Version};
+use poplarseam::world::unit::{Era, Incarnation};
 use rstest::rstest;
 use std::time::Duration;
 
@@ -65,14 +65,18 @@
     let (_, row) = held_by_one();
     let mut two = lease("two");
     if let Some(advertised_at) = advertised_at {
-        two.on_advertised(ms(advertised_at), row.version);
+        let version = Version {
+            era: None,
+            number: row.version,
+        };
+        two.on_advertised(ms(advertised_at), version);
     }
     assert_eq!(two.tick(ms(1_000)), Action::Read);
     two.on_read(ms(1_000), Some(&row));
     assert_eq!(two.tick(ms(unchanged_since + 1_999)), Action::Read);
     commit(&mut two, unchanged_since + 2_000, 2);
     let (previous, until) = two.previous_holder().unwrap();
-    assert_eq!(previous.as_str(), "one");
+    assert_eq!(previous.unwrap().as_str(), "one");
     assert_eq!(until, ms(unchanged_since + 1_500));
 }
 
@@ -132,3 +136,119 @@
     assert!(restarted.fence(ms(120)).is_none());
     assert_eq!(restarted.tick(ms(120)), Action::Read);
 }
+
+/// Lets a lease know the era, and reads a row in it.
+fn read_in(lease: &mut Lease, era: u64, at: u64, row: &Row) {
+    assert!(lease.on_era(Some(Era(era))));
+    lease.on_read(ms(at), Some(row));
+}
+
+/// Lets one contender take the lease over from another, and returns the new holder and the rows of both.
+fn taken_over() -> (Lease, Row, Row) {
+    let (mut one, mut two) = (lease("one"), lease("two"));
+    one.on_era(Some(Era(0)));
+    one.on_read(ms(0), None);
+    let first = commit(&mut one, 0, 1);
+    read_in(&mut two, 0, 100, &first);
+    let second = commit(&mut two, 2_100, 2);
+    (two, first, second)
+}
+
+/// Guards against two holders with one fencing token: the store came back from a copy in which the
+/// former holder's row stood, and the next holder counted on from its token.
+#[test]
+fn token_of_a_holder_that_the_store_has_forgotten_is_not_used_again() {
+    let (two, first, _) = taken_over();
+    let mut three = lease("three");
+    read_in(&mut three, 1, 3_000, &first);
+    assert_eq!(three.tick(ms(4_900)), Action::Read);
+    commit(&mut three, 5_000, 2);
+    assert!(three.fence(ms(5_000)) > two.fence(ms(2_200)));
+    let (previous, acted_until) = three.previous_holder().unwrap();
+    assert_eq!((previous, acted_until), (None, ms(4_500)));
+}
+
+/// Guards against a holder that the store has remembered from the copy and that acts beside the one
+/// that it has forgotten, or with a lower token.
+#[test]
+fn former_holder_that_the_store_remembers_waits_and_gets_a_higher_token() {
+    let (two, first, _) = taken_over();
+    let mut one = lease("one");
+    one.on_era(Some(Era(0)));
+    one.on_read(ms(0), None);
+    commit(&mut one, 0, 1);
+    read_in(&mut one, 1, 2_500, &first);
+    assert!(one.fence(ms(2_500)).is_none());
+    assert_eq!(one.tick(ms(4_400)), Action::Read);
+    commit(&mut one, 4_500, 2);
+    assert!(one.fence(ms(4_500)) > two.fence(ms(2_200)));
+    assert_eq!(one.previous_holder().unwrap().1, ms(4_000));
+}
+
+/// Guards against a holder that goes on after the store has forgotten its lease.
+#[test]
+fn holder_in_its_term_proves_the_lease_before_it_acts_again() {
+    let (mut two, first, second) = taken_over();
+    assert!(two.fence(ms(2_200)).is_some());
+    two.on_era(Some(Era(1)));
+    assert!(two.fence(ms(2_200)).is_none());
+    assert!(two.may_prove(ms(2_200)));
+    two.on_read(ms(2_300), Some(&first));
+    let proven = commit(&mut two, 2_310, 2);
+    assert!(two.fence(ms(2_310)).unwrap().0 > second.value["fence"].as_u64().unwrap());
+    assert_eq!(two.previous_holder(), None);
+    assert_eq!(proven.version, second.version);
+}
+
+/// Guards against a holder that comes back late and proves a lease that others have had since.
+#[test]
+fn holder_beyond_its_term_does_not_prove_the_lease() {
+    let (mut two, first, _) = taken_over();
+    read_in(&mut two, 1, 3_700, &first);
+    assert!(!two.may_prove(ms(3_700)));
+    assert_eq!(two.tick(ms(3_710)), Action::Read);
+}
+
+/// Guards against a row that has no holder only because the store has forgotten the first one.
+#[test]
+fn vacant_row_after_a_return_is_claimed_after_a_whole_term() {
+    let mut three = lease("three");
+    three.on_era(Some(Era(0)));
+    three.on_era(Some(Era(1)));
+    three.on_read(ms(100), None);
+    assert!(!three.is_vacant());
+    assert_eq!(three.tick(ms(2_000)), Action::Read);
+    commit(&mut three, 2_100, 1);
+    assert_eq!(three.previous_holder(), Some((None, ms(1_600))));
+}
+
+/// Guards against a renewal of an earlier era that the store carried out in the new one, where its
+/// condition held by chance.
+#[test]
+fn late_renewal_does_not_prove_the_lease() {
+    let (mut two, _, _) = taken_over();
+    let Action::Commit(Txn { puts, .. }) = two.tick(ms(2_900)) else {
+        panic!("no renewal");
+    };
+    assert!(two.on_era(Some(Era(1))));
+    two.on_commit(ms(2_910), Ok(Commit::Done(vec![2])));
+    assert!(two.fence(ms(2_910)).is_none());
+    let renewed = Row {
+        key: "lease".into(),
+        version: 2,
+        value: puts[0].value.clone(),
+    };
+    two.on_read(ms(2_920), Some(&renewed));
+    assert!(two.fence(ms(2_920)).is_none());
+    commit(&mut two, 2_930, 3);
+    assert!(two.fence(ms(2_930)).is_some());
+}
+
+/// Guards against an answer of an earlier era that is taken for the state of the row.
+#[test]
+fn answer_of_an_earlier_era_is_not_current() {
+    let mut three = lease("three");
+    assert!(three.on_era(Some(Era(1))));
+    assert!(!three.on_era(Some(Era(0))));
+    assert!(three.on_era(None));
+}
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -1,13 +1,13 @@
 //! Decoding and encoding of the platform's formats.
 
 use super::build::{holdings, model, ms, target, worker};
-use hyper::{Request, Response};
+use hyper::{HeaderMap, Request, Response};
 use poplarseam::platform::{config, request, rows, settings, worker as worker_format};
 use poplarseam::world::message::{Outcome, PartId};
 use poplarseam::world::order::{Action, Order};
 use poplarseam::world::site::Repeat;
 use poplarseam::world::table::Txn;
-use poplarseam::world::unit::{Bytes, Fence, Incarnation, Rate};
+use poplarseam::world::unit::{Bytes, Era, Fence, Incarnation, Rate};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -335,9 +335,12 @@
     let body = json!({"Rows": [{"Key": "a", "Value": "eyJhIjoxfQ==", "Ver": 3},
         {"Key": "b", "Ver": 4, "Tombstone": true}, {"Key": "c", "Value": "?", "Ver": 5}],
         "HasMore": true, "Ver": 9, "NowMs": 1});
-    let page = rows::decode_page(body.to_string().as_bytes()).unwrap();
+    let mut headers = HeaderMap::new();
+    headers.insert("store-era", "2".parse().unwrap());
+    let page = rows::decode_page(&headers, body.to_string().as_bytes()).unwrap();
     assert!(page.more);
-    assert_eq!(page.version, 9);
+    assert_eq!(page.version.number, 9);
+    assert_eq!(page.version.era, Some(Era(2)));
     assert_eq!(page.rows[0].value.as_deref(), Some(&b"{\"a\":1}"[..]));
     assert_eq!(page.rows[1].value, None);
     assert_eq!(page.rows[2].value, Some(Vec::new()));
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod notices;
 mod odd_entries;
+mod old_copy;
 mod operators;
 mod parts;
 mod raw_server;
