Follow the store through its return from an old copy

Cause: `gateway/feed.rs` got 410, read the whole table and threw it away as long as its version was below the last one seen; once versions had caught up it was told only of rows above that version. The same cause elsewhere: entries of the server list, versions told by peers, and batches between instances were compared as bare numbers.

Ruled out: the configuration's own version, which the operator gives and the return leaves alone.

Change: feeds, the server list, batches and the versions that instances tell bear the era (`Gossip.era`, `Batch.era`, unknown and not zero where they are missing, `decide/era`). An answer of a later era has a table read in full once, spread over the instances. Missing entries count as lapsed in an outage; a server whose removal was forgotten stays removed until it writes its entry again.

Five new tests of the roster, three of eras.

--- a/src/decide/lag.rs
+++ b/src/decide/lag.rs
@@ -5,18 +5,18 @@
 
 /// Version that a follower is waiting for, with the time since when it waits.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Lag {
-    awaited: Option<(u64, Duration)>,
+pub struct Lag<V> {
+    awaited: Option<(V, Duration)>,
 }
 
-impl Lag {
+impl<V: Copy + PartialOrd> Lag<V> {
     /// Returns whether a version that a peer had at least `max_delay` ago has still not arrived. If
     /// so, starts to wait for the peer's current version.
     pub fn is_late(
         &mut self,
         now: Duration,
-        known_version: u64,
-        peer_version: u64,
+        known_version: V,
+        peer_version: V,
         max_delay: Duration,
     ) -> bool {
         let is_reached = self
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -10,6 +10,7 @@
 //! nobody acts on it; a holder whose term has not ended proves its lease by a commit, and others
 //! claim the row only after they have observed it unchanged for a whole term.
 
+use super::era::Eras;
 use crate::common::*;
 use crate::world::id;
 use crate::world::table::{Check, Commit, Failure, Row, Txn, Version};
@@ -89,10 +90,8 @@
     last_takeover: Option<Takeover>,
     /// Row version that the holder advertised, and when the advertisement arrived.
     advertised: Option<(Version, Duration)>,
-    /// Newest era of the table service; `None` if it does not count them.
-    era: Option<Era>,
-    /// Whether the era has changed, so that the service may have forgotten holders.
-    has_changed_era: bool,
+    /// After a change of the era the table service may have forgotten holders.
+    eras: Eras,
     /// Whether a row of an earlier incarnation of this instance may be taken over without waiting.
     may_reclaim: bool,
     resigned: bool,
@@ -123,8 +122,7 @@
             held_since: None,
             last_takeover: None,
             advertised: None,
-            era: None,
-            has_changed_era: false,
+            eras: Eras::default(),
             may_reclaim: false,
             resigned: false,
         }
@@ -168,14 +166,12 @@
     /// Records the era in which the table service answered. Returns whether that is the newest era
     /// seen; an answer of an older one says nothing about the row.
     pub fn on_era(&mut self, era: Option<Era>) -> bool {
-        if era > self.era {
-            self.has_changed_era |= self.era.is_some();
-            self.era = era;
+        if self.eras.on_seen(era) {
             self.observed = None;
             self.proposed = None;
             self.advertised = None;
         }
-        era.is_none() || era == self.era
+        era.is_none() || era == self.eras.newest()
     }
 
     /// Whether this process held the lease in an earlier era and may still prove it, since no other
@@ -189,14 +185,17 @@
     #[must_use]
     pub fn is_vacant(&self) -> bool {
         let observed = self.observed.as_ref();
-        observed.is_some_and(|observed| observed.holder.is_none()) && !self.has_changed_era
+        observed.is_some_and(|observed| observed.holder.is_none()) && !self.eras.has_changed()
     }
 
     /// Records a row version that the holder advertised outside the table service.
     ///
     /// The row is still read before a takeover, but the time for which it was unchanged counts from
     /// the arrival of the advertisement.
-    pub fn on_advertised(&mut self, now: Duration, version: Version) {
+    pub fn on_advertised(&mut self, now: Duration, era: Option<Era>, number: u64) {
+        let Some(version) = self.eras.version(era, number) else {
+            return;
+        };
         let is_newer = self
             .observed
             .as_ref()
@@ -237,7 +236,9 @@
         let is_proven = observed
             .holder
             .as_ref()
-            .map_or(!self.has_changed_era, |holder| self.is_proven(holder.fence));
+            .map_or(!self.eras.has_changed(), |holder| {
+                self.is_proven(holder.fence)
+            });
         let may_claim = if is_proven {
             is_mine || is_free
         } else {
@@ -263,7 +264,7 @@
             fence: if is_mine && is_proven {
                 fence
             } else {
-                fence.max(self.own_entry.fence).next(self.era)
+                fence.max(self.own_entry.fence).next(self.eras.newest())
             },
             renewals: observed.holder.as_ref().map_or(0, |holder| holder.renewals) + 1,
             ..self.own_entry.clone()
@@ -373,7 +374,7 @@
 
     /// Whether a holder with this token took or proved the lease in the current era.
     fn is_proven(&self, fence: Fence) -> bool {
-        self.era.is_none_or(|era| fence.era() >= era)
+        self.eras.newest().is_none_or(|era| fence.era() >= era)
     }
 
     /// Whether the row shows that another process holds the lease, or none. A row of an earlier era
@@ -381,14 +382,14 @@
     fn is_lost_to(&self, holder: Option<&Holder>) -> bool {
         match holder {
             Some(holder) => self.is_proven(holder.fence) && !self.is_self(holder),
-            None => !self.has_changed_era,
+            None => !self.eras.has_changed(),
         }
     }
 
     /// Returns a version in the current era.
     fn current(&self, number: u64) -> Version {
         Version {
-            era: self.era,
+            era: self.eras.newest(),
             number,
         }
     }
--- a/src/decide/roster.rs
+++ b/src/decide/roster.rs
@@ -1,36 +1,51 @@
 //! The platform's list of backend servers, assembled from batches of changes.
 //!
 //! Batches come from the store's feed or from a peer that follows it, in any order and with gaps.
-//! Each entry has its own version, so an older one never replaces a newer one. The version up to
+//! Each entry has its own version, so an older one never replaces a newer one. After the store's
+//! return from an old copy, versions are of a later era and newer than all before. The version up to
 //! which the list is complete shows whether this instance has to read from the store itself.
 
 use crate::common::*;
 use crate::world::backend::Backend;
 use crate::world::id;
+use crate::world::table::Version;
+use crate::world::unit::Incarnation;
 
 /// Time after which an entry that vanished during a store outage counts as gone, unless it
 /// returned.
 const OUTAGE_GRACE: Duration = Duration::from_millis(1_800);
 
+/// Time for which a server that was removed in an earlier era stays removed, unless it writes its
+/// entry. The store removes the entries of silent servers sooner.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(5);
+
 /// A row of the list; `backend` is `None` if the row was deleted or is not usable.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
     pub worker: id::Worker,
-    pub version: u64,
+    pub version: Version,
     pub backend: Option<Backend>,
 }
 
-/// Rows that changed between two versions. A batch from version 0 is the whole list.
+/// Rows that changed between two versions of one era. A batch from version 0 is the whole list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Batch {
-    pub from: u64,
-    pub to: u64,
+    pub from: Version,
+    pub to: Version,
     pub entries: Vec<Entry>,
     /// Whether the store was reachable throughout, so that a missing entry means that its server
     /// ended.
     pub trusted: bool,
 }
 
+impl Batch {
+    /// Whether this is the whole list.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.from.number == 0
+    }
+}
+
 /// A change to the list of usable servers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
@@ -41,34 +56,38 @@
 /// Newest known row of one server.
 #[derive(Debug, Clone)]
 struct Record {
-    version: u64,
+    version: Version,
     backend: Option<Backend>,
+    /// Incarnation that was listed last before its entry was removed.
+    removed: Option<Incarnation>,
 }
 
 /// The list as far as it is known.
 #[derive(Debug, Default)]
 pub struct Roster {
     /// Version up to which the list is complete.
-    version: u64,
+    version: Version,
     /// Version of the newest change seen. Rows of the store's other tables advance the store's
     /// version without changing this one.
-    newest_change: u64,
+    newest_change: Version,
     entries: BTreeMap<id::Worker, Record>,
     /// Entries that vanished during a store outage, and when they count as gone.
     unconfirmed: BTreeMap<id::Worker, Duration>,
+    /// Entries whose removal the store has forgotten, and when they count again.
+    forgotten: BTreeMap<id::Worker, (Duration, Backend)>,
 }
 
 impl Roster {
     /// Version up to which the list is complete.
     #[must_use]
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> Version {
         self.version
     }
 
     /// Version of the newest change seen. An instance whose list is complete only up to an earlier
     /// version is behind.
     #[must_use]
-    pub fn newest_change(&self) -> u64 {
+    pub fn newest_change(&self) -> Version {
         self.newest_change
     }
 
@@ -85,7 +104,8 @@
 
     /// Reduces a batch to the changes that peers with the same list as this instance need. For a
     /// whole list these are the changes since this instance's version, including the removal of
-    /// servers that are no longer in it.
+    /// servers that are no longer in it. If that version is of an earlier era, they make no list
+    /// complete: peers may know of changes that the store has forgotten.
     #[must_use]
     pub fn delta(&self, batch: &Batch) -> Batch {
         let changed_entries = batch.entries.iter().filter(|entry| self.is_changed(entry));
@@ -95,8 +115,12 @@
             entries: changed_entries.cloned().collect(),
             trusted: batch.trusted,
         };
-        if batch.from == 0 {
-            delta.from = self.version;
+        if batch.is_whole() {
+            if self.version.era == batch.to.era {
+                delta.from = self.version;
+            } else if self.version.number > 0 {
+                delta.from = batch.to;
+            }
             delta.entries.extend(self.missing_entries(batch));
         }
         delta
@@ -105,14 +129,15 @@
     /// Applies a batch and returns the changes to the list.
     pub fn on_batch(&mut self, now: Duration, batch: Batch) -> Vec<Change> {
         let mut changes = Vec::new();
-        if batch.from == 0 {
+        let is_whole = batch.is_whole();
+        if is_whole {
             self.remove_missing(now, &batch, &mut changes);
         }
         for entry in batch.entries {
             self.newest_change = self.newest_change.max(entry.version);
             self.on_entry(now, entry, batch.trusted, &mut changes);
         }
-        if batch.from <= self.version {
+        if is_whole || batch.from <= self.version {
             self.version = self.version.max(batch.to);
         }
         changes
@@ -147,12 +172,24 @@
             return;
         }
         let was_listed = known.is_some_and(|known| known.backend.is_some());
+        let is_forgotten = known.is_some_and(|known| known.is_forgotten(&entry));
+        let listed_before = known.and_then(|known| known.backend.as_ref());
+        let removed_before = known.and_then(|known| known.removed);
+        let removed = listed_before.map(|before| before.boot).or(removed_before);
+        let mut backend = entry.backend;
+        self.forgotten.remove(&entry.worker);
+        if is_forgotten && let Some(backend) = backend.take() {
+            let until = now + REMOVAL_MEMORY;
+            self.forgotten
+                .insert(entry.worker.clone(), (until, backend));
+        }
         let newest = Record {
             version: entry.version,
-            backend: entry.backend.clone(),
+            backend: backend.clone(),
+            removed,
         };
         self.entries.insert(entry.worker.clone(), newest);
-        match entry.backend {
+        match backend {
             Some(backend) => {
                 self.unconfirmed.remove(&entry.worker);
                 changes.push(Change::Listed(backend));
@@ -165,8 +202,27 @@
         }
     }
 
-    /// Removes the entries that did not return within [`OUTAGE_GRACE`].
+    /// Removes the entries that did not return within [`OUTAGE_GRACE`], and lists those that the store
+    /// still has after [`REMOVAL_MEMORY`].
     pub fn tick(&mut self, now: Duration) -> Vec<Change> {
+        let mut changes = self.remove_unconfirmed(now);
+        let kept = self
+            .forgotten
+            .iter()
+            .filter(|(_, (until, _))| now >= *until);
+        let kept: Vec<id::Worker> = kept.map(|(worker, _)| worker.clone()).collect();
+        for worker in kept {
+            if let Some((_, backend)) = self.forgotten.remove(&worker)
+                && let Some(record) = self.entries.get_mut(&worker)
+            {
+                record.backend = Some(backend.clone());
+                changes.push(Change::Listed(backend));
+            }
+        }
+        changes
+    }
+
+    fn remove_unconfirmed(&mut self, now: Duration) -> Vec<Change> {
         let expired = self.unconfirmed.iter().filter(|(_, until)| now >= **until);
         let expired: Vec<id::Worker> = expired.map(|(worker, _)| worker.clone()).collect();
         for worker in &expired {
@@ -175,3 +231,15 @@
         expired.into_iter().map(Change::Unlisted).collect()
     }
 }
+
+impl Record {
+    /// Whether an entry was removed and stands in the store again only because the store has
+    /// forgotten its removal. A server that lives writes its entry once more.
+    fn is_forgotten(&self, entry: &Entry) -> bool {
+        let boot = entry.backend.as_ref().map(|backend| backend.boot);
+        self.backend.is_none()
+            && self.version.era < entry.version.era
+            && boot.is_some()
+            && self.removed == boot
+    }
+}
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -10,7 +10,7 @@
 use crate::world::id;
 use crate::world::message::Notice;
 use crate::world::site::Site;
-use crate::world::table::{Commit, Failure, Row, Txn};
+use crate::world::table::{Commit, Failure, Row, Txn, Version};
 use crate::world::unit::{Era, Incarnation, Rate};
 use bytes::Bytes;
 
@@ -53,8 +53,8 @@
     /// Lease rows, some of which this instance may have held before it restarted, and the era in
     /// which they were read.
     FormerLeases(Vec<Row>, Option<Era>),
-    /// The store answered in this era for the first time; before it in the other one, if any.
-    Era { era: Era, before: Option<Era> },
+    /// The store answered in this era for the first time.
+    Era(Era),
     /// The store became reachable or unreachable.
     Store { up: bool },
     /// Rows or a configuration were fetched; only for the logs.
@@ -95,9 +95,9 @@
     /// Whether to follow the server list, rather than only catch up when behind.
     pub is_following_servers: bool,
     /// Version up to which this instance has the complete server list.
-    pub known_version: u64,
+    pub known_version: Version,
     /// Newest version of the server list to catch up with, as peers report it.
-    pub newest_version: u64,
+    pub newest_version: Version,
     /// Increased each time peers have been ahead of a feed for too long, since its call may
     /// hang.
     pub site_stalls: u64,
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -1,14 +1,17 @@
 //! Change feed of one table of the platform's store, read by long polling.
 //!
-//! When the store has dropped the history, the table is read in full. A response older than the
-//! last version seen is discarded, because the store may return stale data.
+//! When the store has dropped the history or has come back from an old copy, the table is read in
+//! full. A response older than the last version seen is discarded, because the store may return
+//! stale data.
 
 use super::channel::{self, Channel};
 use super::event::{Fetch, Subscription, milliseconds};
-use super::store::{CALL_TIMEOUT, MAX_RETRY_DELAY, RETRY_DELAY, Store, decode};
+use super::store::{CALL_TIMEOUT, MAX_RETRY_DELAY, RETRY_DELAY, Store};
 use crate::common::*;
 use crate::decide::retry::backoff;
 use crate::platform::rows::{self, Page};
+use crate::world::table::Version;
+use crate::world::unit::Era;
 use hyper::StatusCode;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -21,8 +24,8 @@
 pub struct Feed {
     store: Rc<Store>,
     table: &'static str,
-    /// Newest version seen; 0 before the first read.
-    pub last_version: u64,
+    /// Newest version seen; none before the first read.
+    pub last_version: Option<Version>,
     pub channel: Option<Channel>,
     subscription: watch::Receiver<Subscription>,
     stall_count_of: fn(&Subscription) -> u64,
@@ -52,7 +55,7 @@
         Self {
             store,
             table,
-            last_version: 0,
+            last_version: None,
             channel: None,
             subscription,
             stall_count_of,
@@ -64,10 +67,9 @@
     /// Waits for the next change or failure.
     pub async fn next(&mut self) -> Change {
         loop {
-            let change = if self.last_version == 0 {
-                self.read_all().await
-            } else {
-                self.poll_changes().await
+            let change = match self.last_version {
+                None => self.read_all().await,
+                Some(version) => self.poll_changes(version).await,
             };
             match change {
                 Ok(Some(change)) => {
@@ -90,13 +92,13 @@
 
     /// Reads the complete table now, or waits for the retry delay if that fails.
     pub async fn reread(&mut self) -> Change {
-        self.last_version = 0;
+        self.last_version = None;
         self.next().await
     }
 
     async fn read_all(&mut self) -> Result<Option<Change>> {
         let page = self.read_table().await?;
-        self.last_version = page.version.number;
+        self.last_version = Some(page.version);
         Ok(Some(Change::Snapshot(page.rows)))
     }
 
@@ -121,8 +123,8 @@
         self.store.log_fetch(fetch).await;
     }
 
-    async fn poll_changes(&mut self) -> Result<Option<Change>> {
-        let path = rows::feed_path(self.table, self.last_version, MAX_POLL_TIME);
+    async fn poll_changes(&mut self, after: Version) -> Result<Option<Change>> {
+        let path = rows::feed_path(self.table, after.number, MAX_POLL_TIME);
         let request = self.store.get(&path);
         let failed = |reason: &dyn Display| Error::Call {
             url: path.clone(),
@@ -158,11 +160,19 @@
                 "the store dropped its history of {}; reading the complete table",
                 self.table
             );
-            return self.reread_after_gap().await;
+            return self.reread_after_gap(after).await;
         }
-        let page = decode(reply)?;
+        let page = self.store.decode(reply)?;
         self.store.record_call(true).await;
-        self.last_version = self.last_version.max(page.version.number);
+        self.store.record_era(page.version.era).await;
+        if is_later_era(page.version.era, after.era) {
+            log::info!(
+                "the store came back from an old copy; reading the complete table {}",
+                self.table
+            );
+            return self.reread_after_gap(after).await;
+        }
+        self.last_version = Some(after.max(page.version));
         if page.rows.is_empty() {
             return Ok(None);
         }
@@ -171,13 +181,18 @@
     }
 
     /// Reads the complete table, and discards a response older than the last version seen.
-    async fn reread_after_gap(&mut self) -> Result<Option<Change>> {
+    async fn reread_after_gap(&mut self, after: Version) -> Result<Option<Change>> {
         let page = self.read_table().await?;
-        if page.version.number < self.last_version {
+        if page.version < after {
             sleep(RETRY_DELAY).await;
             return Ok(None);
         }
-        self.last_version = page.version.number;
+        self.last_version = Some(page.version);
         Ok(Some(Change::Snapshot(page.rows)))
     }
 }
+
+/// Whether the store has come back from an old copy since an earlier answer.
+fn is_later_era(era: Option<Era>, before: Option<Era>) -> bool {
+    before.is_some() && era > before
+}
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -11,6 +11,7 @@
 use crate::platform::{config, worker};
 use crate::wire::generated_gossip::{Batch, Entry};
 use crate::world::site::Version;
+use crate::world::table;
 use bytes::Bytes;
 use hyper::Method;
 use std::rc::Rc;
@@ -50,7 +51,7 @@
             Progress::Current
         };
         let situation = Situation {
-            follows_store: now.is_following_site || feed.last_version == 0,
+            follows_store: now.is_following_site || feed.last_version.is_none(),
             reaches_store: store.is_up.get(),
             progress,
             peer: now
@@ -164,18 +165,20 @@
     );
     let mut was_following = false;
     // Version of the newest change; only the next batch has changes after it.
-    let mut newest = 0;
+    let mut newest = table::Version::default();
     loop {
         let now = *subscription.borrow_and_update();
         let starts_following = now.is_following_servers && !was_following;
         was_following = now.is_following_servers;
         if starts_following {
-            feed.last_version = 0;
-        } else if now.known_version > feed.last_version {
-            feed.last_version = now.known_version;
+            feed.last_version = None;
+        } else if now.known_version.number > 0 && Some(now.known_version) > feed.last_version {
+            feed.last_version = Some(now.known_version);
             newest = now.known_version;
         }
-        let is_behind = feed.last_version == 0 || now.newest_version > feed.last_version;
+        let is_behind = feed
+            .last_version
+            .is_none_or(|last_version| now.newest_version > last_version);
         if !now.is_following_servers && !is_behind {
             feed.channel = None;
             if subscription.changed().await.is_err() {
@@ -185,17 +188,18 @@
         }
         let (from, rows) = match feed.next().await {
             Change::Snapshot(rows) => {
-                newest = feed.last_version;
+                newest = feed.last_version.unwrap_or_default();
                 (0, rows)
             }
             Change::Some(rows) => {
-                let from = newest;
+                let from = newest.number;
                 let versions = rows.iter().map(|row| row.version);
-                newest = versions.max().unwrap_or(newest);
+                newest.number = versions.max().unwrap_or(newest.number);
                 (from, rows)
             }
             Change::Empty => continue,
         };
+        let to = feed.last_version.unwrap_or_default();
         let entries = rows.into_iter().map(|row| Entry {
             worker: row.key,
             version: row.version,
@@ -203,7 +207,8 @@
         });
         let batch = Batch {
             from,
-            to: feed.last_version,
+            to: to.number,
+            era: to.era.map(|era| era.0),
             entries: entries.collect(),
             trusted: !store.has_failed_recently(),
             partial: false,
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -12,7 +12,7 @@
 use crate::world::id;
 use crate::world::message::Target;
 use crate::world::shard::Shard;
-use crate::world::unit::Incarnation;
+use crate::world::unit::{Era, Incarnation};
 
 /// Interval at which demand is sent in full, so that a new holder learns of it.
 const DEMAND_REFRESH_INTERVAL: Duration = Duration::from_secs(2);
@@ -57,10 +57,7 @@
         if !is_far && !gossip.is_sum {
             self.add_peer_demand(&sender, &gossip);
         }
-        let (newest_version, at) = self.peer_servers_version.get();
-        let at = if gossip.leads.is_empty() { at } else { now };
-        self.peer_servers_version
-            .set((newest_version.max(gossip.servers_version), at));
+        self.on_peer_servers_version(now, &gossip);
         let newest_version = self
             .peer_configuration_version
             .get()
@@ -85,6 +82,23 @@
         }
     }
 
+    /// Records which server list a peer has, and whether it announces leases. Neither counts if its
+    /// era is unknown: such a peer may no longer be able to follow the store.
+    fn on_peer_servers_version(&self, now: Duration, gossip: &Gossip) {
+        let era = gossip.era.map(Era);
+        if let Some(era) = era {
+            self.on_era(era);
+        }
+        let version = self.eras.borrow().version(era, gossip.servers_version);
+        let Some(version) = version else {
+            return;
+        };
+        let (newest_version, at) = self.peer_servers_version.get();
+        let at = if gossip.leads.is_empty() { at } else { now };
+        self.peer_servers_version
+            .set((newest_version.max(version), at));
+    }
+
     /// Applies the load at a peer, or that of a whole data centre without this instance's share.
     fn on_peer_loads(&self, now: Duration, sender: &Sender, gossip: &Gossip) {
         let Some(running) = &gossip.running else {
@@ -188,13 +202,15 @@
     /// Builds a datagram with nothing but the sender's fields.
     pub fn envelope(&self) -> Gossip {
         self.sequence.set(self.sequence.get() + 1);
+        let newest_change = self.roster.borrow().newest_change();
         Gossip {
             instance: self.deployment.instance.to_string(),
             incarnation: self.incarnation.0,
             sequence: self.sequence.get(),
             data_centre: self.deployment.data_centre.to_string(),
             address: self.deployment.peers.to_string(),
-            servers_version: self.roster.borrow().newest_change(),
+            servers_version: newest_change.number,
+            era: newest_change.era.map(|era| era.0),
             configuration: self.configuration_version(),
             reaches_store: self.reaches_store.get() && !self.is_stopping.get(),
             quarantine_digest: self.quarantine.borrow().digest(),
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -24,7 +24,7 @@
 use crate::world::message::Notice;
 use crate::world::order::{Order, Reply};
 use crate::world::shard::Shard;
-use crate::world::table::{Commit, Failure, Row, Txn, Version};
+use crate::world::table::{Commit, Failure, Row, Txn};
 use crate::world::unit::{Era, Fence, Incarnation};
 use hyper::Method;
 use std::cell::RefCell;
@@ -283,10 +283,7 @@
                 shard_state.holder_heard_at = now;
                 let era = lead.era.map(Era);
                 if shard_state.lease.on_era(era) {
-                    let number = lead.version;
-                    shard_state
-                        .lease
-                        .on_advertised(now, Version { era, number });
+                    shard_state.lease.on_advertised(now, era, lead.version);
                 }
             }
         }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -101,8 +101,7 @@
             self.failed_at.set(Some(self.clock.now()));
             self.recovered.notify_waiters();
         }
-        self.send_update(StoreUpdate::Era { era: newer, before })
-            .await;
+        self.send_update(StoreUpdate::Era(newer)).await;
     }
 
     /// Reports what was fetched, for the logs.
@@ -123,6 +122,14 @@
         channel::build_request(Method::GET, self.address, path, Vec::new())
     }
 
+    /// Decodes the rows in a response. One that names no era is of the newest one known.
+    pub fn decode(&self, reply: Reply) -> Result<Page> {
+        let headers = reply.headers.clone();
+        let mut page = rows::decode_page(&headers, &reply.require_ok("the platform's store")?)?;
+        page.version.era = page.version.era.or(self.era.get());
+        Ok(page)
+    }
+
     async fn call_once(&self, request: Request<Full<Bytes>>) -> Result<Reply> {
         let reply = channel::call_once(self.address, request, CALL_TIMEOUT).await;
         let up = reply
@@ -151,7 +158,7 @@
             let reply = self
                 .call_once(self.get(&rows::read_path(table, &from)))
                 .await?;
-            let page = decode(reply)?;
+            let page = self.decode(reply)?;
             if !complete.rows.is_empty() && page.version.era != complete.version.era {
                 return Err(Error::Call {
                     url: "the platform's store".into(),
@@ -173,12 +180,6 @@
     }
 }
 
-/// Decodes the rows in a response.
-pub(super) fn decode(reply: Reply) -> Result<Page> {
-    let headers = reply.headers.clone();
-    rows::decode_page(&headers, &reply.require_ok("the platform's store")?)
-}
-
 pub(super) fn decode_row(row: &rows::Row) -> Option<Row> {
     Some(Row {
         key: row.key.clone(),
@@ -200,7 +201,7 @@
 async fn fetch_row(store: &Store, key: &str) -> Answer<Option<Row>> {
     let path = format!("{}&Limit=1", rows::read_path(rows::SYSTEM_TABLE, key));
     let reply = store.call_once(store.get(&path)).await;
-    let page = reply.and_then(decode);
+    let page = reply.and_then(|reply| store.decode(reply));
     match page {
         Ok(page) => {
             let row = page.rows.iter().find(|row| row.key == key);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -10,6 +10,7 @@
 use crate::common::*;
 use crate::decide::balance::{Balancer, Need};
 use crate::decide::carrier::Carriers;
+use crate::decide::era::Eras;
 use crate::decide::lag::Lag;
 use crate::decide::limit::Sharers;
 use crate::decide::memory::Memory;
@@ -30,8 +31,8 @@
 use crate::world::message::Target;
 use crate::world::shard::Shard;
 use crate::world::site::Site;
-use crate::world::table::{Commit, Txn};
-use crate::world::unit::Incarnation;
+use crate::world::table::{Commit, Txn, Version};
+use crate::world::unit::{Era, Incarnation};
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -100,9 +101,10 @@
     pub(super) calls: flume::Sender<Call>,
     pub(super) topology: RefCell<Topology>,
     pub(super) roster: RefCell<Roster>,
+    pub(super) eras: RefCell<Eras>,
     /// Newest version of the server list at a peer, and when a holder last announced its
     /// lease.
-    pub(super) peer_servers_version: Cell<(u64, Duration)>,
+    pub(super) peer_servers_version: Cell<(Version, Duration)>,
     /// Newest configuration in force at a peer.
     pub(super) peer_configuration_version: Cell<u64>,
     pub(super) lags: RefCell<Lags>,
@@ -172,8 +174,8 @@
 /// How far this instance is behind its peers.
 #[derive(Debug, Default)]
 pub(super) struct Lags {
-    servers: Lag,
-    site: Lag,
+    servers: Lag<Version>,
+    site: Lag<u64>,
 }
 
 /// Holder of a shard's lease.
@@ -240,6 +242,7 @@
             calls,
             topology,
             roster: RefCell::default(),
+            eras: RefCell::default(),
             peer_servers_version: Cell::default(),
             peer_configuration_version: Cell::new(0),
             lags: RefCell::default(),
@@ -333,7 +336,9 @@
                 peer,
             } => self.on_site(site, written, peer),
             StoreUpdate::Servers(batch) => {
-                let reduced = self.on_batch(&batch);
+                let Some(reduced) = self.on_batch(&batch) else {
+                    return;
+                };
                 let is_first_list = reduced.from == 0;
                 if !is_first_list && self.should_follow_servers(self.clock.now()) {
                     let list_update = ListUpdate {
@@ -347,14 +352,7 @@
             StoreUpdate::FormerLeases(rows, era) => {
                 self.notify_placer(PlacerEvent::FormerLeases(rows, era));
             }
-            StoreUpdate::Era { era, before } => {
-                if before.is_some() {
-                    self.metrics.era_changes.inc();
-                    self.journal
-                        .note("era", &json!({"era": era, "before": before}));
-                }
-                self.notify_placer(PlacerEvent::Era(era));
-            }
+            StoreUpdate::Era(era) => self.on_era(era),
             StoreUpdate::Quarantine(rows) => self.on_quarantine_rows(&rows),
             StoreUpdate::Leaving(rows) => self.on_leaving_rows(&rows),
             StoreUpdate::Origins(rows) => self.on_origin_rows(&rows),
@@ -368,17 +366,34 @@
         }
     }
 
+    /// Records the era of the store's answers or of a peer's news.
+    pub(super) fn on_era(&self, era: Era) {
+        let before = self.eras.borrow().newest();
+        if before >= Some(era) {
+            return;
+        }
+        if self.eras.borrow_mut().on_seen(Some(era)) {
+            self.metrics.era_changes.inc();
+            let servers = self.roster.borrow().version();
+            let values = json!({"era": era, "before": before, "servers": servers});
+            self.journal.note("era", &values);
+        }
+        self.notify_placer(PlacerEvent::Era(era));
+    }
+
     /// Applies changes of the server list from the store or a peer. Returns them without the
-    /// changes that holders announce.
-    pub(super) fn on_batch(&self, batch: &Batch) -> Batch {
+    /// changes that holders announce; none if their era is unknown.
+    pub(super) fn on_batch(&self, batch: &Batch) -> Option<Batch> {
+        let era = batch.era.map(Era);
+        let to = self.eras.borrow().version(era, batch.to)?;
+        let entries = batch.entries.iter();
         let read = roster::Batch {
-            from: batch.from,
-            to: batch.to,
-            entries: batch
-                .entries
-                .iter()
-                .filter_map(|it| self.decode(it))
-                .collect(),
+            from: Version {
+                number: batch.from,
+                ..to
+            },
+            to,
+            entries: entries.filter_map(|it| self.decode(it, to)).collect(),
             trusted: batch.trusted,
         };
         let mut roster = self.roster.borrow_mut();
@@ -391,15 +406,16 @@
         let reported = reduced.entries.iter().map(|entry| {
             let ended = || Entry {
                 worker: entry.worker.to_string(),
-                version: entry.version,
+                version: entry.version.number,
                 value: Vec::new(),
             };
             let known = written.get(entry.worker.as_str());
             known.map_or_else(ended, |entry| (*entry).clone())
         });
         let reduced = Batch {
-            from: reduced.from,
-            to: reduced.to,
+            from: reduced.from.number,
+            to: reduced.to.number,
+            era: reduced.to.era.map(|era| era.0),
             entries: reported.collect(),
             trusted: reduced.trusted,
             partial: true,
@@ -410,10 +426,11 @@
         self.on_changes(changes);
         self.update_versions(now);
         self.update_subscription(now);
-        reduced
+        Some(reduced)
     }
 
-    fn decode(&self, entry: &Entry) -> Option<roster::Entry> {
+    /// Decodes an entry of a batch up to a version.
+    fn decode(&self, entry: &Entry, to: Version) -> Option<roster::Entry> {
         let log_invalid = |error: &Error| {
             let values = json!({"server": entry.worker, "error": error.to_string()});
             self.journal.note("bad_entry", &values);
@@ -424,7 +441,10 @@
         let backend = backend.and_then(|backend| backend.inspect_err(log_invalid).ok());
         Some(roster::Entry {
             worker,
-            version: entry.version,
+            version: Version {
+                number: entry.version,
+                ..to
+            },
             backend,
         })
     }
@@ -496,9 +516,15 @@
         let known_version = self.roster.borrow().version();
         let (peer_version, holder_heard_at) = self.peer_servers_version.get();
         let mut lags = self.lags.borrow_mut();
+        // After a return from an old copy all instances read the list.
+        let max_lag = if peer_version.era == known_version.era {
+            MAX_LAG
+        } else {
+            MAX_LAG.mul_f64(1.0 + self.spread)
+        };
         let misses_servers = lags
             .servers
-            .is_late(now, known_version, peer_version, MAX_LAG);
+            .is_late(now, known_version, peer_version, max_lag);
         if misses_servers {
             let values = json!({"list": "servers", "known": known_version, "heard": peer_version});
             self.journal.note("behind", &values);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
     pub mod config_source;
     pub mod demand;
     pub mod dispatch;
+    pub mod era;
     pub mod fleet;
     pub mod forecast;
     pub mod lag;
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -71,6 +71,10 @@
     /// Unfinished streams that the sender began.
     #[prost(message, repeated, tag = "25")]
     pub streams: ::prost::alloc::vec::Vec<Streams>,
+    /// Era of the store that `servers_version` belongs to; absent if the store does not count them, or
+    /// from a sender that does not know eras.
+    #[prost(uint64, optional, tag = "26")]
+    pub era: ::core::option::Option<u64>,
 }
 /// Streams that servers of one software version began.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -172,6 +176,9 @@
     /// Whether changes of loaded models are left out, since lease holders report those themselves.
     #[prost(bool, tag = "5")]
     pub partial: bool,
+    /// Era of the store that the versions belong to, as in `Gossip`.
+    #[prost(uint64, optional, tag = "6")]
+    pub era: ::core::option::Option<u64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Entry {
--- a/tests/gateway/config_source.rs
+++ b/tests/gateway/config_source.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Default)]
 struct Instance {
     version: usize,
-    lag: Lag,
+    lag: Lag<u64>,
     is_late: bool,
     /// Version that is being read from the store, and when the read ends.
     reading: Option<(usize, usize)>,
--- a/tests/gateway/lease.rs
+++ b/tests/gateway/lease.rs
@@ -3,7 +3,7 @@
 
 use super::build::ms;
 use poplarseam::decide::lease::{Action, Lease, Timing};
-use poplarseam::world::table::{Commit, Row, Txn, Version};
+use poplarseam::world::table::{Commit, Row, Txn};
 use poplarseam::world::unit::{Era, Incarnation};
 use rstest::rstest;
 use std::time::Duration;
@@ -65,11 +65,7 @@
     let (_, row) = held_by_one();
     let mut two = lease("two");
     if let Some(advertised_at) = advertised_at {
-        let version = Version {
-            era: None,
-            number: row.version,
-        };
-        two.on_advertised(ms(advertised_at), version);
+        two.on_advertised(ms(advertised_at), None, row.version);
     }
     assert_eq!(two.tick(ms(1_000)), Action::Read);
     two.on_read(ms(1_000), Some(&row));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod build;
 mod carrier;
 mod config_source;
+mod era;
 mod fleet;
 mod forecast;
 mod herd;
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -3,17 +3,26 @@
 use super::build::{backend, ms, worker};
 use poplarseam::decide::roster::{Batch, Change, Entry, Roster};
 use poplarseam::world::backend::Backend;
+use poplarseam::world::table::Version;
+use poplarseam::world::unit::Era;
 
 /// Creates a batch from names, versions and whether the server is listed.
 fn batch(from: u64, to: u64, entries: &[(&str, u64, bool)]) -> Batch {
-    let entries = entries.iter().map(|(name, version, is_listed)| Entry {
+    batch_in(None, from, to, entries)
+}
+
+/// Creates a batch with versions of an era.
+fn batch_in(era: Option<u64>, from: u64, to: u64, entries: &[(&str, u64, bool)]) -> Batch {
+    let era = era.map(Era);
+    let version = |number| Version { era, number };
+    let entries = entries.iter().map(|(name, number, is_listed)| Entry {
         worker: worker(name),
-        version: *version,
+        version: version(*number),
         backend: is_listed.then(|| backend(name, "north-1", "")),
     });
     Batch {
-        from,
-        to,
+        from: version(from),
+        to: version(to),
         entries: entries.collect(),
         trusted: true,
     }
@@ -39,7 +48,7 @@
         roster.on_batch(ms(2), batch(2, 11, &[("a", 11, true)])),
         vec![]
     );
-    assert_eq!(roster.version(), 12);
+    assert_eq!(roster.version().number, 12);
 }
 
 #[test]
@@ -47,9 +56,9 @@
     let mut roster = known_roster();
     let changes = roster.on_batch(ms(1), batch(14, 16, &[("c", 16, true)]));
     assert_eq!(changes.len(), 1);
-    assert_eq!(roster.version(), 10);
+    assert_eq!(roster.version().number, 10);
     roster.on_batch(ms(2), batch(10, 16, &[]));
-    assert_eq!(roster.version(), 16);
+    assert_eq!(roster.version().number, 16);
 }
 
 #[test]
@@ -93,9 +102,10 @@
 #[test]
 fn change_of_memory_contents_alone_is_not_sent_to_peers() {
     let mut roster = Roster::default();
-    let entry = |version, held: &str, leaving| Entry {
+    let version = |number| Version { era: None, number };
+    let entry = |number, held: &str, leaving| Entry {
         worker: worker("a"),
-        version,
+        version: version(number),
         backend: Some(Backend {
             software: "v1".parse().ok(),
             leaving,
@@ -106,8 +116,8 @@
     roster.on_batch(
         ms(0),
         Batch {
-            from: 0,
-            to: 1,
+            from: version(0),
+            to: version(1),
             entries: vec![entry(1, "m1", false)],
             trusted: true,
         },
@@ -131,19 +141,19 @@
 #[test]
 fn later_store_version_without_changes_leaves_no_instance_behind() {
     let mut roster = known_roster();
-    assert_eq!(roster.version(), 10);
-    assert_eq!(roster.newest_change(), 5);
+    assert_eq!(roster.version().number, 10);
+    assert_eq!(roster.newest_change().number, 5);
     roster.on_batch(ms(0), batch(10, 40, &[]));
-    assert_eq!(roster.version(), 40);
-    assert_eq!(roster.newest_change(), 5);
+    assert_eq!(roster.version().number, 40);
+    assert_eq!(roster.newest_change().number, 5);
     roster.on_batch(ms(0), batch(0, 50, &[("a", 3, true)]));
     assert_eq!(
-        roster.newest_change(),
+        roster.newest_change().number,
         5,
         "a missing entry does not advance the newest change"
     );
     roster.on_batch(ms(0), batch(50, 60, &[("c", 55, true)]));
-    assert_eq!(roster.newest_change(), 55);
+    assert_eq!(roster.newest_change().number, 55);
 }
 
 /// Guards against hundreds of instances that read the whole list when another instance starts to
@@ -163,5 +173,101 @@
             .rev()
             .collect::<Vec<_>>()
     );
-    assert_eq!(peer.version(), 90);
+    assert_eq!(peer.version().number, 90);
+}
+
+/// A list of era 0 with three servers.
+fn roster_before_return() -> Roster {
+    let mut roster = Roster::default();
+    let servers = [("a", 30, true), ("b", 50, true), ("c", 90, true)];
+    roster.on_batch(ms(0), batch_in(Some(0), 0, 90, &servers));
+    roster
+}
+
+/// Guards against a list that stands still after the store came back from an old copy, until its
+/// versions have caught up.
+#[test]
+fn entries_of_a_later_era_are_newer_whatever_their_versions() {
+    let mut roster = roster_before_return();
+    let mut list = batch_in(Some(1), 0, 40, &[("a", 30, true), ("d", 35, true)]);
+    list.trusted = false;
+    assert_eq!(roster.on_batch(ms(0), list).len(), 2);
+    assert_eq!(
+        roster.version(),
+        Version {
+            era: Some(Era(1)),
+            number: 40
+        }
+    );
+    let gone = roster.on_batch(ms(1), batch_in(Some(1), 40, 42, &[("a", 42, false)]));
+    assert_eq!(gone, vec![Change::Unlisted(worker("a"))]);
+    assert_eq!(roster.tick(ms(1_900)).len(), 2, "b and c did not return");
+}
+
+/// Guards against news of an earlier era, whose versions are greater, from an instance that does not
+/// know yet that the store came back from an old copy.
+#[test]
+fn news_of_an_earlier_era_are_ignored() {
+    let mut roster = roster_before_return();
+    let list = [("a", 30, true), ("b", 32, true), ("c", 35, true)];
+    roster.on_batch(ms(0), batch_in(Some(1), 0, 40, &list));
+    let news = batch_in(Some(0), 90, 95, &[("a", 95, false)]);
+    assert_eq!(roster.on_batch(ms(1), news), vec![]);
+    assert_eq!(
+        roster.version(),
+        Version {
+            era: Some(Era(1)),
+            number: 40
+        }
+    );
+}
+
+/// Guards against peers that take the changes in one instance's view for all changes since the
+/// earlier era, although they may know of others.
+#[test]
+fn changes_across_eras_leave_a_peer_behind() {
+    let list = batch_in(Some(1), 0, 40, &[("a", 30, true), ("b", 32, true)]);
+    let delta = roster_before_return().delta(&list);
+    let mut peer = roster_before_return();
+    assert_eq!(
+        peer.on_batch(ms(0), delta),
+        vec![Change::Unlisted(worker("c"))]
+    );
+    assert_eq!(peer.version().era, Some(Era(0)));
+    assert_eq!(peer.on_batch(ms(1), list).len(), 2);
+    assert_eq!(peer.version().era, Some(Era(1)));
+}
+
+/// Guards against requests to a server that has left: its removal was forgotten, and its entry in
+/// the old copy says that it is ready.
+#[test]
+fn removed_server_returns_only_if_it_writes_its_entry_again() {
+    let mut roster = roster_before_return();
+    roster.on_batch(ms(0), batch_in(Some(0), 90, 95, &[("a", 95, false)]));
+    let copy = batch_in(
+        Some(1),
+        0,
+        40,
+        &[("a", 30, true), ("b", 32, true), ("c", 35, true)],
+    );
+    let changes = roster.on_batch(ms(1), copy);
+    assert!(!changes.contains(&Change::Listed(backend("a", "north-1", ""))));
+    assert_eq!(roster.tick(ms(4_000)), vec![]);
+    let again = roster.on_batch(ms(4_500), batch_in(Some(1), 40, 41, &[("a", 41, true)]));
+    assert_eq!(again, vec![Change::Listed(backend("a", "north-1", ""))]);
+    assert_eq!(roster.tick(ms(9_000)), vec![]);
+}
+
+/// Guards against a server that lives and stays out of use because its entry did not change after
+/// the return.
+#[test]
+fn entry_that_the_store_keeps_after_the_return_counts_again() {
+    let mut roster = roster_before_return();
+    roster.on_batch(ms(0), batch_in(Some(0), 90, 95, &[("a", 95, false)]));
+    let copy = [("a", 30, true), ("b", 32, true), ("c", 35, true)];
+    roster.on_batch(ms(1), batch_in(Some(1), 0, 40, &copy));
+    assert_eq!(
+        roster.tick(ms(5_001)),
+        vec![Change::Listed(backend("a", "north-1", ""))]
+    );
 }
--- a/tests/gateway_processes/old_copy.rs
+++ b/tests/gateway_processes/old_copy.rs
@@ -1,12 +1,16 @@
 //! The store comes back from an old copy of its data.
 
 use super::site::{POLL_INTERVAL, Site, config, wait_for};
+use serde_json::json;
 use standins::platform::Copy;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 
+const INSTANCES: u8 = 3;
+/// Writes that the store loses; its versions don't catch up while a test waits.
+const LOST_WRITES: usize = 5_000;
 const MODEL_WORKERS: [&str; 2] = ["a", "b"];
 
 /// Requests for adapters in turn, more than a worker can hold, so that orders go on.
@@ -42,7 +46,7 @@
 /// Lets the store come back from a copy; the operator and the workers write their rows again.
 fn return_from(site: &Site, copy: &Copy) {
     site.platform.return_from(copy);
-    site.platform.configure(&config(5_000));
+    site.platform.configure(&config(5_050));
     for worker in site.platform.workers() {
         site.platform.list(worker, "ready");
     }
@@ -68,7 +72,7 @@
 /// changed hands after the copy was taken, so that its row bears the former holder's token again.
 #[test]
 fn orders_never_bear_a_token_of_another_holder_after_the_store_came_back_from_an_old_copy() {
-    let site = Arc::new(Site::start(3));
+    let site = Arc::new(Site::start(INSTANCES));
     site.wait_until_ready();
     let demand = Demand::start(&site);
     let worker = "b";
@@ -96,3 +100,60 @@
         assert_eq!(breaches.count(), 0, "{worker}: {fences:?}");
     }
 }
+
+/// Lets a site write a lot after a copy was taken, and come back from the copy.
+fn site_after_return() -> Site {
+    let site = Site::start(INSTANCES);
+    site.wait_until_ready();
+    let copy = site.platform.copy();
+    for count in 0..LOST_WRITES {
+        site.platform.put("other", "row", &json!(count));
+    }
+    site.platform.configure(&config(5_050));
+    site.platform.unlist(site.platform.worker("p"));
+    wait_for("the changes that the store will lose", || {
+        all_instances(|instance| {
+            site.state(instance)["version"] == json!(5_050)
+                && listed(&site, instance) < site.platform.workers().count()
+        })
+    });
+    return_from(&site, &copy);
+    site
+}
+
+/// Number of servers that an instance lists.
+fn listed(site: &Site, instance: usize) -> usize {
+    site.state(instance)["servers"]
+        .as_array()
+        .map_or(0, Vec::len)
+}
+
+fn all_instances(holds: impl Fn(usize) -> bool) -> bool {
+    (0..usize::from(INSTANCES)).all(holds)
+}
+
+/// Guards against a configuration that is never put in force: feeds asked for changes after a version
+/// that the store no longer had.
+#[test]
+fn configuration_written_after_the_return_is_put_in_force() {
+    let site = site_after_return();
+    site.platform.configure(&config(5_100));
+    wait_for("the configuration at all instances", || {
+        all_instances(|instance| site.state(instance)["version"] == json!(5_100))
+    });
+}
+
+/// Guards against requests to servers that left after the return: the list stood still like the
+/// configuration.
+#[test]
+fn server_that_leaves_after_the_return_is_known_everywhere() {
+    let site = site_after_return();
+    let all = site.platform.workers().count();
+    wait_for("all servers at all instances", || {
+        all_instances(|instance| listed(&site, instance) == all)
+    });
+    site.platform.unlist(site.platform.worker("q"));
+    wait_for("the shorter list at all instances", || {
+        all_instances(|instance| listed(&site, instance) == all - 1)
+    });
+}
