Notice within two seconds that the store does not answer the readers of the configuration

Cause: a reader without a lease makes one call only, a long poll with a time-out of 29 s, and counts as reaching the store until that fails. Nobody else becomes a reader, and no peer has the version.

Ruled out: the way from reader to peers (0.1 s in the log of the process test once one of the six had it).

Change: polls of 1 s, awaited for 0.8 s more; what the store does to an instance is told and heard of at once; two more readers for each instance without an answer. On the way: a late reader without the store asked it again and again although a peer had the version; it asks the peer first now.

The stand-in's feed honours the time that a call wants to wait.

--- a/src/decide/config_source.rs
+++ b/src/decide/config_source.rs
@@ -23,7 +23,8 @@
     pub follows_store: bool,
     pub reaches_store: bool,
     pub progress: Progress,
-    /// A peer of this data centre that has a newer version than the one in force.
+    /// A peer of this data centre that has a newer version than the one in force, unless the last
+    /// attempt to get it from there failed.
     pub peer: Option<SocketAddr>,
 }
 
@@ -43,6 +44,7 @@
         let is_current = self.progress == Progress::Current;
         match self.peer {
             _ if self.follows_store && (self.reaches_store || is_current) => Source::Store,
+            Some(peer) if !is_current && !self.reaches_store => Source::Peer(peer),
             _ if self.progress == Progress::Late => Source::Store,
             Some(peer) if !is_current => Source::Peer(peer),
             None if self.follows_store => Source::Store,
--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -28,7 +28,8 @@
 const BROADCASTER_COUNT: usize = 6;
 
 /// Number of instances of a data centre that read the configuration from the store; the others get
-/// it from them.
+/// it from them. As many more read it for each one that the store does not answer, since it may not
+/// answer the next ones either.
 const READER_COUNT: usize = 2;
 
 /// State of another instance, as last heard or listed.
@@ -77,6 +78,8 @@
     pub was_silent: bool,
     /// Whether this is the first datagram of this incarnation of the sender.
     pub is_new_start: bool,
+    /// Whether the store began or ceased to answer the sender.
+    pub has_reach_changed: bool,
     /// Number of the sender's incarnations heard so far. Unlike the incarnation itself it never
     /// decreases, even if the sender's system clock was set back.
     pub start: u64,
@@ -172,6 +175,7 @@
             freshness,
             was_silent: was_silent && freshness != Freshness::OlderIncarnation,
             is_new_start: false,
+            has_reach_changed: false,
             start: member.start_count,
         };
         if sender.incarnation < member.incarnation && !was_silent {
@@ -187,10 +191,12 @@
         member.start_count += u64::from(is_new_start);
         member.incarnation = sender.incarnation;
         member.sequence = sender.sequence;
+        let has_reach_changed = member.reaches_store != sender.reaches_store;
         member.reaches_store = sender.reaches_store;
         member.configuration = sender.configuration;
         Receipt {
             is_new_start,
+            has_reach_changed,
             ..receipt(Freshness::Newest, member)
         }
     }
@@ -283,12 +289,13 @@
     /// of the live instances that the store answers.
     #[must_use]
     pub fn is_reader(&self, now: Duration) -> bool {
-        let preceding = self.members.range(..self.local_instance.clone());
-        let local = preceding.filter(|(_, member)| member.data_centre == self.local_data_centre);
-        let candidates = local.filter(|(_, member)| {
-            member.reaches_store && is_recent(now, member.heard_at, LIVENESS_TIMEOUT)
-        });
-        candidates.count() < READER_COUNT
+        let (reaching, cut_off): (Vec<_>, Vec<_>) = self
+            .live_locals(now)
+            .partition(|(_, member)| member.reaches_store);
+        let preceding = reaching
+            .iter()
+            .filter(|(peer, _)| **peer < self.local_instance);
+        preceding.count() < READER_COUNT * (1 + cut_off.len())
     }
 
     /// Returns a live peer of this data centre that has a newer configuration in force than `known`,
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -6,7 +6,7 @@
 
 use super::channel::{self, Channel};
 use super::event::{Fetch, Subscription, milliseconds};
-use super::store::{CALL_TIMEOUT, MAX_RETRY_DELAY, RETRY_DELAY, Store};
+use super::store::{MAX_RETRY_DELAY, RETRY_DELAY, Store};
 use crate::common::*;
 use crate::decide::retry::backoff;
 use crate::platform::rows::{self, Page};
@@ -17,8 +17,11 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// Longest time that the store may hold a long poll open.
-const MAX_POLL_TIME: Duration = Duration::from_secs(28);
+/// Longest time that the store may hold a long poll open. An instance whose only call is a long poll
+/// learns no sooner that the store does not answer it, and others rely on what it reads.
+const MAX_POLL_TIME: Duration = Duration::from_secs(1);
+/// Time after that within which the answer must arrive.
+const POLL_MARGIN: Duration = Duration::from_millis(800);
 
 /// Change feed of one table.
 pub struct Feed {
@@ -140,7 +143,7 @@
         let (stall_count_of, is_wanted) = (self.stall_count_of, self.is_wanted);
         let stall_count = stall_count_of(&self.subscription.borrow());
         let call = tokio::select! {
-            call = timeout(MAX_POLL_TIME + CALL_TIMEOUT, channel.call(request)) => Some(call),
+            call = timeout(MAX_POLL_TIME + POLL_MARGIN, channel.call(request)) => Some(call),
             () = self.store.recovered.notified() => None,
             _ = self.subscription.wait_for(|subscription| {
                 stall_count_of(subscription) != stall_count || !is_wanted(subscription)
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -38,6 +38,7 @@
     );
     let mut newest = Version::default();
     let mut seen_stalls = 0;
+    let mut has_peer_failed = false;
     loop {
         let now = *subscription.borrow_and_update();
         if now.newest_site_version <= newest.0 {
@@ -56,9 +57,10 @@
             progress,
             peer: now
                 .site_source
-                .filter(|(_, version)| *version > newest.0)
+                .filter(|(_, version)| *version > newest.0 && !has_peer_failed)
                 .map(|(peer, _)| peer),
         };
+        has_peer_failed = false;
         match situation.source() {
             Source::Peer(peer) => {
                 let raw = fetch_from_peer(&store, peer, metrics_port).await;
@@ -67,6 +69,7 @@
                     None => false,
                 };
                 if !is_newer {
+                    has_peer_failed = !store.is_up.get();
                     let _changed = timeout(RETRY_DELAY, subscription.changed()).await;
                 }
             }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -131,8 +131,8 @@
     }
 }
 
-/// Sends urgent updates at once: adapter requests to holders, new configurations to the data
-/// centre, and departures, rate limits, the quarantine and server list changes to all instances.
+/// Sends urgent updates at once: adapter requests to holders, new configurations and whether the
+/// store answers to the data centre, and departures, rate limits, the quarantine and server list changes to all instances.
 pub async fn gossip_urgent(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
     loop {
         traffic.gossip_pending.notified().await;
@@ -153,16 +153,13 @@
             gossip.limits = limits;
             broadcast(&traffic, &socket, "limit", gossip).await;
         }
-        if traffic.has_new_site.take() {
+        let kinds = [
+            (traffic.has_new_site.take(), "configuration"),
+            (traffic.has_reach_changed.take(), "reach"),
+        ];
+        if let Some((_, kind)) = kinds.into_iter().find(|(is_due, _)| *is_due) {
             let peers = traffic.data_centre_peers();
-            send(
-                &traffic,
-                &socket,
-                "configuration",
-                &traffic.envelope(),
-                &peers,
-            )
-            .await;
+            send(&traffic, &socket, kind, &traffic.envelope(), &peers).await;
         }
         if traffic.has_new_streams.take() {
             for streams in traffic.take_stream_news() {
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -62,7 +62,8 @@
             .peer_configuration_version
             .get()
             .max(gossip.configuration);
-        let is_news = newest_version > self.peer_configuration_version.replace(newest_version);
+        let is_news = newest_version > self.peer_configuration_version.replace(newest_version)
+            || observation.has_reach_changed;
         let has_newer = !is_far && gossip.configuration > self.configuration_version();
         if is_news || has_newer {
             self.update_subscription(now);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -112,6 +112,8 @@
     pub(super) spread: f64,
     /// Whether the store answered the last call.
     pub(super) reaches_store: Cell<bool>,
+    /// Whether peers must be told that the store began or ceased to answer.
+    pub(super) has_reach_changed: Cell<bool>,
     /// Whether a configuration was read from the store that has not been announced to peers yet.
     pub(super) has_new_site: Cell<bool>,
     /// Whether departures of servers must be announced to peers.
@@ -215,6 +217,7 @@
             site: RefCell::new(None),
             raw_site: RefCell::default(),
             reaches_store: Cell::new(true),
+            has_reach_changed: Cell::new(false),
             has_new_site: Cell::new(false),
             has_newly_leaving: Cell::new(false),
             new_limits: RefCell::default(),
@@ -361,6 +364,8 @@
             StoreUpdate::Fetched(fetch) => self.journal.note("fetched", &json!(fetch)),
             StoreUpdate::Store { up } => {
                 self.reaches_store.set(up);
+                self.has_reach_changed.set(true);
+                self.gossip_pending.notify_one();
                 self.journal.note("store", &json!({"up": up}));
             }
         }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -432,7 +432,10 @@
         "/v1/rows-feed" => {
             let after = parameter(&query, "after").parse().unwrap_or(0);
             let table = parameter(&query, "Table");
-            let longest = tokio::time::sleep(LONGEST_WAIT);
+            let wait = parameter(&query, "WaitMs")
+                .parse()
+                .map(Duration::from_millis);
+            let longest = tokio::time::sleep(wait.unwrap_or_default().min(LONGEST_WAIT));
             let mut longest = std::pin::pin!(longest);
             loop {
                 if lock().is_silent_at(address) {
--- a/tests/gateway/config_source.rs
+++ b/tests/gateway/config_source.rs
@@ -142,3 +142,27 @@
     };
     assert_eq!(with_peer.source(), Source::Peer(peer()));
 }
+
+/// Guards against readers that the store leaves without an answer and that ask it again and again,
+/// although a peer has the version that they miss.
+#[test]
+fn a_late_reader_that_cannot_reach_the_store_asks_a_peer() {
+    let reader = Situation {
+        follows_store: true,
+        reaches_store: false,
+        peer: Some(peer()),
+        ..situation(Progress::Late)
+    };
+    assert_eq!(reader.source(), Source::Peer(peer()));
+    let without_peer = Situation {
+        peer: None,
+        ..reader
+    };
+    assert_eq!(without_peer.source(), Source::Store);
+    let reaching = Situation {
+        reaches_store: true,
+        follows_store: false,
+        ..reader
+    };
+    assert_eq!(reaching.source(), Source::Store);
+}
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -35,6 +35,27 @@
     assert!(topology_with(&[]).is_reader(ms(0)));
 }
 
+/// Guards against instances that wait for one reader after another if the store leaves several
+/// without an answer.
+#[test]
+fn each_instance_that_the_store_does_not_answer_is_replaced_by_two_readers() {
+    let refused = |name: &str, number| Sender {
+        reaches_store: false,
+        ..sender(name, number)
+    };
+    let one = [
+        refused("a", 1),
+        sender("b", 2),
+        sender("c", 3),
+        sender("d", 4),
+    ];
+    assert!(topology_with(&one).is_reader(ms(0)));
+    let more = [&one[..], &[sender("e", 5)]].concat();
+    assert!(!topology_with(&more).is_reader(ms(0)));
+    let later = [&more[..], &[refused("z", 9)]].concat();
+    assert!(topology_with(&later).is_reader(ms(0)));
+}
+
 /// Guards against 80 instances that each read every version from the store when the configuration
 /// changes many times in quick succession.
 #[test]
--- a/tests/gateway_processes/configurations.rs
+++ b/tests/gateway_processes/configurations.rs
@@ -53,3 +53,50 @@
     });
     assert_eq!(site.platform.reads("op"), before);
 }
+
+/// Instances of which the first two by name read the configuration.
+const MANY_INSTANCES: u8 = 8;
+const READERS: [usize; 2] = [0, 1];
+const LEASE_COUNT: usize = 4;
+
+fn wait_for_version(site: &Site, version: u64) {
+    wait_for("the configuration at all instances", || {
+        (0..usize::from(MANY_INSTANCES))
+            .all(|instance| site.state(instance)["version"] == json!(version))
+    });
+}
+
+/// Whether all leases are held by other instances than this one.
+fn leases_are_elsewhere(site: &Site, instance: usize) -> bool {
+    let name = format!("edge-{}", instance + 1);
+    let keys = site.platform.keys("poplarseam", "lease.shard.");
+    let rows = keys
+        .iter()
+        .map(|key| site.platform.value("poplarseam", key));
+    keys.len() == LEASE_COUNT && rows.flatten().all(|row| row["instance"] != json!(name))
+}
+
+/// Guards against instances that keep an old configuration for as long as a long poll lasts, because
+/// the store leaves the only two that read it without an answer, and these make no other call.
+#[test]
+fn configuration_is_put_in_force_while_the_store_does_not_answer_its_readers() {
+    let mut site = Site::start(MANY_INSTANCES);
+    site.wait_until_ready();
+    for reader in READERS {
+        site.instances[reader].1.kill();
+        wait_for("leases of other instances", || {
+            leases_are_elsewhere(&site, reader)
+        });
+        site.relaunch(reader);
+        site.wait_until_ready();
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    site.platform.configure(&config(NEW_VERSION));
+    wait_for_version(&site, NEW_VERSION);
+    for reader in READERS {
+        let address = site.instances[reader].0;
+        site.platform.set_silent_to(address, true);
+    }
+    site.platform.configure(&config(NEW_VERSION + 1));
+    wait_for_version(&site, NEW_VERSION + 1);
+}
