Follow the server list by holders that the store answers

What callers saw: in the users' runs of real processes DRAIN, requests that reached a server after its leaving was acknowledged, from instances of several regions at once.

Ruled out: lost datagrams and late timers (loopback, no late_timer lines; all instances late alike).

Change: decide/follower leaves out holders that the store does not answer; without any, everyone follows. The first follower tells the others, planner or not. A call without an answer for 0.7 s counts, and a holder says so to all data centres.

--- /dev/null
+++ b/src/decide/follower.rs
@@ -0,0 +1,45 @@
+//! Which instances follow the server list at the store and tell the others of its changes.
+//!
+//! The first two holders of leases do, one as a standby: their renewals show whether the store
+//! answers them. A holder that gets no answer goes on with its leases until they end, but does not
+//! count here, and if no holder gets one, every instance follows the list itself.
+
+use std::net::SocketAddr;
+
+/// Number of instances that follow the list.
+const FOLLOWER_COUNT: usize = 2;
+
+/// A holder of a lease that was heard recently.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Holder {
+    /// `None` if it is this instance.
+    pub address: Option<SocketAddr>,
+    /// Whether the store answers it, as far as it has told.
+    pub reaches_store: bool,
+}
+
+/// Whether this instance follows the list, given the holders in the order of their leases. Without
+/// any, the instances decide by how long none was heard.
+#[must_use]
+pub fn should_follow(holders: &[Holder]) -> bool {
+    let followers = followers(holders);
+    let is_follower = followers.iter().take(FOLLOWER_COUNT).any(Option::is_none);
+    is_follower || (followers.is_empty() && !holders.is_empty())
+}
+
+/// Whether this instance is the follower that tells the others of changes.
+#[must_use]
+pub fn is_first(holders: &[Holder]) -> bool {
+    followers(holders).first().is_some_and(Option::is_none)
+}
+
+/// Returns the addresses of the holders that the store answers, each once.
+fn followers(holders: &[Holder]) -> Vec<Option<SocketAddr>> {
+    let mut addresses = Vec::new();
+    for holder in holders.iter().filter(|holder| holder.reaches_store) {
+        if !addresses.contains(&holder.address) {
+            addresses.push(holder.address);
+        }
+    }
+    addresses
+}
--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -267,6 +267,15 @@
         })
     }
 
+    /// Whether the store answers the instance with this address, as far as it has told.
+    #[must_use]
+    pub fn reaches_store(&self, address: SocketAddr) -> bool {
+        let mut members = self.members.values();
+        members
+            .find(|member| member.address == address)
+            .is_none_or(|member| member.reaches_store)
+    }
+
     /// Returns the peers of this data centre with their addresses.
     pub fn local_peers(&self) -> impl Iterator<Item = (&id::Instance, SocketAddr)> {
         let local = self.members.iter();
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -102,6 +102,8 @@
     /// hang.
     pub site_stalls: u64,
     pub server_stalls: u64,
+    /// Whether this instance holds a lease, whose renewals show whether the store answers.
+    pub is_holder: bool,
 }
 
 /// An event for the placer thread.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -17,11 +17,13 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// Longest time that the store may hold a long poll open. An instance whose only call is a long poll
-/// learns no sooner that the store does not answer it, and others rely on what it reads.
-const MAX_POLL_TIME: Duration = Duration::from_secs(1);
+/// Longest time that the store may hold a long poll open if other calls show that it answers, and
+/// if none do: an instance whose only call is a long poll learns no sooner that it gets no answer,
+/// and others rely on what it reads.
+const MAX_POLL_TIME: Duration = Duration::from_secs(28);
+const MAX_LONE_POLL_TIME: Duration = Duration::from_millis(1_200);
 /// Time after that within which the answer must arrive.
-const POLL_MARGIN: Duration = Duration::from_millis(800);
+const POLL_MARGIN: Duration = Duration::from_millis(600);
 
 /// Change feed of one table.
 pub struct Feed {
@@ -127,7 +129,12 @@
     }
 
     async fn poll_changes(&mut self, after: Version) -> Result<Option<Change>> {
-        let path = rows::feed_path(self.table, after.number, MAX_POLL_TIME);
+        let poll_time = if self.subscription.borrow().is_holder {
+            MAX_POLL_TIME
+        } else {
+            MAX_LONE_POLL_TIME
+        };
+        let path = rows::feed_path(self.table, after.number, poll_time);
         let request = self.store.get(&path);
         let failed = |reason: &dyn Display| Error::Call {
             url: path.clone(),
@@ -143,10 +150,12 @@
         let (stall_count_of, is_wanted) = (self.stall_count_of, self.is_wanted);
         let stall_count = stall_count_of(&self.subscription.borrow());
         let call = tokio::select! {
-            call = timeout(MAX_POLL_TIME + POLL_MARGIN, channel.call(request)) => Some(call),
+            call = timeout(poll_time + POLL_MARGIN, channel.call(request)) => Some(call),
             () = self.store.recovered.notified() => None,
             _ = self.subscription.wait_for(|subscription| {
-                stall_count_of(subscription) != stall_count || !is_wanted(subscription)
+                stall_count_of(subscription) != stall_count
+                    || !is_wanted(subscription)
+                    || (poll_time == MAX_POLL_TIME && !subscription.is_holder)
             }) => None,
         };
         let Some(call) = call else {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -153,14 +153,14 @@
             gossip.limits = limits;
             broadcast(&traffic, &socket, "limit", gossip).await;
         }
-        let kinds = [
-            (traffic.has_new_site.take(), "configuration"),
-            (traffic.has_reach_changed.take(), "reach"),
-        ];
-        if let Some((_, kind)) = kinds.into_iter().find(|(is_due, _)| *is_due) {
+        let has_reach_changed = traffic.has_reach_changed.take();
+        if has_reach_changed && traffic.is_holder() {
+            broadcast(&traffic, &socket, "reach", traffic.envelope()).await;
+        } else if has_reach_changed || traffic.has_new_site.get() {
             let peers = traffic.data_centre_peers();
-            send(&traffic, &socket, kind, &traffic.envelope(), &peers).await;
+            send(&traffic, &socket, "news", &traffic.envelope(), &peers).await;
         }
+        traffic.has_new_site.set(false);
         if traffic.has_new_streams.take() {
             for streams in traffic.take_stream_news() {
                 let mut gossip = traffic.envelope();
@@ -179,7 +179,10 @@
             send(&traffic, &socket, "quarantine", &gossip, &[peer]).await;
         }
         let list_updates = std::mem::take(&mut *traffic.list_updates.borrow_mut());
-        for list_update in list_updates.into_iter().filter(|_| traffic.is_planner()) {
+        for list_update in list_updates
+            .into_iter()
+            .filter(|_| traffic.is_first_follower())
+        {
             let mut gossip = traffic.envelope();
             gossip.batch = Some(list_update.complete);
             let holders = traffic.other_holders();
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -5,6 +5,7 @@
 use super::traffic::{Holder, TIERS, Tier, Traffic};
 use crate::common::*;
 use crate::decide::balance::{AGGREGATE_PREFIX, Balancer, Workload};
+use crate::decide::follower;
 use crate::decide::tally::Source;
 use crate::decide::topology::{Freshness, Sender};
 use crate::wire::generated_gossip::{Demand, Gossip, Holding, Lead, Load, Loads, Want};
@@ -300,25 +301,34 @@
     /// Whether this instance plans placement: it holds the first of the held shards.
     #[must_use]
     pub fn is_planner(&self) -> bool {
-        self.is_among_first_holders(self.clock.now(), 1)
+        let holders = self.live_holders(self.clock.now());
+        holders.first().is_some_and(|first| first.address.is_none())
     }
 
-    /// Whether this instance follows the server list: the planner and one standby do.
+    /// Whether this instance follows the server list.
     pub(super) fn should_follow_servers(&self, now: Duration) -> bool {
-        self.is_among_first_holders(now, 2)
+        follower::should_follow(&self.live_holders(now))
     }
 
-    /// Whether this instance is one of the `first` holders in shard order.
-    fn is_among_first_holders(&self, now: Duration, first: usize) -> bool {
+    /// Whether this instance tells the others of changes of the server list.
+    #[must_use]
+    pub fn is_first_follower(&self) -> bool {
+        follower::is_first(&self.live_holders(self.clock.now()))
+    }
+
+    /// Returns the holders that were heard recently, in shard order.
+    fn live_holders(&self, now: Duration) -> Vec<follower::Holder> {
         let holders = self.holders.borrow();
+        let topology = self.topology.borrow();
         let live_holders = holders.values().filter(|holder| holder.is_live(now));
-        let mut addresses: Vec<Option<SocketAddr>> = Vec::new();
-        for holder in live_holders {
-            if !addresses.contains(&holder.address) {
-                addresses.push(holder.address);
-            }
-        }
-        addresses.iter().take(first).any(Option::is_none)
+        let live_holders = live_holders.map(|holder| follower::Holder {
+            address: holder.address,
+            reaches_store: match holder.address {
+                None => self.reaches_store.get(),
+                Some(address) => topology.reaches_store(address),
+            },
+        });
+        live_holders.collect()
     }
 
     /// Returns the peers that receive this instance's load: the hubs of the data centre, or all
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -14,11 +14,15 @@
 use hyper::{Method, Request};
 use rows::Page;
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 
 /// Time-out for calls other than long polls; the store may be slow.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time without an answer after which others no longer rely on this instance to read the store.
+const SUSPICION_TIME: Duration = Duration::from_millis(700);
 /// Delay after a failed call; it doubles with each further failure, up to the maximum.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(300);
 pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
@@ -131,7 +135,13 @@
     }
 
     async fn call_once(&self, request: Request<Full<Bytes>>) -> Result<Reply> {
-        let reply = channel::call_once(self.address, request, CALL_TIMEOUT).await;
+        let mut call = pin!(channel::call_once(self.address, request, CALL_TIMEOUT));
+        let reply = if let Ok(reply) = timeout(SUSPICION_TIME, &mut call).await {
+            reply
+        } else {
+            self.record_call(false).await;
+            call.await
+        };
         let up = reply
             .as_ref()
             .is_ok_and(|reply| reply.status.as_u16() < 429);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
     pub mod dispatch;
     pub mod era;
     pub mod fleet;
+    pub mod follower;
     pub mod forecast;
     pub mod lag;
     pub mod lease;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -26,7 +26,7 @@
 /// Name of the link to the store.
 pub const STORE_LINK: &str = "store";
 /// Number of addresses of the store, one for each of the first instances of a network.
-const STORE_ADDRESSES: usize = 16;
+const STORE_ADDRESSES: usize = 64;
 /// How long a feed is kept waiting at most.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
@@ -355,7 +355,7 @@
         let store = link.map_or(self.addresses[store_index(ip)], |link| link.address);
         json!({
             "NodeName": name, "Zone": "north-1", "Ip": ip, "InternalPorts": [7000, 7015],
-            "Zones": {"north-1": "north", "north-2": "north"},
+            "Zones": {"north-1": "north", "north-2": "north", "south-1": "south"},
             "Listen": {"Frontend": format!("{ip}:8000"), "Ready": format!("{ip}:8001")},
             "Bounds": {"GraceS": 8, "LeaseMs": 3000, "RetryBudgetRatio": 0.2, "BudgetExtra": 56,
                 "BudgetWindowS": 10, "CeilingWindowS": 5},
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -184,6 +184,11 @@
         self.state().deadly_part = part.map(str::to_owned);
     }
 
+    /// Starts anew: its runs end, and it is another incarnation.
+    pub fn restart(&self) {
+        self.state().crashes += 1;
+    }
+
     /// Number of crashes.
     #[must_use]
     pub fn crashes(&self) -> u64 {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod config_source;
 mod era;
 mod fleet;
+mod follower;
 mod forecast;
 mod herd;
 mod lag;
--- a/tests/gateway_processes/caller.rs
+++ b/tests/gateway_processes/caller.rs
@@ -86,6 +86,13 @@
     Silent,
 }
 
+impl Outcome {
+    /// Whether a complete answer arrived, so that the connection can be used again.
+    pub fn is_whole(&self) -> bool {
+        matches!(self, Self::Answered { body: Some(_), .. })
+    }
+}
+
 #[derive(Debug)]
 pub struct Record {
     pub id: String,
@@ -127,10 +134,8 @@
             let id = format!("{}-{number}", self.name);
             let kind = *Kind::ALL.choose(&mut self.rng).unwrap();
             let started_at = Instant::now();
-            let answer = timeout(ANSWER_TIMEOUT, exchange(&mut sender, kind, &id)).await;
-            let outcome = answer.unwrap_or(Outcome::Silent);
-            let is_whole = matches!(&outcome, Outcome::Answered { body: Some(_), .. });
-            kept = is_whole.then_some((instance, sender));
+            let outcome = exchange(&mut sender, kind.request(&id), &id).await;
+            kept = outcome.is_whole().then_some((instance, sender));
             self.records.borrow_mut().push(Record {
                 outcome,
                 id,
@@ -149,19 +154,33 @@
             return Some((instance, sender));
         }
         let instance = self.rng.random_range(0..self.instances.len());
-        let opening = TcpStream::connect(self.instances[instance]);
-        let stream = timeout(ANSWER_TIMEOUT, opening).await.ok()?.ok()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        tokio::task::spawn_local(connection);
-        Some((instance, sender))
+        Some((instance, connect(self.instances[instance]).await?))
     }
 }
 
-async fn exchange(sender: &mut SendRequest<Full<Bytes>>, kind: Kind, id: &str) -> Outcome {
-    match sender.send_request(kind.request(id)).await {
-        Ok(response) => read(response, id).await,
-        Err(_) => Outcome::Closed,
-    }
+/// Opens a connection to an instance.
+pub async fn connect(instance: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let opening = TcpStream::connect(instance);
+    let stream = timeout(ANSWER_TIMEOUT, opening).await.ok()?.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::task::spawn_local(connection);
+    Some(sender)
+}
+
+/// Sends a request and reads its answer.
+pub async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+    id: &str,
+) -> Outcome {
+    let answer = async {
+        match sender.send_request(request).await {
+            Ok(response) => read(response, id).await,
+            Err(_) => Outcome::Closed,
+        }
+    };
+    let answer = timeout(ANSWER_TIMEOUT, answer).await;
+    answer.unwrap_or(Outcome::Silent)
 }
 
 async fn read(response: Response<Incoming>, id: &str) -> Outcome {
--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -31,6 +31,7 @@
     /// Data centres of the instances that are not in the usual one.
     data_centres: BTreeMap<usize, &'static str>,
     folder: PathBuf,
+    keeps_logs: bool,
     subnet: u8,
 }
 
@@ -117,6 +118,7 @@
             instances: Vec::new(),
             data_centres: BTreeMap::new(),
             folder,
+            keeps_logs: false,
             subnet,
         };
         for _ in 0..instances {
@@ -139,6 +141,11 @@
         self.instances.push((ip, process));
     }
 
+    /// Keeps the logs of the instances after the test.
+    pub fn keep_logs(&mut self) {
+        self.keeps_logs = true;
+    }
+
     /// Kills an instance and restarts it at once.
     pub fn restart(&mut self, instance: usize) {
         self.instances[instance].1.kill();
@@ -239,7 +246,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        if std::thread::panicking() {
+        if self.keeps_logs || std::thread::panicking() {
             println!("logs: {}", self.folder.display());
         } else {
             let _ = std::fs::remove_dir_all(&self.folder);
