Refuse requests that come late in a stop and could not end before the exit

Cause: a connection in the middle of a head is kept by the graceful shutdown; once the request was complete nobody asked whether it could end before the process exits.

Change: decide/shutdown.

--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -10,6 +10,7 @@
 use super::traffic::{Tier, Traffic};
 use super::{admin, gossip, ingress, notices, origins, placer, quarantine, store};
 use crate::common::*;
+use crate::decide::shutdown::Shutdown;
 use crate::node::clock::{Clock, incarnation};
 use crate::platform::settings;
 use crate::world::deployment::Deployment;
@@ -286,6 +287,10 @@
             .bounds
             .grace
             .saturating_sub(SHUTDOWN_MARGIN);
+    traffic.shutdown.set(Some(Shutdown {
+        began_at: stop_began_at,
+        ends_at: last,
+    }));
     traffic
         .refuse_pending_at
         .set(Some(last.saturating_sub(REFUSAL_MARGIN)));
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -273,6 +273,12 @@
     let need = need(&site, &request, &route)
         .ok_or_else(|| reply::refusal(&request.id, "the route has no service", RETRY_AFTER))?;
     let body = read_body(traffic, &site, &request, body, time_allowed).await?;
+    let deadline = arrived + time_allowed;
+    let shutdown = traffic.shutdown.get();
+    if shutdown.is_some_and(|shutdown| !shutdown.accepts(traffic.clock.now(), deadline)) {
+        traffic.metrics.on_answer(503, "stopping");
+        return Err(reply::refusal(&request.id, "stopping", RETRY_AFTER));
+    }
     if let Some(generation) = &need.generation
         && hop.is_none()
     {
@@ -292,7 +298,7 @@
         route,
         need,
         arrived,
-        deadline: arrived + time_allowed,
+        deadline,
     })
 }
 
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -19,6 +19,7 @@
 use crate::decide::reach::Reach;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
+use crate::decide::shutdown::Shutdown;
 use crate::decide::snapshot::Snapshot;
 use crate::decide::tally::Tally;
 use crate::decide::topology::{self, Topology};
@@ -74,6 +75,8 @@
     /// Number of callers' open connections.
     pub open_connections: Cell<usize>,
     pub is_stopping: Cell<bool>,
+    /// The stop under way, if any.
+    pub shutdown: Cell<Option<Shutdown>>,
     /// When a stopping process refuses requests that still wait for a server.
     pub refuse_pending_at: Cell<Option<Duration>>,
     /// Wakes requests that wait for a model, an adapter or a server.
@@ -227,6 +230,7 @@
             journal,
             open_connections: Cell::new(0),
             is_stopping: Cell::new(false),
+            shutdown: Cell::new(None),
             refuse_pending_at: Cell::new(None),
             capacity_changed: Notify::new(),
             gossip_pending: Notify::new(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,6 +70,7 @@
     pub mod route;
     pub mod share;
     pub mod shed;
+    pub mod shutdown;
     pub mod snapshot;
     pub mod speed;
     pub mod stream;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -29,6 +29,7 @@
 mod retry;
 mod roster;
 mod shed;
+mod shutdown;
 mod speed;
 mod topology;
 mod water_filling;
--- a/tests/gateway_processes/reports.rs
+++ b/tests/gateway_processes/reports.rs
@@ -1,12 +1,17 @@
 //! Failures that operators of similar systems reported beside the incidents, one test for each.
 
 use super::raw_server::{RawServer, Request, chunk, stream_head};
-use super::site::{GRACE_S, POLL_INTERVAL, Site, exchange, request, status, wait_for};
+use super::site::{
+    GRACE_S, POLL_INTERVAL, Site, WAIT_TIMEOUT, config, exchange, exchange_on, request, status,
+    wait_for,
+};
 use rstest::rstest;
 use serde_json::json;
 use standins::platform::Platform;
 use standins::worker::{Fault, Worker};
 use std::collections::BTreeSet;
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -170,3 +175,29 @@
     assert_eq!(status(&answer), 502, "{answer}");
     assert_eq!(json!(server.ids()), json!(["r1"]));
 }
+
+/// Part of the grace time after which a late request arrives.
+const LATE: Duration = Duration::from_secs(5);
+
+/// Guards against requests that come late in the grace time of a stop, are passed on, and are cut
+/// without an answer when the process exits; such a call may have run, and can't be sent again.
+#[test]
+fn a_request_that_comes_late_in_a_stop_is_refused_or_answered() {
+    let mut site = Site::ready();
+    site.platform.configure(&config(30_000));
+    wait_for("the configuration", || site.state(0)["version"] == 30_000);
+    site.set_fault(&["p", "q"], Fault::Hang);
+    let late = request("/issue/x", "late", "").replace("-Ms: 4000", "-Ms: 30000");
+    let (first, rest) = late.split_at(20);
+    let mut stream = TcpStream::connect(site.callers(0)).unwrap();
+    stream.write_all(first.as_bytes()).unwrap();
+    std::thread::sleep(POLL_INTERVAL);
+    site.instances[0].1.signal("TERM");
+    std::thread::sleep(LATE);
+    let answer = exchange_on(stream, rest, WAIT_TIMEOUT).unwrap();
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+    assert_eq!(site.run_count("late"), 0);
+    let ended = site.instances[0].1.wait(WAIT_TIMEOUT);
+    assert!(ended.is_some_and(|status| status.success()));
+}
