Name the request behind a configuration that came back older

The soak's line on a version that came back older named only the time at which a newer one was in force; a trace of such a line on the old code could not tell a fault from the checker's own. It names both requests and how they were handled now.

--- a/tests/gateway_processes/rules.rs
+++ b/tests/gateway_processes/rules.rs
@@ -189,27 +189,30 @@
 
     /// Requests that were handled as only an older version allows than one whose effect was seen.
     fn reversions(&self) -> Vec<String> {
-        let mut seen: BTreeMap<(usize, u32), Vec<(Duration, usize)>> = BTreeMap::new();
+        let mut seen: BTreeMap<(usize, u32), Vec<(&Request, usize)>> = BTreeMap::new();
         for request in &self.requests {
             if let Some(oldest) = self.allowing(request).and_then(|it| it.first().copied()) {
                 let starts = seen.entry((request.instance, request.start)).or_default();
-                starts.push((request.ended, oldest));
+                starts.push((request, oldest));
             }
         }
         let breaches = self.requests.iter().filter_map(|request| {
             let newest = *self.allowing(request)?.last()?;
             let seen = seen.get(&(request.instance, request.start))?;
-            let (at, later) = seen
-                .iter()
-                .find(|(at, version)| *version > newest && *at + ROLLBACK_SLACK < request.sent)?;
+            let (before, later) = seen.iter().find(|(before, version)| {
+                *version > newest && before.ended + ROLLBACK_SLACK < request.sent
+            })?;
             let is_clear = !self.is_disturbed(
                 &[Place::Instance(request.instance)],
-                at.saturating_sub(STABLE_WINDOW),
+                before.ended.saturating_sub(STABLE_WINDOW),
                 request.ended,
             );
             is_clear.then(|| {
                 format!(
-                    "CONFIG: version {later} was in force at {at:?}, and then {newest}: {request:?}"
+                    "CONFIG: version {later} was in force for {before:?}, {:?}, and then {newest}: \
+                     {request:?}, {:?}",
+                    self.handling(before),
+                    self.handling(request),
                 )
             })
         });
