Give the sites of test processes that run side by side addresses of their own

Addresses were derived from two bytes of the process id modulo 100. They use the whole low byte and two bits of the next one now.

No check changed.

--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -22,6 +22,9 @@
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 pub const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Limit on the instances of a site.
+const MAX_INSTANCES: u8 = 64;
+
 static SUBNET: AtomicU8 = AtomicU8::new(1);
 
 /// A platform with gateway instances.
@@ -134,9 +137,12 @@
     }
 
     pub fn add_instance(&mut self, grace_s: u64) {
-        let pid = std::process::id().to_le_bytes();
         let number = u8::try_from(self.instances.len() + 1).unwrap();
-        let ip = Ipv4Addr::new(127, 16 + pid[0] % 100, self.subnet + pid[1] % 100, number);
+        assert!(number < MAX_INSTANCES);
+        // Test processes that run side by side have addresses of their own.
+        let pid = std::process::id().to_le_bytes();
+        let host = pid[1] % 4 * MAX_INSTANCES + number;
+        let ip = Ipv4Addr::new(127, pid[0], self.subnet, host);
         let process = self.launch(ip, grace_s);
         self.instances.push((ip, process));
     }
@@ -159,11 +165,12 @@
     }
 
     fn launch(&self, ip: Ipv4Addr, grace_s: u64) -> Process {
-        let name = format!("edge-{}", ip.octets()[3]);
+        let number = ip.octets()[3] % MAX_INSTANCES;
+        let name = format!("edge-{number}");
         let settings = self.folder.join(format!("{name}.json"));
         let mut values = self.platform.settings(&name, ip);
         values["Bounds"]["GraceS"] = json!(grace_s);
-        let index = usize::from(ip.octets()[3]) - 1;
+        let index = usize::from(number) - 1;
         if let Some(data_centre) = self.data_centres.get(&index) {
             values["Zone"] = json!(data_centre);
         }
