Let readers without the store turn to a peer while their polls hang

What callers would see: a machine that the store does not answer keeps an old configuration for as long as that lasts, although its peers have the new one (CONFIG beyond MaxSkewMs).

Cause, from the kept logs: no `fetched` line at the two readers for 20 s.

Change: a dropped poll returns without a change, and the follower weighs its sources anew; without rows it no longer waits 0.3 s.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -41,7 +41,7 @@
 
 /// Result of reading the feed.
 pub enum Change {
-    /// No change: the call failed or is no longer wanted.
+    /// No change: the call failed, was dropped or is no longer wanted.
     Empty,
     /// The complete table.
     Snapshot(Vec<rows::Row>),
@@ -69,7 +69,8 @@
         }
     }
 
-    /// Waits for the next change or failure.
+    /// Waits for the next change or failure, or until a call is dropped, so that the follower can turn to
+    /// another source.
     pub async fn next(&mut self) -> Change {
         loop {
             let change = match self.last_version {
@@ -164,7 +165,7 @@
                 self.table
             );
             self.channel = None;
-            return Ok(None);
+            return Ok(Some(Change::Empty));
         };
         let reply = call.map_err(|error| failed(&error))??;
         if reply.status == StatusCode::GONE {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -78,8 +78,12 @@
                 apply_rows(&store, &mut newest, feed.reread().await).await;
             }
             Source::Store => {
-                apply_rows(&store, &mut newest, feed.next().await).await;
-                sleep(BATCHING_DELAY).await;
+                let change = feed.next().await;
+                let is_empty = matches!(change, Change::Empty);
+                apply_rows(&store, &mut newest, change).await;
+                if !is_empty {
+                    sleep(BATCHING_DELAY).await;
+                }
             }
             Source::Await => {
                 if subscription.changed().await.is_err() {
--- a/tests/gateway_processes/configurations.rs
+++ b/tests/gateway_processes/configurations.rs
@@ -3,6 +3,7 @@
 use super::site::{GRACE_S, Site, config, wait_for};
 use poplarseam::wire::generated_gossip::Gossip;
 use prost::Message;
+use rstest::rstest;
 use serde_json::json;
 use standins::link::Mode;
 use standins::platform::{Platform, STORE_LINK};
@@ -77,9 +78,14 @@
 }
 
 /// Guards against instances that keep an old configuration for as long as a long poll lasts, because
-/// the store leaves the only two that read it without an answer, and these make no other call.
-#[test]
-fn configuration_is_put_in_force_while_the_store_does_not_answer_its_readers() {
+/// the store leaves the only two that read it without an answer, and these make no other call; and
+/// against readers that ask the store again and again while a peer has the configuration.
+#[rstest]
+#[case::written_at_once(Duration::ZERO)]
+#[case::written_later(Duration::from_secs(3))]
+fn configuration_is_put_in_force_while_the_store_does_not_answer_its_readers(
+    #[case] silence: Duration,
+) {
     let mut site = Site::start(MANY_INSTANCES);
     site.wait_until_ready();
     for reader in READERS {
@@ -97,6 +103,7 @@
         let address = site.instances[reader].0;
         site.platform.set_silent_to(address, true);
     }
+    std::thread::sleep(silence);
     site.platform.configure(&config(NEW_VERSION + 1));
     wait_for_version(&site, NEW_VERSION + 1);
 }
