--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -269,19 +269,19 @@
             renewals: observed.holder.as_ref().map_or(0, |holder| holder.renewals) + 1,
             ..self.own_entry.clone()
         };
-        let unused_until = observed.since + self.usable_term();
+        let term_end = observed.since + self.usable_term();
         if !is_proven {
             // A holder in its term was the last of the earlier era.
             self.last_takeover = (!self.is_in_term(now)).then_some(Takeover {
                 previous: None,
-                acted_until: unused_until,
+                acted_until: term_end,
             });
         } else if !is_mine {
             self.last_takeover = observed.holder.map(|holder| Takeover {
                 acted_until: if holder.released {
                     observed.since
                 } else {
-                    unused_until
+                    term_end
                 },
                 previous: Some(holder.instance),
             });
