Trace the late takeovers: instances of ended tests had joined the sites of later ones

Cause, from the logs of 70 gateways that had outlived their tests: they went on calling the ports of their stores, the system gave these ports to stores of later tests, and they registered, took leases there and renewed them (`store` up and `lease` lines 1,750 to 3,040 s after their start, 2,000 and more lines). A site that has 64 ports for its store meets them often. Not a fault of the product.

They had outlived their tests for two reasons: a thread of the new test kept its site alive when the test failed (it holds addresses now), and soak runs were ended from outside. Stand-ins listen on an address of their process's own now, so that a port that is given out again is another one.

--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -369,9 +369,12 @@
     usize::from(instance.octets()[3]) % STORE_ADDRESSES
 }
 
-/// Listens on a free loopback port.
+/// Listens on a free port of a loopback address that no other process uses: instances that outlive
+/// their test would go on calling its ports, which the system gives out again.
 pub(crate) fn listen() -> TcpListener {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let [low, middle, high, _] = std::process::id().to_le_bytes();
+    let address = Ipv4Addr::new(127, high, middle, low);
+    let listener = TcpListener::bind((address, 0)).expect("a free port");
     listener.set_nonblocking(true).expect("a socket");
     listener
 }
--- a/tests/gateway_processes/old_copy.rs
+++ b/tests/gateway_processes/old_copy.rs
@@ -1,9 +1,9 @@
 //! The store comes back from an old copy of its data.
 
-use super::site::{POLL_INTERVAL, Site, config, wait_for};
+use super::site::{POLL_INTERVAL, Site, config, exchange, request, wait_for};
 use serde_json::json;
 use standins::platform::Copy;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -20,18 +20,19 @@
 }
 
 impl Demand {
-    fn start(site: &Arc<Site>) -> Self {
+    fn start(site: &Site) -> Self {
         let is_over = Arc::new(AtomicBool::new(false));
-        let (site, ends) = (Arc::clone(site), Arc::clone(&is_over));
+        let ends = Arc::clone(&is_over);
+        let instances = 0..usize::from(INSTANCES);
+        let addresses: Vec<SocketAddr> = instances.map(|it| site.callers(it)).collect();
         let thread = std::thread::spawn(move || {
-            let instances = site.instances.len();
-            for count in 0_usize.. {
+            for (count, address) in addresses.iter().cycle().enumerate() {
                 if ends.load(Ordering::Relaxed) {
                     return;
                 }
                 let target = format!("m{}/a{}", count % 2 + 1, count / 2 % 3 + 1);
                 let id = format!("{count:016x}");
-                site.ask_at(count % instances, "/draft/x", &id, &target);
+                let _answer = exchange(*address, &request("/draft/x", &id, &target));
             }
         });
         Self { is_over, thread }
@@ -72,7 +73,7 @@
 /// changed hands after the copy was taken, so that its row bears the former holder's token again.
 #[test]
 fn orders_never_bear_a_token_of_another_holder_after_the_store_came_back_from_an_old_copy() {
-    let site = Arc::new(Site::start(INSTANCES));
+    let site = Site::start(INSTANCES);
     site.wait_until_ready();
     let demand = Demand::start(&site);
     let worker = "b";
