Derive whether a process is stopping from its shutdown

The traffic thread kept three fields for a stop: a flag, the shutdown, and the time from which waiting requests are refused. Same behaviour.

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -81,7 +81,7 @@
         "plans": traffic.is_planner(),
         "open": traffic.open_connections.get(),
         "answer_bytes": traffic.memory.borrow().used(),
-        "stopping": traffic.is_stopping.get(),
+        "stopping": traffic.is_stopping(),
         "instances": traffic.instances(),
         "sharers": traffic.sharers(),
         "budgets": &*traffic.budgets.borrow(),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -318,8 +318,9 @@
                 ),
                 Choice::NoModel => (MAX_PLACEMENT_WAIT, "no model", RETRY_AFTER_LOADING),
             };
-            let refuse_pending_at = self.traffic.refuse_pending_at.get();
-            if now >= started_at + max_wait || refuse_pending_at.is_some_and(|last| now >= last) {
+            let shutdown = self.traffic.shutdown.get();
+            let is_ending = shutdown.is_some_and(|shutdown| shutdown.refuses_pending(now));
+            if now >= started_at + max_wait || is_ending {
                 return Err(Outcome::Refused { cause, retry_after });
             }
             let _ = timeout(RECHECK_INTERVAL, self.traffic.capacity_changed.notified()).await;
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -33,9 +33,6 @@
 const UNREADY_TIME: Duration = Duration::from_millis(2_300);
 /// Part of the grace time that is reserved for the exit of the process.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(400);
-/// Requests that still wait for a server this long before the process exits are refused, so that the
-/// refusal can still be delivered.
-const REFUSAL_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which a stopping process checks for open connections.
 const CONNECTION_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -280,7 +277,6 @@
     traffic
         .journal
         .note("stop", &json!({"open": traffic.open_connections.get()}));
-    traffic.is_stopping.set(true);
     let last = stop_began_at
         + traffic
             .deployment
@@ -291,9 +287,6 @@
         began_at: stop_began_at,
         ends_at: last,
     }));
-    traffic
-        .refuse_pending_at
-        .set(Some(last.saturating_sub(REFUSAL_MARGIN)));
     if placer.try_send(PlacerEvent::Stop).is_err() {
         traffic
             .journal
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -188,7 +188,7 @@
             ),
         },
     };
-    if traffic.is_stopping.get()
+    if traffic.is_stopping()
         && let Ok(close) = "close".parse()
     {
         response.headers_mut().insert("connection", close);
@@ -217,7 +217,7 @@
     body: Incoming,
     hop: Hop,
 ) -> Response<Body> {
-    let declined = if traffic.is_stopping.get() {
+    let declined = if traffic.is_stopping() {
         Some("stopping")
     } else if traffic.lacks_path(&head) {
         Some(NO_PATH)
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -214,7 +214,7 @@
             servers_version: newest_change.number,
             era: newest_change.era.map(|era| era.0),
             configuration: self.configuration_version(),
-            reaches_store: self.reaches_store.get() && !self.is_stopping.get(),
+            reaches_store: self.reaches_store.get() && !self.is_stopping(),
             quarantine_digest: self.quarantine.borrow().digest(),
             ..Gossip::default()
         }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -74,11 +74,8 @@
     pub journal: Journal,
     /// Number of callers' open connections.
     pub open_connections: Cell<usize>,
-    pub is_stopping: Cell<bool>,
     /// The stop under way, if any.
     pub shutdown: Cell<Option<Shutdown>>,
-    /// When a stopping process refuses requests that still wait for a server.
-    pub refuse_pending_at: Cell<Option<Duration>>,
     /// Wakes requests that wait for a model, an adapter or a server.
     pub capacity_changed: Notify,
     /// Wakes the task that sends urgent gossip.
@@ -229,9 +226,7 @@
             metrics: Metrics::default(),
             journal,
             open_connections: Cell::new(0),
-            is_stopping: Cell::new(false),
             shutdown: Cell::new(None),
-            refuse_pending_at: Cell::new(None),
             capacity_changed: Notify::new(),
             gossip_pending: Notify::new(),
             budgets: RefCell::default(),
@@ -313,7 +308,13 @@
     /// Whether requests can be served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.site.borrow().is_some()
+        !self.is_stopping() && self.site.borrow().is_some()
+    }
+
+    /// Whether the process has been told to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.shutdown.get().is_some()
     }
 
     /// Commits a transaction at the store; returns whether its rows are now as they should be.
--- a/tests/gateway/shutdown.rs
+++ b/tests/gateway/shutdown.rs
@@ -3,6 +3,12 @@
 use super::build::ms;
 use poplarseam::decide::shutdown::Shutdown;
 use rstest::rstest;
+use std::time::Duration;
+
+const SHUTDOWN: Shutdown = Shutdown {
+    began_at: Duration::ZERO,
+    ends_at: Duration::from_millis(7_600),
+};
 
 /// Guards against requests that come late in the grace time, are passed on, and are cut when the
 /// process exits.
@@ -16,9 +22,11 @@
     #[case] deadline: u64,
     #[case] is_accepted: bool,
 ) {
-    let shutdown = Shutdown {
-        began_at: ms(0),
-        ends_at: ms(7_600),
-    };
-    assert_eq!(shutdown.accepts(ms(now), ms(deadline)), is_accepted);
+    assert_eq!(SHUTDOWN.accepts(ms(now), ms(deadline)), is_accepted);
+}
+
+#[test]
+fn requests_that_wait_are_refused_before_the_exit() {
+    assert!(!SHUTDOWN.refuses_pending(ms(7_099)));
+    assert!(SHUTDOWN.refuses_pending(ms(7_100)));
 }
