Share what the soaks and the readers of eras had twice

The order of eras stood in the store thread, the feed and the roster's callers beside decide/era: the store thread uses Eras, and a version of the same era comes from Version::at. Display and Deserialize of Version had no user. Draws of the soak keep their order; no bound or check changed.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -11,7 +11,6 @@
 use crate::decide::retry::backoff;
 use crate::platform::rows::{self, Page};
 use crate::world::table::Version;
-use crate::world::unit::Era;
 use hyper::StatusCode;
 use std::rc::Rc;
 use tokio::sync::watch;
@@ -178,7 +177,7 @@
         let page = self.store.decode(reply)?;
         self.store.record_call(true).await;
         self.store.record_era(page.version.era).await;
-        if is_later_era(page.version.era, after.era) {
+        if after.era.is_some() && page.version.era > after.era {
             log::info!(
                 "the store came back from an old copy; reading the complete table {}",
                 self.table
@@ -204,8 +203,3 @@
         Ok(Some(Change::Snapshot(page.rows)))
     }
 }
-
-/// Whether the store has come back from an old copy since an earlier answer.
-fn is_later_era(era: Option<Era>, before: Option<Era>) -> bool {
-    before.is_some() && era > before
-}
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -5,6 +5,7 @@
 use super::event::{Answer, Call, Fetch, StoreUpdate, Subscription};
 use super::{follower, registration};
 use crate::common::*;
+use crate::decide::era::Eras;
 use crate::platform::rows;
 use crate::world::deployment::Deployment;
 use crate::world::table::{Commit, Failure, Row, Txn, Version};
@@ -13,7 +14,7 @@
 use http_body_util::Full;
 use hyper::{Method, Request};
 use rows::Page;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::pin::pin;
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
@@ -37,8 +38,8 @@
     updates: flume::Sender<StoreUpdate>,
     failed_at: Cell<Option<Duration>>,
     pub is_up: Cell<bool>,
-    /// Newest era in which the store answered.
-    era: Cell<Option<Era>>,
+    /// Eras in which the store answered.
+    eras: RefCell<Eras>,
     /// Wakes feeds after an outage, since their long polls may hang.
     pub recovered: Notify,
 }
@@ -57,7 +58,7 @@
         updates,
         failed_at: Cell::new(None),
         is_up: Cell::new(true),
-        era: Cell::new(None),
+        eras: RefCell::default(),
         recovered: Notify::new(),
     });
     let site = follower::follow_site(
@@ -96,18 +97,21 @@
     /// Records the era of an answer. A change has feeds call again, since the versions after which
     /// they wait are of the earlier era, and entries that are missing may be written again.
     pub async fn record_era(&self, era: Option<Era>) {
-        let before = self.era.get();
+        let before = self.newest_era();
         let Some(newer) = era.filter(|_| era > before) else {
             return;
         };
-        self.era.set(era);
-        if before.is_some() {
+        if self.eras.borrow_mut().on_seen(era) {
             self.failed_at.set(Some(self.clock.now()));
             self.recovered.notify_waiters();
         }
         self.send_update(StoreUpdate::Era(newer)).await;
     }
 
+    fn newest_era(&self) -> Option<Era> {
+        self.eras.borrow().newest()
+    }
+
     /// Reports what was fetched, for the logs.
     pub async fn log_fetch(&self, fetch: Fetch) {
         self.send_update(StoreUpdate::Fetched(fetch)).await;
@@ -130,7 +134,7 @@
     pub fn decode(&self, reply: Reply) -> Result<Page> {
         let headers = reply.headers.clone();
         let mut page = rows::decode_page(&headers, &reply.require_ok("the platform's store")?)?;
-        page.version.era = page.version.era.or(self.era.get());
+        page.version.era = page.version.era.or(self.newest_era());
         Ok(page)
     }
 
@@ -158,7 +162,7 @@
             rows: Vec::new(),
             more: true,
             version: Version {
-                era: self.era.get(),
+                era: self.newest_era(),
                 number: u64::MAX,
             },
             size: 0,
@@ -175,10 +179,8 @@
                     reason: "it came back from an old copy while a table was read".into(),
                 });
             }
-            complete.version = Version {
-                number: complete.version.number.min(page.version.number),
-                ..page.version
-            };
+            let oldest = complete.version.number.min(page.version.number);
+            complete.version = page.version.at(oldest);
             complete.size += page.size;
             complete.more = page.more && !page.rows.is_empty();
             if let Some(last) = page.rows.last() {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -398,10 +398,7 @@
         let to = self.eras.borrow().version(era, batch.to)?;
         let entries = batch.entries.iter();
         let read = roster::Batch {
-            from: Version {
-                number: batch.from,
-                ..to
-            },
+            from: to.at(batch.from),
             to,
             entries: entries.filter_map(|it| self.decode(it, to)).collect(),
             trusted: batch.trusted,
@@ -451,10 +448,7 @@
         let backend = backend.and_then(|backend| backend.inspect_err(log_invalid).ok());
         Some(roster::Entry {
             worker,
-            version: Version {
-                number: entry.version,
-                ..to
-            },
+            version: to.at(entry.version),
             backend,
         })
     }
--- a/src/world/table.rs
+++ b/src/world/table.rs
@@ -9,18 +9,17 @@
 /// Version of a row or of the whole store. The store gives numbers out again after it came back from
 /// an old copy of its data, so a version of a later era is newer whatever its number. An unknown
 /// era orders before every known one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize)]
 pub struct Version {
     pub era: Option<Era>,
     pub number: u64,
 }
 
-impl Display for Version {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        match self.era {
-            Some(era) => write!(f, "{era}/{}", self.number),
-            None => write!(f, "{}", self.number),
-        }
+impl Version {
+    /// Returns another version of the same era.
+    #[must_use]
+    pub fn at(self, number: u64) -> Self {
+        Self { number, ..self }
     }
 }
 
--- a/tests/gateway_processes/caller.rs
+++ b/tests/gateway_processes/caller.rs
@@ -21,7 +21,7 @@
 /// Longest pause of a caller between two requests.
 const MAX_PAUSE_MS: u64 = 120;
 /// Probability that a caller reuses its connection.
-const REUSE_PROBABILITY: f64 = 0.8;
+pub const REUSE_PROBABILITY: f64 = 0.8;
 
 /// A route of the site, and whether its requests may be retried or resumed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,22 +54,32 @@
             Self::Draft => "/draft/x",
             Self::Long => "/long/x",
         };
-        let request = Request::post(path)
-            .header("host", "h")
-            .header("x-request-id", id)
-            .header("x-deadline-ms", DEADLINE_MS);
-        let request = if self.is_stream() {
-            request
-                .header("x-model-name", "m1")
-                .header("x-token-usage", "100,20")
-                .header("x-prompt-prefix", "1:100")
-        } else {
-            request
-        };
-        request.body(Full::new(Bytes::from("hi"))).unwrap()
+        build_request(path, self.is_stream(), id)
     }
 }
 
+/// Builds a request on a route, to a model if the answer is a stream.
+pub fn build_request(path: &str, is_stream: bool, id: &str) -> Request<Full<Bytes>> {
+    let request = Request::post(path)
+        .header("host", "h")
+        .header("x-request-id", id)
+        .header("x-deadline-ms", DEADLINE_MS);
+    let request = if is_stream {
+        request
+            .header("x-model-name", "m1")
+            .header("x-token-usage", "100,20")
+            .header("x-prompt-prefix", "1:100")
+    } else {
+        request
+    };
+    request.body(Full::new(Bytes::from("hi"))).unwrap()
+}
+
+/// Waits for a moment, as callers do between two requests.
+pub async fn pause(rng: &mut SmallRng) {
+    sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS))).await;
+}
+
 /// How a request ended, as its caller saw it.
 #[derive(Debug)]
 pub enum Outcome {
@@ -120,10 +130,7 @@
         let mut kept: Option<Connection> = None;
         let mut number = 0;
         while !self.is_over.get() {
-            sleep(Duration::from_millis(
-                self.rng.random_range(0..MAX_PAUSE_MS),
-            ))
-            .await;
+            pause(&mut self.rng).await;
             let reusable = kept
                 .take()
                 .filter(|_| self.rng.random_bool(REUSE_PROBABILITY));
--- a/tests/gateway_processes/operations.rs
+++ b/tests/gateway_processes/operations.rs
@@ -5,13 +5,11 @@
 //! Manual run: `OPERATION_SEEDS=1-50 cargo test --test gateway_processes operations_by_hand --
 //! --nocapture`.
 
-use super::caller::{Outcome, connect, exchange};
+use super::caller::{self, Outcome};
 use super::rules::{
     Arrival, DRAIN_TIME, Departure, Disturbance, End, History, Place, Request, Rules, Version,
 };
 use super::site::{GRACE_S, POLL_INTERVAL, Site, config};
-use bytes::Bytes;
-use http_body_util::Full;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -28,9 +26,6 @@
 
 const DATA_CENTRES: [&str; 3] = ["north-1", "north-2", "south-1"];
 const CALLERS_PER_INSTANCE: usize = 3;
-const MAX_CALLER_PAUSE_MS: u64 = 120;
-const REUSE_PROBABILITY: f64 = 0.8;
-const DEADLINE_MS: u64 = 3_000;
 /// Instances start this long before the operations begin.
 const STARTUP_TIME: Duration = Duration::from_secs(4);
 /// Groups of servers of the two services between which routes move. One of each group leaves at a time.
@@ -158,11 +153,12 @@
             Fault::Stop(target) => self.stop(target).await,
             Fault::Reload(target) => self.site.borrow().instances[target].1.signal("HUP"),
             Fault::Freeze(target, length) => {
-                let disturbance = self.disturb(Place::Instance(target), length, false);
-                self.site.borrow().instances[target].1.signal("STOP");
-                sleep(length).await;
-                self.site.borrow().instances[target].1.signal("CONT");
-                self.extend(disturbance);
+                let set = |site: &Site, is_frozen: bool| {
+                    let signal = if is_frozen { "STOP" } else { "CONT" };
+                    site.instances[target].1.signal(signal);
+                };
+                self.disturb_for(length, &[Place::Instance(target)], set)
+                    .await;
             }
             Fault::StoreSilentToHolders(count, length) => {
                 let targets = self.holders().into_iter().take(count).collect();
@@ -173,40 +169,38 @@
                 Box::pin(self.inject(Fault::StoreSilentTo(targets, length))).await;
             }
             Fault::StoreSilentTo(targets, length) => {
-                let set = |is_silent| {
-                    let site = self.site.borrow();
+                let places: Vec<Place> = targets.iter().map(|it| Place::StoreOf(*it)).collect();
+                let set = |site: &Site, is_silent| {
                     for target in &targets {
                         let instance = site.instances[*target].0;
                         site.platform.set_silent_to(instance, is_silent);
                     }
                 };
-                let places = targets.iter().map(|target| Place::StoreOf(*target));
-                let disturbances = places.map(|place| self.disturb(place, length, false));
-                let disturbances: Vec<usize> = disturbances.collect();
-                set(true);
-                sleep(length).await;
-                set(false);
-                for disturbance in disturbances {
-                    self.extend(disturbance);
-                }
+                self.disturb_for(length, &places, set).await;
             }
             Fault::StoreSilent(length) => {
-                let disturbance = self.disturb(Place::Store, length, false);
-                self.site.borrow().platform.set_silent(true);
-                sleep(length).await;
-                self.site.borrow().platform.set_silent(false);
-                self.extend(disturbance);
+                let set = |site: &Site, is_silent| site.platform.set_silent(is_silent);
+                self.disturb_for(length, &[Place::Store], set).await;
             }
             Fault::StoreDown(length) => {
-                let disturbance = self.disturb(Place::Store, length, false);
-                self.site.borrow().platform.set_down(true);
-                sleep(length).await;
-                self.site.borrow().platform.set_down(false);
-                self.extend(disturbance);
+                let set = |site: &Site, is_down| site.platform.set_down(is_down);
+                self.disturb_for(length, &[Place::Store], set).await;
             }
         }
     }
 
+    /// Disturbs these places for a time, by a switch that is set and released.
+    async fn disturb_for(&self, length: Duration, places: &[Place], set: impl Fn(&Site, bool)) {
+        let disturbances = places.iter().map(|it| self.disturb(*it, length, false));
+        let disturbances: Vec<usize> = disturbances.collect();
+        set(&self.site.borrow(), true);
+        sleep(length).await;
+        set(&self.site.borrow(), false);
+        for disturbance in disturbances {
+            self.extend(disturbance);
+        }
+    }
+
     /// Instances that hold leases, in the order of the leases.
     fn holders(&self) -> Vec<usize> {
         let site = self.site.borrow();
@@ -340,37 +334,24 @@
     async fn call(self: Rc<Self>, instance: usize, mut rng: SmallRng) {
         let mut kept = None;
         while !self.is_over.get() {
-            sleep(Duration::from_millis(
-                rng.random_range(0..MAX_CALLER_PAUSE_MS),
-            ))
-            .await;
+            caller::pause(&mut rng).await;
             let address = self.site.borrow().callers(instance);
             let start = self.starts.borrow()[instance];
-            let reused = kept.take().filter(|_| rng.random_bool(REUSE_PROBABILITY));
+            let reused = kept
+                .take()
+                .filter(|_| rng.random_bool(caller::REUSE_PROBABILITY));
             let sender = match reused {
                 Some(sender) => Some(sender),
-                None => connect(address).await,
+                None => caller::connect(address).await,
             };
             let (Some(mut sender), Some(path)) = (sender, self.random_path(&mut rng)) else {
                 continue;
             };
             self.request_count.set(self.request_count.get() + 1);
             let id = format!("{:016x}", self.request_count.get());
-            let request = hyper::Request::post(format!("/{path}/x"))
-                .header("host", "h")
-                .header("x-request-id", &id)
-                .header("x-deadline-ms", DEADLINE_MS);
-            let request = if path == STREAM_PATH {
-                request
-                    .header("x-model-name", "m1")
-                    .header("x-token-usage", "100,20")
-                    .header("x-prompt-prefix", "1:100")
-            } else {
-                request
-            };
-            let request = request.body(Full::new(Bytes::from("hi"))).unwrap();
+            let request = caller::build_request(&format!("/{path}/x"), path == STREAM_PATH, &id);
             let sent = self.now();
-            let outcome = exchange(&mut sender, request, &id).await;
+            let outcome = caller::exchange(&mut sender, request, &id).await;
             kept = outcome.is_whole().then_some(sender);
             let end = match outcome {
                 Outcome::Answered {
--- a/tests/gateway_processes/rules.rs
+++ b/tests/gateway_processes/rules.rs
@@ -300,6 +300,15 @@
     }
 }
 
+fn disturbance(place: Place, from: u64, until: u64) -> Disturbance {
+    Disturbance {
+        place,
+        from: ms(from),
+        until: ms(until),
+        is_planned: false,
+    }
+}
+
 /// A route that moves from one service to another at 10 s.
 fn moved_route() -> History {
     let version = |acked, service: &str| Version {
@@ -324,12 +333,7 @@
     assert_eq!(breach_count(&history), 0);
     history.requests[0].sent = ms(12_500);
     assert_eq!(breach_count(&history), 1);
-    history.disturbances = vec![Disturbance {
-        place: Place::StoreOf(0),
-        from: ms(5_000),
-        until: ms(6_001),
-        is_planned: false,
-    }];
+    history.disturbances = vec![disturbance(Place::StoreOf(0), 5_000, 6_001)];
     assert_eq!(breach_count(&history), 0, "the instance is not in touch");
 }
 
@@ -371,12 +375,8 @@
     assert_eq!(breach_count(&history), 0, "it was not passed on");
     history.arrivals = vec![arrival("1", 1_001, "old")];
     assert_eq!(history.breaches(Rules::Untimed).len(), 1);
-    history.disturbances = vec![Disturbance {
-        place: Place::Instance(0),
-        from: ms(1_005),
-        until: ms(1_005),
-        is_planned: true,
-    }];
+    history.disturbances = vec![disturbance(Place::Instance(0), 1_005, 1_005)];
+    history.disturbances[0].is_planned = true;
     assert_eq!(breach_count(&history), 1, "a planned stop excuses nothing");
     history.disturbances[0].is_planned = false;
     assert_eq!(breach_count(&history), 0);
