Write the system's own rows again that the store's return has lost

An instance that had registered after the copy was taken stayed out of the list of instances, and so out of the shares of common limits at instances that start later; quarantined parts, departures known from answers, versions and streams came back with their next change or after two minutes.

Cause: registration reads the rows every two minutes, and nothing told it of the return. Those that keep rows do notice a missing one (`on_rows` of each), once the rows are read.

Change: a change of era wakes the registration, which writes its row if it is gone and reads all rows, spread over 1 s, and again 3 s later; the row of streams is written again. The offset of an instance, which stood in the placer and the traffic thread, is Deployment::spread now.

--- a/src/decide/origin.rs
+++ b/src/decide/origin.rs
@@ -304,6 +304,11 @@
         self.has_row = true;
     }
 
+    /// Records that the store may have lost the row of this instance.
+    pub fn on_row_lost(&mut self) {
+        self.is_row_stale = true;
+    }
+
     /// Returns the changes to the rows of versions that are due; each is returned again later unless
     /// [`Self::on_written`] confirms it.
     pub fn take_writes(&mut self, now: Duration) -> Vec<Write> {
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -30,7 +30,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Other instances may take over a lease that was not renewed for this long.
 const LEASE_TERM: Duration = Duration::from_secs(2);
@@ -461,30 +460,19 @@
     }
 
     /// Returns how long this instance waits before it claims a free shard.
-    fn claim_delay(&self, instance: &id::Instance, held_count: u32) -> Duration {
-        claim_jitter(instance, MAX_CLAIM_JITTER)
+    fn claim_delay(&self, deployment: &Deployment, held_count: u32) -> Duration {
+        MAX_CLAIM_JITTER.mul_f64(deployment.spread())
             + CLAIM_DELAY_PER_HELD_SHARD * held_count
-            + CLAIM_DELAY_PER_DISTANCE * self.shard.distance_from_preferred(instance)
+            + CLAIM_DELAY_PER_DISTANCE * self.shard.distance_from_preferred(&deployment.instance)
     }
 }
 
-/// Returns an instance's fixed offset within a span.
-fn claim_jitter(instance: &id::Instance, span: Duration) -> Duration {
-    span.mul_f64(hash_fraction(instance))
-}
-
-/// Returns a number in `0..=1` derived from the instance's name.
-fn hash_fraction(instance: &id::Instance) -> f64 {
-    let hash = xxh3_64(instance.as_str().as_bytes()) >> 32;
-    f64::from(u32::try_from(hash).unwrap_or(0)) / f64::from(u32::MAX)
-}
-
 fn step_lease(placer: &Shared, index: usize, calls: &flume::Sender<Call>) {
     let mut this = placer.borrow_mut();
     let now = this.clock.now();
     this.update_holder(index);
     let (is_stopping, held_count) = (this.is_stopping, this.held_count());
-    let instance = this.deployment.instance.clone();
+    let deployment = Arc::clone(&this.deployment);
     let mut open = this
         .shards
         .iter()
@@ -494,12 +482,11 @@
     let is_open = now
         >= shard_state.holder_heard_at
             + HOLDER_TIMEOUT
-            + shard_state.claim_delay(&instance, held_count);
+            + shard_state.claim_delay(&deployment, held_count);
     let first_claim_at = STARTUP_LISTEN_TIME
-        + MAX_STARTUP_CLAIM_JITTER
-            .mul_f64(hash_fraction(&instance).powf(STARTUP_CLAIM_JITTER_EXPONENT));
+        + MAX_STARTUP_CLAIM_JITTER.mul_f64(deployment.spread().powf(STARTUP_CLAIM_JITTER_EXPONENT));
     let is_startup_claim = shard_state.holder_heard_at == Duration::ZERO
-        && now >= first_claim_at + shard_state.claim_delay(&instance, held_count);
+        && now >= first_claim_at + shard_state.claim_delay(&deployment, held_count);
     let may_claim = (is_open || is_startup_claim) && !is_claiming_another;
     let should_poll = shard_state.should_reclaim
         || (may_claim && now >= shard_state.polled_at + shard_state.poll_interval());
--- a/src/gateway/registration.rs
+++ b/src/gateway/registration.rs
@@ -1,6 +1,7 @@
 //! Registers this instance in the store and reads the rows of the other instances. The same reads
 //! return the rows of the quarantine, of leaving servers, of software versions and of streams, whose
-//! keys are greater.
+//! keys are greater. After the store's return from an old copy all is read again, so that those that
+//! keep rows notice which ones were lost.
 
 use super::event::{LEASE_KEY_PREFIX, Member, StoreUpdate};
 use super::store::{MAX_RETRY_DELAY, RETRY_DELAY, Store, commit, decode_row};
@@ -21,6 +22,8 @@
 /// Delay before the second read: instances that started at the same time have registered by
 /// then.
 const SECOND_READ_DELAY: Duration = Duration::from_secs(3);
+/// Time over which instances spread their reads after the store's return from an old copy.
+const RETURN_SPREAD: Duration = Duration::from_secs(1);
 
 /// Writes this instance's row, then reads those of the other instances. Of two instances that start
 /// together, at least one thus finds the other and announces itself to it. The same read returns
@@ -31,13 +34,13 @@
     let row = json!({"address": deployment.peers, "data_centre": deployment.data_centre});
     let encoded_row = row.to_string().into_bytes();
     let (mut version, mut is_written, mut failures) = (0, false, 0);
-    let mut is_first = true;
+    let (mut is_first, mut has_returned) = (true, false);
     let mut has_read_after_write = false;
     loop {
         if !is_written {
             let txn = Txn::default().put(key.clone(), version, row.clone());
             is_written = matches!(commit(&store, &txn).await.result, Ok(Commit::Done(_)));
-            if is_written && version == 0 {
+            if is_written && version == 0 && !has_returned {
                 store.send_update(StoreUpdate::FirstStart).await;
             }
         }
@@ -66,12 +69,18 @@
         store.send_update(StoreUpdate::Leaving(leaving)).await;
         let rows = origins::decode_rows(&page.rows);
         store.send_update(StoreUpdate::Origins(rows)).await;
-        sleep(match (is_written, has_read_after_write) {
+        let delay = match (is_written, has_read_after_write) {
             (false, _) => RETRY_DELAY,
             (true, false) => SECOND_READ_DELAY,
             (true, true) => MEMBER_READ_INTERVAL,
-        })
-        .await;
+        };
+        tokio::select! {
+            () = sleep(delay) => {}
+            () = store.returned.notified() => {
+                sleep(RETURN_SPREAD.mul_f64(deployment.spread())).await;
+                (is_written, version, has_returned) = (false, 0, true);
+            }
+        }
         has_read_after_write = is_written;
     }
 }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -42,6 +42,8 @@
     eras: RefCell<Eras>,
     /// Wakes feeds after an outage, since their long polls may hang.
     pub recovered: Notify,
+    /// Tells that the store came back from an old copy, which may lack rows of this instance.
+    pub returned: Notify,
 }
 
 /// Runs the store thread until the channel of calls closes.
@@ -60,6 +62,7 @@
         is_up: Cell::new(true),
         eras: RefCell::default(),
         recovered: Notify::new(),
+        returned: Notify::new(),
     });
     let site = follower::follow_site(
         Rc::clone(&store),
@@ -104,6 +107,7 @@
         if self.eras.borrow_mut().on_seen(era) {
             self.failed_at.set(Some(self.clock.now()));
             self.recovered.notify_waiters();
+            self.returned.notify_one();
         }
         self.send_update(StoreUpdate::Era(newer)).await;
     }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -209,7 +209,7 @@
         let seed = xxh3_64(deployment.instance.as_str().as_bytes());
         let balance = Balancer::new(&deployment);
         let topology = RefCell::new(Topology::new(&deployment));
-        let spread = f64::from(u32::try_from(seed >> 32).unwrap_or(0)) / f64::from(u32::MAX);
+        let spread = deployment.spread();
         Rc::new(Self {
             deployment,
             clock,
@@ -387,6 +387,7 @@
             let servers = self.roster.borrow().version();
             let values = json!({"era": era, "before": before, "servers": servers});
             self.journal.note("era", &values);
+            self.origins.borrow_mut().on_row_lost();
         }
         self.notify_placer(PlacerEvent::Era(era));
     }
--- a/src/world/deployment.rs
+++ b/src/world/deployment.rs
@@ -2,6 +2,7 @@
 
 use super::id;
 use crate::common::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Settings that the platform gives an instance at its start.
 #[derive(Debug, Clone, Serialize)]
@@ -23,6 +24,16 @@
     pub bounds: Bounds,
 }
 
+impl Deployment {
+    /// Returns a number from 0 to 1 that differs between instances, so that they don't act at the same
+    /// moment.
+    #[must_use]
+    pub fn spread(&self) -> f64 {
+        let hash = xxh3_64(self.instance.as_str().as_bytes()) >> 32;
+        f64::from(u32::try_from(hash).unwrap_or(0)) / f64::from(u32::MAX)
+    }
+}
+
 /// Bounds that the platform guarantees or requires.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct Bounds {
--- a/tests/gateway_processes/old_copy.rs
+++ b/tests/gateway_processes/old_copy.rs
@@ -1,6 +1,6 @@
 //! The store comes back from an old copy of its data.
 
-use super::site::{POLL_INTERVAL, Site, config, exchange, request, wait_for};
+use super::site::{GRACE_S, POLL_INTERVAL, Site, config, exchange, request, wait_for};
 use serde_json::json;
 use standins::platform::Copy;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -158,3 +158,18 @@
         all_instances(|instance| listed(&site, instance) == all - 1)
     });
 }
+
+/// Guards against an instance that no other one finds after a restart: it had registered after the copy was
+/// taken, and the store has forgotten it.
+#[test]
+fn instance_that_the_store_has_forgotten_registers_again() {
+    let mut site = Site::start(2);
+    site.wait_until_ready();
+    let copy = site.platform.copy();
+    site.add_instance(GRACE_S);
+    let registered = || site.platform.keys("poplarseam", "instance.").len();
+    wait_for("the third instance", || registered() == 3);
+    return_from(&site, &copy);
+    assert_eq!(registered(), 2);
+    wait_for("the third instance again", || registered() == 3);
+}
