Log failed fetches, what relays forward, and entries that differ from ledgers

Now fetch_failed lines name table, version, wait and reason; forwarded datagrams are counted by what they carry; entry_differs lines show an entry whose models differ from a ledger's, with the ledger's state. No decision changes.

--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -59,6 +59,8 @@
     Store { up: bool },
     /// Rows or a configuration were fetched; only for the logs.
     Fetched(Fetch),
+    /// A call for the changes of a table ended without an answer; only for the logs.
+    FetchFailed(FailedFetch),
 }
 
 /// Size and duration of reading a table of the store, or the configuration of a peer.
@@ -75,6 +77,17 @@
     pub took_ms: Option<u64>,
 }
 
+/// A call for the changes of a table that ended without an answer.
+#[derive(Debug, Clone, Serialize)]
+pub struct FailedFetch {
+    pub table: &'static str,
+    /// Version after which changes were wanted; none for the whole table.
+    pub after: Option<Version>,
+    pub waited_ms: u64,
+    /// The error, or why the call was dropped.
+    pub reason: String,
+}
+
 /// A registered instance.
 #[derive(Debug, Clone)]
 pub struct Member {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -5,7 +5,7 @@
 //! stale data.
 
 use super::channel::{self, Channel};
-use super::event::{Fetch, Subscription, milliseconds};
+use super::event::{FailedFetch, Fetch, StoreUpdate, Subscription, milliseconds};
 use super::store::{MAX_RETRY_DELAY, RETRY_DELAY, Store};
 use crate::common::*;
 use crate::decide::retry::backoff;
@@ -72,6 +72,7 @@
     /// another source.
     pub async fn next(&mut self) -> Change {
         loop {
+            let began_at = self.store.now();
             let change = match self.last_version {
                 None => self.read_all().await,
                 Some(version) => self.poll_changes(version).await,
@@ -84,7 +85,7 @@
                 Ok(None) if !(self.is_wanted)(&self.subscription.borrow()) => return Change::Empty,
                 Ok(None) => {}
                 Err(error) => {
-                    log::info!("change feed of {} failed: {error}", self.table);
+                    self.log_failure(began_at, error.to_string()).await;
                     self.channel = None;
                     self.store.record_call(false).await;
                     sleep(backoff(RETRY_DELAY, self.failures, MAX_RETRY_DELAY, 1.0)).await;
@@ -115,6 +116,17 @@
         Ok(page)
     }
 
+    async fn log_failure(&self, began_at: Duration, reason: String) {
+        let failed = FailedFetch {
+            table: self.table,
+            after: self.last_version,
+            waited_ms: milliseconds(self.store.now().saturating_sub(began_at)),
+            reason,
+        };
+        let update = StoreUpdate::FetchFailed(failed);
+        self.store.send_update(update).await;
+    }
+
     /// Logs a page: the whole table if reading it `took` some time, or changes.
     async fn log_fetch(&self, page: &Page, took: Option<Duration>) {
         let fetch = Fetch {
@@ -149,6 +161,7 @@
         };
         let (stall_count_of, is_wanted) = (self.stall_count_of, self.is_wanted);
         let stall_count = stall_count_of(&self.subscription.borrow());
+        let began_at = self.store.now();
         let call = tokio::select! {
             call = timeout(poll_time + POLL_MARGIN, channel.call(request)) => Some(call),
             () = self.store.recovered.notified() => None,
@@ -159,10 +172,8 @@
             }) => None,
         };
         let Some(call) = call else {
-            log::info!(
-                "long poll for changes of {} dropped: it may hang, or is no longer wanted",
-                self.table
-            );
+            let reason = "dropped: it may hang, or is no longer wanted";
+            self.log_failure(began_at, reason.into()).await;
             self.channel = None;
             return Ok(Some(Change::Empty));
         };
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -45,18 +45,27 @@
 async fn handle_datagram(traffic: &Traffic, socket: &UdpSocket, mut gossip: Gossip) {
     let forwarded = gossip.pass_on.then(|| {
         gossip.pass_on = false;
-        gossip.encode_to_vec()
+        (forwarded_kind(&gossip), gossip.encode_to_vec())
     });
     traffic.on_gossip(gossip);
-    if let Some(bytes) = forwarded {
-        send_bytes(
-            traffic,
-            socket,
-            "forwarded",
-            &bytes,
-            &traffic.data_centre_peers(),
-        )
-        .await;
+    if let Some((kind, bytes)) = forwarded {
+        let peers = traffic.data_centre_peers();
+        send_bytes(traffic, socket, kind, &bytes, &peers).await;
+    }
+}
+
+/// Returns the kind under which a forwarded datagram is counted.
+fn forwarded_kind(gossip: &Gossip) -> &'static str {
+    if gossip.batch.is_some() {
+        "forwarded_list"
+    } else if gossip.running.is_some() {
+        "forwarded_load"
+    } else if !gossip.leaving.is_empty() {
+        "forwarded_leaving"
+    } else if !gossip.holdings.is_empty() || !gossip.leads.is_empty() {
+        "forwarded_holdings"
+    } else {
+        "forwarded_other"
     }
 }
 
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -18,7 +18,7 @@
 use crate::node::clock::Clock;
 use crate::platform::{request, worker};
 use crate::wire::generated_gossip::{Gossip, Holding, Lead};
-use crate::world::backend::Report;
+use crate::world::backend::{Backend, Report};
 use crate::world::deployment::Deployment;
 use crate::world::id;
 use crate::world::message::Notice;
@@ -228,12 +228,27 @@
                 let held = self
                     .shard_state(&backend.id)
                     .is_some_and(|shard_state| shard_state.was_holder);
+                self.log_difference(&backend);
                 self.fleet.on_listed(now, backend, held);
             }
             Change::Unlisted(worker) => self.fleet.on_unlisted(&worker),
         }
     }
 
+    /// Logs an entry whose models differ from those that the worker's ledger knows.
+    fn log_difference(&self, listed: &Backend) {
+        let ledger = self.fleet.ledger(&listed.id);
+        let Some(ledger) = ledger.filter(|ledger| ledger.is_known()) else {
+            return;
+        };
+        let known: Vec<&id::Model> = ledger.holdings().keys().collect();
+        let models: Vec<&id::Model> = listed.holdings.keys().collect();
+        if known != models {
+            let values = json!({"server": listed.id, "listed": models, "ledger": ledger});
+            self.journal.note("entry_differs", &values);
+        }
+    }
+
     fn on_former_leases(&mut self, rows: &[Row], era: Option<Era>) {
         let now = self.clock.now();
         for shard_state in &mut self.shards {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -367,6 +367,7 @@
             StoreUpdate::FirstStart => self.on_first_start(),
             StoreUpdate::Members(members) => self.on_members(members),
             StoreUpdate::Fetched(fetch) => self.journal.note("fetched", &json!(fetch)),
+            StoreUpdate::FetchFailed(failed) => self.journal.note("fetch_failed", &json!(failed)),
             StoreUpdate::Store { up } => {
                 self.reaches_store.set(up);
                 self.has_reach_changed.set(true);
