Tests: an entry older than a server's report must free no memory (failing)

A ledger that knows two models from the server's report is given the server's entry with one of them, and must order no load that does not fit. The drawn test of lost, delayed and unanswered orders now also delivers entries that the worker wrote earlier, and assigns loads that evict nothing, since an old entry makes those seem to fit.

--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -109,6 +109,20 @@
     assert_eq!(ledger.next(ms(20), &engine()), Step::Wait);
 }
 
+/// Guards against a worker that ends because it was ordered to load more than it holds: its entry
+/// from before an outage of the store arrived after its report.
+#[test]
+fn entry_from_before_a_report_frees_no_memory() {
+    let mut ledger = ledger("m1 m2", 5);
+    ledger.on_listed(ms(20), backend("a", "north-1", "m1"));
+    ledger.assign(ms(30), &job(&[], "m3"));
+    let steps = (30..5_000).map(|at| ledger.next(ms(at), &engine()));
+    let sent = steps
+        .filter(|step| matches!(step, Step::Send(..)))
+        .collect::<Vec<_>>();
+    assert_eq!(sent, []);
+}
+
 /// A worker that carries orders out at once, late or not at all, and may leave them unanswered.
 #[derive(Debug)]
 struct Worker {
@@ -116,6 +130,8 @@
     orders: u64,
     held: Holdings,
     late: Vec<(Action, u64)>,
+    /// Entries that the worker wrote, which may arrive late.
+    entries: Vec<Holdings>,
 }
 
 impl Worker {
@@ -167,8 +183,11 @@
     /// A delayed order arrives.
     Arrive,
     Assign(u8, u8),
+    AssignLoad(u8),
     EnqueueAdapter(u8),
     Listed,
+    /// An entry that the worker wrote earlier arrives.
+    ListedLate(u8),
     Elapse(u16),
 }
 
@@ -180,8 +199,10 @@
         2 => Just(Event::DelayOrder),
         2 => Just(Event::Arrive),
         3 => (1..6_u8, 1..6_u8).prop_map(|(evict, load)| Event::Assign(evict, load)),
+        3 => (1..6_u8).prop_map(Event::AssignLoad),
         3 => (1..5_u8).prop_map(Event::EnqueueAdapter),
         2 => Just(Event::Listed),
+        2 => (0..20_u8).prop_map(Event::ListedLate),
         6 => (1..900_u16).prop_map(Event::Elapse),
     ]
 }
@@ -200,6 +221,7 @@
             ledger: Ledger::new(ms(0), backend.clone()),
             worker: Worker {
                 held: backend.holdings.clone(),
+                entries: vec![backend.holdings.clone()],
                 backend,
                 orders: 0,
                 late: Vec::new(),
@@ -217,13 +239,14 @@
                     self.worker.apply(&action, expected);
                 }
             }
-            Event::Assign(evict, load) => self.assign(evict, load),
+            Event::Assign(evict, load) => self.assign(Some(evict), load),
+            Event::AssignLoad(load) => self.assign(None, load),
             Event::EnqueueAdapter(number) => self.enqueue_adapter(number),
             Event::Listed => {
-                let mut backend = self.worker.backend.clone();
-                backend.holdings = self.worker.held.clone();
-                self.ledger.on_listed(now, backend);
+                self.worker.entries.push(self.worker.held.clone());
+                self.on_entry(0);
             }
+            Event::ListedLate(age) => self.on_entry(age.into()),
             _ => match self.ledger.next(now, &engine) {
                 Step::Wait => {}
                 Step::RequestReport => self.ledger.on_report(now, Some(self.worker.report())),
@@ -250,14 +273,24 @@
         }
     }
 
-    fn assign(&mut self, evict: u8, load: u8) {
-        let (evict, load) = (format!("m{evict}"), format!("m{load}"));
+    /// Delivers the entry before which the worker wrote `age` others, or its first.
+    fn on_entry(&mut self, age: usize) {
+        let entries = &self.worker.entries;
+        let mut backend = self.worker.backend.clone();
+        backend.holdings = entries[entries.len().saturating_sub(age + 1)].clone();
+        self.ledger.on_listed(ms(self.now), backend);
+    }
+
+    fn assign(&mut self, evict: Option<u8>, load: u8) {
+        let name = |number| format!("m{number}");
+        let (evict, load) = (evict.map(name), name(load));
+        let evict: Vec<&str> = evict.iter().map(String::as_str).collect();
         let held: BTreeSet<id::Model> = self.ledger.models();
         if self.ledger.accepts_job()
-            && held.contains(&model(&evict))
+            && evict.iter().all(|evict| held.contains(&model(evict)))
             && !held.contains(&model(&load))
         {
-            self.ledger.assign(ms(self.now), &job(&[&evict], &load));
+            self.ledger.assign(ms(self.now), &job(&evict, &load));
         }
     }
 
@@ -274,7 +307,7 @@
     #![proptest_config(ProptestConfig { cases: 1_000, ..ProptestConfig::default() })]
 
     #[test]
-    fn lost_delayed_or_unanswered_orders_never_overcommit_memory(
+    fn lost_delayed_or_unanswered_orders_and_late_entries_never_overcommit_memory(
         events in proptest::collection::vec(event(), 1..120),
     ) {
         let mut world = World::new();
