Keep a server's own report against an entry that is older

Cause: in the states Idle and Running, Ledger::on_listed replaced the models that the server's report had told by those of its entry in the list. A holder that takes a shard over asks for reports at once and then reads the whole list; an entry that the server wrote before the outage came after its report. The order count stayed that of the report, so the server accepted an order that was planned on the older models. The class: an older fact about a server replaces a newer one.

Change: models and order count change only together, by a report or by the answer to the order that was sent with that count. An entry ends the running order if it shows its result; if its models differ otherwise, a report is requested after the greatest age of a report. Answers name their order.

Ruled out: a report older than the last order, since its count would be too, and the server would refuse.

New: an entry that differs has a report requested, an answer to another order is ignored, models are unknown before the first report.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -16,7 +16,7 @@
 use crate::world::deployment::Deployment;
 use crate::world::id;
 use crate::world::message::Target;
-use crate::world::order::{Action, Reply};
+use crate::world::order::{Action, Order, Reply};
 use crate::world::shard::Shard;
 use crate::world::site::{Engine, Site};
 use crate::world::unit::{Incarnation, Rate, float};
@@ -229,12 +229,12 @@
     }
 
     /// Handles the answer to an order.
-    pub fn on_reply(&mut self, now: Duration, worker: &id::Worker, reply: Reply) {
-        let Some(ledger) = self.ledgers.get_mut(worker) else {
+    pub fn on_reply(&mut self, now: Duration, order: &Order, reply: Reply) {
+        let Some(ledger) = self.ledgers.get_mut(&order.worker) else {
             return;
         };
         if let Some(engine) = self.engines.get(&ledger.backend.service) {
-            ledger.on_reply(now, reply, engine);
+            ledger.on_reply(now, order, reply, engine);
         }
     }
 
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -11,7 +11,7 @@
 use crate::world::backend::{Backend, Holdings, Report};
 use crate::world::id;
 use crate::world::message::Target;
-use crate::world::order::{Action, Reply};
+use crate::world::order::{Action, Order, Reply};
 use crate::world::site::Engine;
 use crate::world::unit::Bytes;
 
@@ -77,6 +77,9 @@
     pub backend: Backend,
     state: State,
     orders: u64,
+    /// Whether the worker has reported what it holds; a restarted one holds nothing that its entry
+    /// does not list.
+    has_reported: bool,
     /// Models announced for unloading, with the time of the announcement.
     closing: BTreeMap<id::Model, Duration>,
     /// Models still to be unloaded before `load` is loaded.
@@ -102,6 +105,7 @@
             backend,
             state: State::Unknown { ask_at: now },
             orders: 0,
+            has_reported: false,
             closing: BTreeMap::new(),
             evict: VecDeque::new(),
             load: None,
@@ -114,39 +118,50 @@
     }
 
     /// Updates the ledger from the worker's entry in the platform's list.
+    ///
+    /// An entry may be older than the report and the answers from which the ledger knows the
+    /// worker's models. It therefore shows only that the running order has ended; if its models
+    /// differ otherwise, a report is requested.
     pub fn on_listed(&mut self, now: Duration, backend: Backend) {
         if backend.boot != self.backend.boot {
             self.on_restart(now, backend);
             return;
         }
-        if matches!(self.state, State::Unknown { .. }) {
+        if !self.has_reported {
             self.backend = backend;
             return;
         }
+        let was_open = self.accepts_job();
         let known = std::mem::take(&mut self.backend.holdings);
         self.backend = backend;
-        let mut listed = self.backend.holdings.clone();
-        for (model, adapters) in &mut listed {
-            if let Some(known) = known.get(model) {
-                adapters.clone_from(known);
-            }
+        let listed = std::mem::replace(&mut self.backend.holdings, known);
+        self.end_running(&listed);
+        let is_idle = matches!(self.state, State::Idle);
+        if is_idle && !listed.keys().eq(self.backend.holdings.keys()) {
+            self.state = State::Unclear {
+                ask_at: now + MAX_REPORT_AGE,
+            };
         }
-        let is_finished = match &self.state {
-            State::Running {
-                action: Action::Load(target),
-                ..
-            } => listed.contains_key(&target.model),
-            State::Running {
-                action: Action::Unload(target),
-                ..
-            } => !listed.contains_key(&target.model),
-            _ => false,
+        self.revision += u64::from(self.accepts_job() != was_open);
+    }
+
+    /// Ends the running order if the listed models show its result.
+    fn end_running(&mut self, listed: &Holdings) {
+        let State::Running { action, .. } = &self.state else {
+            return;
         };
-        if is_finished {
-            self.state = State::Idle;
+        let action = action.clone();
+        let target = action.target();
+        let is_load = matches!(action, Action::Load(_));
+        if listed.contains_key(&target.model) != is_load {
+            return;
         }
-        let keeps_known = !matches!(self.state, State::Idle | State::Running { .. });
-        self.backend.holdings = if keeps_known { known } else { listed };
+        if is_load {
+            self.add_held(target.clone());
+        } else {
+            self.remove_held(target);
+        }
+        self.state = State::Idle;
         self.revision += 1;
     }
 
@@ -161,6 +176,7 @@
         *self = Self::new(now, backend);
         self.late = late;
         self.revision = revision;
+        self.has_reported = true;
         self.state = State::Idle;
     }
 
@@ -175,7 +191,7 @@
     /// requested report is awaited. After a restart they are taken from the platform's list.
     #[must_use]
     pub fn is_known(&self) -> bool {
-        !matches!(self.state, State::Unknown { .. } | State::Asked)
+        self.has_reported && !matches!(self.state, State::Asked)
     }
 
     /// Whether adapters can be loaded or unloaded.
@@ -413,11 +429,16 @@
         }
     }
 
-    /// Handles the answer to the order that was sent last.
-    pub fn on_reply(&mut self, now: Duration, reply: Reply, engine: &Engine) {
+    /// Handles the answer to an order, unless another order was sent since: the answer may be to
+    /// one that this instance sent before it lost the worker's shard for a time.
+    pub fn on_reply(&mut self, now: Duration, order: &Order, reply: Reply, engine: &Engine) {
+        let is_current = self.backend.boot == order.boot && self.orders == order.expected;
         let State::Sent { action } = &self.state else {
             return;
         };
+        if !is_current || *action != order.action {
+            return;
+        }
         let action = action.clone();
         self.revision += 1;
         self.state = match reply {
@@ -485,6 +506,7 @@
             };
             return;
         };
+        self.has_reported = true;
         self.orders = report.orders;
         self.backend.holdings = report.holdings;
         self.backend.copies = report.copies;
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -634,10 +634,7 @@
     let values = json!({"order": order, "reply": reply});
     this.journal.note("order", &values);
     let now = this.clock.now();
-    let ledger = this.fleet.ledger(&order.worker);
-    if ledger.is_some_and(|ledger| ledger.backend.boot == order.boot) {
-        this.fleet.on_reply(now, &order.worker, reply);
-    }
+    this.fleet.on_reply(now, &order, reply);
 }
 
 /// Sends an order if the lease is still held once the connection is open.
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -6,7 +6,8 @@
 use poplarseam::world::backend::{Backend, Holdings, Report};
 use poplarseam::world::id;
 use poplarseam::world::message::Target;
-use poplarseam::world::order::{Action, Reply};
+use poplarseam::world::order::{Action, Order, Reply};
+use poplarseam::world::unit::{Fence, Incarnation};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 
@@ -27,6 +28,28 @@
     ledger
 }
 
+/// Returns the order of a step.
+fn order(step: &Step) -> Order {
+    let Step::Send(action, expected) = step else {
+        panic!("{step:?} is no order");
+    };
+    Order {
+        worker: "a".parse().unwrap(),
+        boot: Incarnation(1),
+        action: action.clone(),
+        expected: *expected,
+        holder: "one".parse().unwrap(),
+        fence: Fence(1),
+    }
+}
+
+/// Sends the order that is due, and gives the ledger the answer.
+fn exchange(ledger: &mut Ledger, sent_at: u64, answered_at: u64, reply: Reply) -> Step {
+    let sent = ledger.next(ms(sent_at), &engine());
+    ledger.on_reply(ms(answered_at), &order(&sent), reply, &engine());
+    sent
+}
+
 fn job(evict: &[&str], load: &str) -> Job {
     Job {
         worker: "a".parse().unwrap(),
@@ -50,8 +73,7 @@
 fn unanswered_order_is_resent_unchanged() {
     let mut ledger = ledger("m1", 7);
     ledger.assign(ms(20), &job(&[], "m2"));
-    let sent = ledger.next(ms(20), &engine());
-    ledger.on_reply(ms(700), Reply::Unknown, &engine());
+    let sent = exchange(&mut ledger, 20, 700, Reply::Unknown);
     assert_eq!(ledger.next(ms(800), &engine()), Step::Wait);
     assert_eq!(ledger.next(ms(1_200), &engine()), sent);
 }
@@ -77,8 +99,7 @@
 fn memory_of_a_delayed_load_stays_reserved_after_a_worker_restart() {
     let mut ledger = ledger("m1", 0);
     ledger.assign(ms(20), &job(&[], "m2"));
-    ledger.next(ms(20), &engine());
-    ledger.on_reply(ms(700), Reply::Unknown, &engine());
+    exchange(&mut ledger, 20, 700, Reply::Unknown);
     let mut restarted = backend("a", "north-1", "");
     restarted.boot.0 += 1;
     ledger.on_listed(ms(1_000), restarted);
@@ -91,11 +112,9 @@
 fn report_from_before_an_order_is_ignored() {
     let mut ledger = ledger("m1", 3);
     ledger.enqueue_adapter(Action::Load(target("m1/a1")));
-    ledger.next(ms(20), &engine());
-    ledger.on_reply(ms(25), Reply::Accepted, &engine());
+    exchange(&mut ledger, 20, 25, Reply::Accepted);
     ledger.enqueue_adapter(Action::Load(target("m1/a2")));
-    ledger.next(ms(30), &engine());
-    ledger.on_reply(ms(35), Reply::Conflict, &engine());
+    exchange(&mut ledger, 30, 35, Reply::Conflict);
     assert_eq!(ledger.next(ms(500), &engine()), Step::RequestReport);
     ledger.on_report(ms(510), Some(report("m1", 3)));
     assert_eq!(ledger.next(ms(520), &engine()), Step::Wait);
@@ -123,6 +142,64 @@
     assert_eq!(sent, []);
 }
 
+/// An entry that a worker wrote after its report differs for good; the next report tells.
+#[test]
+fn entry_that_differs_from_the_report_has_another_one_requested() {
+    let mut ledger = ledger("m1 m2", 5);
+    ledger.on_listed(ms(20), backend("a", "north-1", "m1"));
+    assert!(!ledger.accepts_job());
+    assert_eq!(ledger.next(ms(100), &engine()), Step::Wait);
+    assert_eq!(ledger.next(ms(400), &engine()), Step::RequestReport);
+    ledger.on_report(ms(410), Some(report("m1", 6)));
+    ledger.assign(ms(420), &job(&[], "m3"));
+    let sent = ledger.next(ms(420), &engine());
+    assert_eq!(sent, Step::Send(Action::Load(target("m3")), 6));
+}
+
+#[test]
+fn entry_that_shows_the_result_of_the_running_order_ends_it() {
+    let mut ledger = ledger("m1 m2", 5);
+    ledger.assign(ms(20), &job(&["m1"], "m3"));
+    exchange(&mut ledger, 100, 110, Reply::Accepted);
+    ledger.on_listed(ms(300), backend("a", "north-1", "m1 m2"));
+    assert_eq!(ledger.next(ms(300), &engine()), Step::Wait);
+    ledger.on_listed(ms(400), backend("a", "north-1", "m2"));
+    let sent = ledger.next(ms(400), &engine());
+    assert_eq!(sent, Step::Send(Action::Load(target("m3")), 6));
+}
+
+/// Guards against an order whose count is right and whose models are not: the answer to an order
+/// that was sent before the shard was lost for a time was taken for that to a later order.
+#[test]
+fn answer_to_an_order_of_an_earlier_ledger_is_not_taken_for_another_one() {
+    let mut earlier = ledger("m1 m2", 5);
+    earlier.assign(ms(20), &job(&["m1"], "m3"));
+    let unload = order(&earlier.next(ms(100), &engine()));
+    let mut ledger = ledger("m1 m2", 5);
+    ledger.enqueue_adapter(Action::Load(target("m1/a1")));
+    let load = order(&ledger.next(ms(200), &engine()));
+    ledger.on_reply(ms(300), &unload, Reply::Accepted, &engine());
+    assert!(ledger.holds_or_expects(&target("m1/a1")));
+    ledger.enqueue_adapter(Action::Load(target("m2/a1")));
+    assert_eq!(ledger.next(ms(300), &engine()), Step::Wait);
+    ledger.on_reply(ms(310), &load, Reply::Conflict, &engine());
+    assert_eq!(ledger.next(ms(700), &engine()), Step::RequestReport);
+}
+
+/// A holder announced models from an entry because its first request for a report got no answer.
+#[test]
+fn models_are_not_known_before_the_first_report() {
+    let mut ledger = Ledger::new(ms(0), backend("a", "north-1", "m1"));
+    ledger.next(ms(0), &engine());
+    ledger.on_report(ms(10), None);
+    assert!(!ledger.is_known());
+    ledger.on_listed(ms(20), backend("a", "north-1", "m2"));
+    assert!(!ledger.is_known());
+    assert_eq!(ledger.next(ms(420), &engine()), Step::RequestReport);
+    ledger.on_report(ms(430), Some(report("m1 m2", 5)));
+    assert!(ledger.is_known());
+}
+
 /// A worker that carries orders out at once, late or not at all, and may leave them unanswered.
 #[derive(Debug)]
 struct Worker {
@@ -250,9 +327,10 @@
             _ => match self.ledger.next(now, &engine) {
                 Step::Wait => {}
                 Step::RequestReport => self.ledger.on_report(now, Some(self.worker.report())),
-                Step::Send(action, expected) => {
-                    let reply = self.deliver(event, action, expected);
-                    self.ledger.on_reply(now, reply, &engine);
+                step @ Step::Send(..) => {
+                    let sent = order(&step);
+                    let reply = self.deliver(event, sent.action.clone(), sent.expected);
+                    self.ledger.on_reply(now, &sent, reply, &engine);
                 }
             },
         }
