Have both followers tell the others of changes of the server list

What callers saw: on the large fleet requests reached servers over 4 s after their leaving was acknowledged (DRAIN).

Cause (first of three): only the first follower told the others, and dropped what it had read when it was no longer first. When the store refuses the leader, or another holder becomes the first and reads the whole list first, nobody told the changes of that moment.

Change: both followers tell; a relay forwards a change of the list only if it is news, so that the far data centres get each change as often as before.

Ruled out: datagrams over the limit as the only cause (the batches before these gaps had 6 to 24 entries).

--- a/src/decide/follower.rs
+++ b/src/decide/follower.rs
@@ -1,8 +1,9 @@
 //! Which instances follow the server list at the store and tell the others of its changes.
 //!
-//! The first two holders of leases do, one as a standby: their renewals show whether the store
-//! answers them. A holder that gets no answer goes on with its leases until they end, but does not
-//! count here, and if no holder gets one, every instance follows the list itself.
+//! The first two holders of leases do: their renewals show whether the store answers them. Both tell
+//! the others, so that a change of either, or a lost datagram, leaves no gap. A holder that gets no
+//! answer goes on with its leases until they end, but does not count here, and if no holder gets one,
+//! every instance follows the list itself.
 
 use std::net::SocketAddr;
 
@@ -22,15 +23,14 @@
 /// any, the instances decide by how long none was heard.
 #[must_use]
 pub fn should_follow(holders: &[Holder]) -> bool {
-    let followers = followers(holders);
-    let is_follower = followers.iter().take(FOLLOWER_COUNT).any(Option::is_none);
-    is_follower || (followers.is_empty() && !holders.is_empty())
+    should_tell(holders) || (!holders.is_empty() && followers(holders).is_empty())
 }
 
-/// Whether this instance is the follower that tells the others of changes.
+/// Whether this instance is one of the followers that tell the others of changes.
 #[must_use]
-pub fn is_first(holders: &[Holder]) -> bool {
-    followers(holders).first().is_some_and(Option::is_none)
+pub fn should_tell(holders: &[Holder]) -> bool {
+    let followers = followers(holders);
+    followers.iter().take(FOLLOWER_COUNT).any(Option::is_none)
 }
 
 /// Returns the addresses of the holders that the store answers, each once.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -47,8 +47,8 @@
         gossip.pass_on = false;
         (forwarded_kind(&gossip), gossip.encode_to_vec())
     });
-    traffic.on_gossip(gossip);
-    if let Some((kind, bytes)) = forwarded {
+    let is_news = traffic.on_gossip(gossip);
+    if let Some((kind, bytes)) = forwarded.filter(|_| is_news) {
         let peers = traffic.data_centre_peers();
         send_bytes(traffic, socket, kind, &bytes, &peers).await;
     }
@@ -188,10 +188,7 @@
             send(&traffic, &socket, "quarantine", &gossip, &[peer]).await;
         }
         let list_updates = std::mem::take(&mut *traffic.list_updates.borrow_mut());
-        for list_update in list_updates
-            .into_iter()
-            .filter(|_| traffic.is_first_follower())
-        {
+        for list_update in list_updates {
             let mut gossip = traffic.envelope();
             gossip.batch = Some(list_update.complete);
             let holders = traffic.other_holders();
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -8,7 +8,7 @@
 use crate::decide::follower;
 use crate::decide::tally::Source;
 use crate::decide::topology::{Freshness, Sender};
-use crate::wire::generated_gossip::{Demand, Gossip, Holding, Lead, Load, Loads, Want};
+use crate::wire::generated_gossip::{Batch, Demand, Gossip, Holding, Lead, Load, Loads, Want};
 use crate::world::backend;
 use crate::world::id;
 use crate::world::message::Target;
@@ -21,16 +21,17 @@
 const RELAYS_PER_DATA_CENTRE: usize = 2;
 
 impl Traffic {
-    /// Applies a peer's datagram.
-    pub fn on_gossip(&self, mut gossip: Gossip) {
+    /// Applies a peer's datagram. Returns whether it may be news to others: not if it has changes
+    /// of the server list that were known.
+    pub fn on_gossip(&self, mut gossip: Gossip) -> bool {
         let now = self.clock.now();
         let Some(sender) = sender(&gossip) else {
             log::warn!("datagram without a valid sender dropped");
-            return;
+            return false;
         };
         let observation = self.topology.borrow_mut().on_datagram(now, &sender);
         if observation.freshness == Freshness::OlderIncarnation {
-            return;
+            return true;
         }
         gossip.incarnation = observation.start;
         if observation.is_new_start {
@@ -76,12 +77,20 @@
         self.on_peer_limits(&gossip.limits);
         self.on_peer_streams(&gossip.streams);
         let batch = gossip.batch.as_ref();
-        if let Some(batch) = batch.filter(|batch| !(batch.partial && self.is_holder())) {
-            self.on_batch(batch);
-        }
+        let batch = batch.filter(|batch| !(batch.partial && self.is_holder()));
+        let is_news = batch.is_none_or(|batch| self.on_peer_batch(batch));
         if is_relevant_to_placer(&gossip) {
             self.notify_placer(PlacerEvent::Gossip(Box::new(gossip)));
         }
+        is_news
+    }
+
+    /// Applies changes of the server list that a peer sent. Returns whether they were news.
+    fn on_peer_batch(&self, batch: &Batch) -> bool {
+        let before = self.roster.borrow().version();
+        let changes = self.on_batch(batch);
+        let has_advanced = self.roster.borrow().version() > before;
+        has_advanced || changes.is_none_or(|changes| !changes.entries.is_empty())
     }
 
     /// Records which server list a peer has, and whether it announces leases. Neither counts if its
@@ -311,9 +320,8 @@
     }
 
     /// Whether this instance tells the others of changes of the server list.
-    #[must_use]
-    pub fn is_first_follower(&self) -> bool {
-        follower::is_first(&self.live_holders(self.clock.now()))
+    pub(super) fn should_tell_servers(&self) -> bool {
+        follower::should_tell(&self.live_holders(self.clock.now()))
     }
 
     /// Returns the holders that were heard recently, in shard order.
