Divide changes of the server list into datagrams, and join them in any order

Cause (second): the changes of a moment in which many servers leave are up to 60 kB, and those of a whole list 171 kB: more than a datagram holds, or lost if one of its packets is. A later span of changes never counted as known if one before it came later.

Change: wire/list divides changes at 8 kB, each part complete up to its own version, never within the rows of one transaction; a whole list is not divided, and not sent if it is too large. The roster keeps spans whose predecessor is missing.

--- a/src/decide/roster.rs
+++ b/src/decide/roster.rs
@@ -19,6 +19,9 @@
 /// entry. The store removes the entries of silent servers sooner.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(5);
 
+/// Limit on the spans of changes that are kept while changes before them are missing.
+const MAX_DETACHED_SPANS: usize = 64;
+
 /// A row of the list; `backend` is `None` if the row was deleted or is not usable.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -70,6 +73,8 @@
     /// Version of the newest change seen. Rows of the store's other tables advance the store's
     /// version without changing this one.
     newest_change: Version,
+    /// Spans of known changes, from one version to another, before which changes are missing.
+    detached_spans: VecDeque<(Version, Version)>,
     entries: BTreeMap<id::Worker, Record>,
     /// Entries that vanished during a store outage, and when they count as gone.
     unconfirmed: BTreeMap<id::Worker, Duration>,
@@ -137,12 +142,28 @@
             self.newest_change = self.newest_change.max(entry.version);
             self.on_entry(now, entry, batch.trusted, &mut changes);
         }
-        if is_whole || batch.from <= self.version {
+        if is_whole {
             self.version = self.version.max(batch.to);
         }
+        self.join_span(batch.from, batch.to);
         changes
     }
 
+    /// Advances the version by a span of changes, and by those that follow it.
+    fn join_span(&mut self, from: Version, to: Version) {
+        let mut spans = std::mem::take(&mut self.detached_spans);
+        spans.push_back((from, to));
+        while let Some(index) = spans.iter().position(|(from, _)| *from <= self.version)
+            && let Some((_, to)) = spans.remove(index)
+        {
+            self.version = self.version.max(to);
+        }
+        self.detached_spans = spans;
+        if self.detached_spans.len() > MAX_DETACHED_SPANS {
+            self.detached_spans.pop_front();
+        }
+    }
+
     /// Removes the entries that are missing from a whole list.
     fn remove_missing(&mut self, now: Duration, batch: &Batch, changes: &mut Vec<Change>) {
         for entry in self.missing_entries(batch) {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -6,6 +6,7 @@
 use super::traffic::{Tier, Traffic};
 use crate::common::*;
 use crate::wire::generated_gossip::Gossip;
+use crate::wire::list;
 use prost::Message;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -13,6 +14,9 @@
 
 /// Largest datagram in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
+/// Size of the changes of the server list in one datagram. Larger ones are lost more often, as each of
+/// their packets may be, and relays forward the first while the next is under way.
+const MAX_BATCH_BYTES: usize = 8_000;
 /// Limit on holdings in one datagram.
 const MAX_HOLDINGS_PER_DATAGRAM: usize = 10;
 /// Shortest interval between datagrams within a data centre, used while the state changes, and the
@@ -189,13 +193,17 @@
         }
         let list_updates = std::mem::take(&mut *traffic.list_updates.borrow_mut());
         for list_update in list_updates {
-            let mut gossip = traffic.envelope();
-            gossip.batch = Some(list_update.complete);
-            let holders = traffic.other_holders();
-            send(&traffic, &socket, "list", &gossip, &holders).await;
-            gossip = traffic.envelope();
-            gossip.batch = Some(list_update.reduced);
-            broadcast(&traffic, &socket, "list", gossip).await;
+            for batch in list::divide(list_update.complete, MAX_BATCH_BYTES) {
+                let mut gossip = traffic.envelope();
+                gossip.batch = Some(batch);
+                let holders = traffic.other_holders();
+                send(&traffic, &socket, "list", &gossip, &holders).await;
+            }
+            for batch in list::divide(list_update.reduced, MAX_BATCH_BYTES) {
+                let mut gossip = traffic.envelope();
+                gossip.batch = Some(batch);
+                broadcast(&traffic, &socket, "list", gossip).await;
+            }
         }
     }
 }
@@ -256,6 +264,11 @@
     bytes: &[u8],
     peers: &[SocketAddr],
 ) {
+    if bytes.len() > MAX_DATAGRAM_BYTES {
+        let size = bytes.len();
+        log::warn!("datagram of kind {kind} not sent: {size} bytes are more than peers receive");
+        return;
+    }
     traffic.on_gossip_sent(kind, bytes.len() * peers.len());
     for peer in peers {
         if let Err(error) = socket.send_to(bytes, peer).await {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -93,6 +93,7 @@
     pub mod hop;
     pub mod key;
     pub mod link;
+    pub mod list;
     pub mod origin;
     pub mod quarantine;
     pub mod token;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod lag;
 mod lease;
 mod limit;
+mod list;
 mod memory;
 
 mod names;
--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -61,6 +61,17 @@
     assert_eq!(roster.version().number, 16);
 }
 
+/// Guards against an instance that reads the store because of the order in which datagrams arrive.
+#[test]
+fn batches_in_another_order_complete_the_list() {
+    let mut roster = known_roster();
+    roster.on_batch(ms(1), batch(14, 16, &[("c", 16, true)]));
+    roster.on_batch(ms(2), batch(12, 14, &[("d", 13, true)]));
+    assert_eq!(roster.version().number, 10);
+    roster.on_batch(ms(3), batch(9, 12, &[("e", 12, true)]));
+    assert_eq!(roster.version().number, 16);
+}
+
 #[test]
 fn server_missing_from_a_whole_list_is_removed() {
     let mut roster = known_roster();
