Give up answers of the store for pauses and not for their length

Change: time-outs are for the answer to begin; after that a pause of 1.2 s, or 10 s in all, ends the call. A stall drops only a call that has got no answer for 0.7 s.

--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -5,7 +5,7 @@
 
 use super::head_limit::{HeadLimit, LimitedStream};
 use crate::common::*;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
@@ -27,6 +27,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest response body that the gateway's own calls read.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// Longest time in which the body of a response to the gateway's own calls is read.
+const MAX_READ_TIME: Duration = Duration::from_secs(10);
 
 /// An open connection; dropping it closes it.
 #[derive(Debug)]
@@ -170,25 +172,71 @@
     /// # Errors
     /// If the connection breaks; the call may have been executed.
     pub async fn call(&mut self, request: Request<Full<Bytes>>) -> Result<Reply> {
+        self.begin(request).await?.read(MAX_READ_TIME).await
+    }
+
+    /// Makes a call and waits for the head of its response.
+    ///
+    /// # Errors
+    /// If the connection breaks; the call may have been executed.
+    pub async fn begin(&mut self, request: Request<Full<Bytes>>) -> Result<BegunReply> {
         let url = request.uri().to_string();
-        let failed = |error: &dyn Display| Error::Call {
-            url: url.clone(),
-            reason: error.to_string(),
-        };
+        let failed = |error: &dyn Display| call_error(&url, error);
         self.ready().await.map_err(|error| failed(&error))?;
         let response = self.send(request).await;
         let response = response.map_err(|error| failed(error.error()))?;
-        let (head, body) = response.into_parts();
-        let body = Limited::new(body, MAX_BODY_BYTES);
-        let body = body.collect().await.map_err(|error| failed(&error))?;
+        Ok(BegunReply { url, response })
+    }
+}
+
+/// Response whose head has arrived.
+#[derive(Debug)]
+pub struct BegunReply {
+    url: String,
+    response: Response<Incoming>,
+}
+
+impl BegunReply {
+    /// Reads the body. A large one may take long over a slow link: only a pause of more than
+    /// `max_pause`, or more than [`MAX_READ_TIME`] in all, ends the call.
+    ///
+    /// # Errors
+    /// If the connection breaks or the body stalls; the call may have been executed.
+    pub async fn read(self, max_pause: Duration) -> Result<Reply> {
+        let failed = |error: &dyn Display| call_error(&self.url, error);
+        let (head, body) = self.response.into_parts();
+        let mut body = Limited::new(body, MAX_BODY_BYTES);
+        let mut bytes = BytesMut::new();
+        let reading = async {
+            while let Some(frame) = timeout(max_pause, body.frame())
+                .await
+                .map_err(|_| failed(&format!("no more of the body within {max_pause:?}")))?
+            {
+                let frame = frame.map_err(|error| failed(&error))?;
+                bytes.extend(frame.into_data());
+            }
+            Ok(())
+        };
+        timeout(MAX_READ_TIME, reading).await.unwrap_or_else(|_| {
+            Err(failed(&format!(
+                "body not complete within {MAX_READ_TIME:?}"
+            )))
+        })?;
         Ok(Reply {
             status: head.status,
             headers: head.headers,
-            body: body.to_bytes(),
+            body: bytes.freeze(),
         })
     }
 }
 
+fn call_error(url: &str, reason: &dyn Display) -> Error {
+    Error::Call {
+        url: url.into(),
+        reason: reason.to_string(),
+    }
+}
+
 /// Builds a request for one of the gateway's own calls.
 #[must_use]
 pub fn build_request(
@@ -221,17 +269,16 @@
     time_limit: Duration,
 ) -> Result<Reply> {
     let url = request.uri().to_string();
-    let call_error = |reason: String| Error::Call {
-        url: url.clone(),
-        reason,
-    };
     let call = async {
         let mut channel = connect(address)
             .await
-            .map_err(|error| call_error(error.to_string()))?;
+            .map_err(|error| call_error(&url, &error))?;
         channel.call(request).await
     };
-    timeout(time_limit, call)
-        .await
-        .unwrap_or_else(|_| Err(call_error(format!("no response within {time_limit:?}"))))
+    timeout(time_limit, call).await.unwrap_or_else(|_| {
+        Err(call_error(
+            &url,
+            &format!("no response within {time_limit:?}"),
+        ))
+    })
 }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -6,7 +6,7 @@
 
 use super::channel::{self, Channel};
 use super::event::{FailedFetch, Fetch, StoreUpdate, Subscription, milliseconds};
-use super::store::{MAX_RETRY_DELAY, RETRY_DELAY, Store};
+use super::store::{CALL_TIMEOUT, MAX_RETRY_DELAY, RETRY_DELAY, SUSPICION_TIME, Store};
 use crate::common::*;
 use crate::decide::retry::backoff;
 use crate::platform::rows::{self, Page};
@@ -21,7 +21,7 @@
 /// and others rely on what it reads.
 const MAX_POLL_TIME: Duration = Duration::from_secs(28);
 const MAX_LONE_POLL_TIME: Duration = Duration::from_millis(1_200);
-/// Time after that within which the answer must arrive.
+/// Time after that within which the answer must begin.
 const POLL_MARGIN: Duration = Duration::from_millis(600);
 
 /// Change feed of one table.
@@ -162,22 +162,25 @@
         let (stall_count_of, is_wanted) = (self.stall_count_of, self.is_wanted);
         let stall_count = stall_count_of(&self.subscription.borrow());
         let began_at = self.store.now();
-        let call = tokio::select! {
-            call = timeout(poll_time + POLL_MARGIN, channel.call(request)) => Some(call),
-            () = self.store.recovered.notified() => None,
+        let store = &self.store;
+        let begun = tokio::select! {
+            begun = timeout(poll_time + POLL_MARGIN, channel.begin(request)) => Some(begun),
+            () = store.recovered.notified() => None,
             _ = self.subscription.wait_for(|subscription| {
-                stall_count_of(subscription) != stall_count
+                let has_stalled = stall_count_of(subscription) != stall_count;
+                (has_stalled && store.now() >= began_at + SUSPICION_TIME)
                     || !is_wanted(subscription)
                     || (poll_time == MAX_POLL_TIME && !subscription.is_holder)
             }) => None,
         };
-        let Some(call) = call else {
+        let Some(begun) = begun else {
             let reason = "dropped: it may hang, or is no longer wanted";
             self.log_failure(began_at, reason.into()).await;
             self.channel = None;
             return Ok(Some(Change::Empty));
         };
-        let reply = call.map_err(|error| failed(&error))??;
+        let reply = begun.map_err(|error| failed(&error))??;
+        let reply = reply.read(CALL_TIMEOUT).await?;
         if reply.status == StatusCode::GONE {
             log::info!(
                 "the store dropped its history of {}; reading the complete table",
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -23,7 +23,7 @@
 /// Time-out for calls other than long polls; the store may be slow.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time without an answer after which others no longer rely on this instance to read the store.
-const SUSPICION_TIME: Duration = Duration::from_millis(700);
+pub(super) const SUSPICION_TIME: Duration = Duration::from_millis(700);
 /// Delay after a failed call; it doubles with each further failure, up to the maximum.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(300);
 pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
@@ -142,13 +142,31 @@
         Ok(page)
     }
 
+    /// Makes a call. The time-outs are for the answer to begin, and then for pauses in it.
     async fn call_once(&self, request: Request<Full<Bytes>>) -> Result<Reply> {
-        let mut call = pin!(channel::call_once(self.address, request, CALL_TIMEOUT));
-        let reply = if let Ok(reply) = timeout(SUSPICION_TIME, &mut call).await {
-            reply
+        let url = request.uri().to_string();
+        let failed = |reason: String| Error::Call {
+            url: url.clone(),
+            reason,
+        };
+        let begin = async {
+            let opened = channel::connect(self.address).await;
+            let mut channel = opened.map_err(|error| failed(error.to_string()))?;
+            let begun = channel.begin(request).await?;
+            Ok((channel, begun))
+        };
+        let mut begin = pin!(timeout(CALL_TIMEOUT, begin));
+        let begun = if let Ok(begun) = timeout(SUSPICION_TIME, &mut begin).await {
+            begun
         } else {
             self.record_call(false).await;
-            call.await
+            begin.await
+        };
+        let begun =
+            begun.unwrap_or_else(|_| Err(failed(format!("no response within {CALL_TIMEOUT:?}"))));
+        let reply = match begun {
+            Ok((_channel, begun)) => begun.read(CALL_TIMEOUT).await,
+            Err(error) => Err(error),
         };
         let up = reply
             .as_ref()
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -6,6 +6,7 @@
 mod cuts;
 mod endless;
 mod limits;
+mod lists;
 mod notices;
 mod odd_entries;
 mod old_copy;
