Poll the configuration briefly in one data centre only

Cause: since the fix of silent readers each reader without a lease polls for 1.2 s at a time, in every data centre.

Change: only readers of the first data centre by name that is heard poll briefly; if one of them reads a new version, all data centres are told at once, so that one whose readers get no answer misses it 0.5 to 1 s later and reads it with another instance.

Tests: only_the_first_live_data_centre_checks_the_store; configuration_reaches_a_data_centre_whose_readers_get_no_answer; that of the silent readers of one data centre holds (two cases, passed).

--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -307,6 +307,14 @@
         preceding.count() < READER_COUNT * (1 + cut_off.len())
     }
 
+    /// Whether this instance's data centre is the first by name of those that are heard. Its readers
+    /// notice soon if the store does not answer them; the others hear of a configuration from there.
+    #[must_use]
+    pub fn is_first_data_centre(&self, now: Duration) -> bool {
+        let mut preceding = self.summaries.range(..self.local_data_centre.clone());
+        preceding.all(|(_, summary)| now >= summary.heard_at + LIVENESS_TIMEOUT)
+    }
+
     /// Returns a live peer of this data centre that has a newer configuration in force than `known`,
     /// and its version: one of those with the newest. Instances that ask at the same time get
     /// different peers where there are several.
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -117,6 +117,8 @@
     pub server_stalls: u64,
     /// Whether this instance holds a lease, whose renewals show whether the store answers.
     pub is_holder: bool,
+    /// Whether this instance's polls show for all others whether the store answers.
+    pub checks_store: bool,
 }
 
 /// An event for the placer thread.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -16,11 +16,10 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// Longest time that the store may hold a long poll open if other calls show that it answers, and
-/// if none do: an instance whose only call is a long poll learns no sooner that it gets no answer,
-/// and others rely on what it reads.
+/// Longest time that the store may hold a long poll open, and the same for a brief one: an instance
+/// whose only call is a long poll learns no sooner that it gets no answer.
 const MAX_POLL_TIME: Duration = Duration::from_secs(28);
-const MAX_LONE_POLL_TIME: Duration = Duration::from_millis(1_200);
+const MAX_BRIEF_POLL_TIME: Duration = Duration::from_millis(1_200);
 /// Time after that within which the answer must begin.
 const POLL_MARGIN: Duration = Duration::from_millis(600);
 
@@ -34,6 +33,7 @@
     subscription: watch::Receiver<Subscription>,
     stall_count_of: fn(&Subscription) -> u64,
     is_wanted: fn(&Subscription) -> bool,
+    polls_briefly: fn(&Subscription) -> bool,
     /// Consecutive failed calls.
     failures: u32,
 }
@@ -55,6 +55,7 @@
         subscription: watch::Receiver<Subscription>,
         stall_count_of: fn(&Subscription) -> u64,
         is_wanted: fn(&Subscription) -> bool,
+        polls_briefly: fn(&Subscription) -> bool,
     ) -> Self {
         Self {
             store,
@@ -64,6 +65,7 @@
             subscription,
             stall_count_of,
             is_wanted,
+            polls_briefly,
             failures: 0,
         }
     }
@@ -141,10 +143,12 @@
     }
 
     async fn poll_changes(&mut self, after: Version) -> Result<Option<Change>> {
-        let poll_time = if self.subscription.borrow().is_holder {
-            MAX_POLL_TIME
+        let polls_briefly = self.polls_briefly;
+        let is_brief = polls_briefly(&self.subscription.borrow());
+        let poll_time = if is_brief {
+            MAX_BRIEF_POLL_TIME
         } else {
-            MAX_LONE_POLL_TIME
+            MAX_POLL_TIME
         };
         let path = rows::feed_path(self.table, after.number, poll_time);
         let request = self.store.get(&path);
@@ -170,7 +174,7 @@
                 let has_stalled = stall_count_of(subscription) != stall_count;
                 (has_stalled && store.now() >= began_at + SUSPICION_TIME)
                     || !is_wanted(subscription)
-                    || (poll_time == MAX_POLL_TIME && !subscription.is_holder)
+                    || (!is_brief && polls_briefly(subscription))
             }) => None,
         };
         let Some(begun) = begun else {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -167,13 +167,15 @@
             broadcast(&traffic, &socket, "limit", gossip).await;
         }
         let has_reach_changed = traffic.has_reach_changed.take();
+        let has_new_site = traffic.has_new_site.take();
         if has_reach_changed && traffic.is_holder() {
             broadcast(&traffic, &socket, "reach", traffic.envelope()).await;
-        } else if has_reach_changed || traffic.has_new_site.get() {
+        } else if has_new_site && traffic.checks_store() {
+            broadcast(&traffic, &socket, "news", traffic.envelope()).await;
+        } else if has_reach_changed || has_new_site {
             let peers = traffic.data_centre_peers();
             send(&traffic, &socket, "news", &traffic.envelope(), &peers).await;
         }
-        traffic.has_new_site.set(false);
         if traffic.has_new_streams.take() {
             for streams in traffic.take_stream_news() {
                 let mut gossip = traffic.envelope();
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -324,6 +324,12 @@
         follower::should_tell(&self.live_holders(self.clock.now()))
     }
 
+    /// Whether the polls of this data centre's readers show for all others whether the store answers.
+    pub(super) fn checks_store(&self) -> bool {
+        let now = self.clock.now();
+        self.topology.borrow().is_first_data_centre(now)
+    }
+
     /// Returns the holders that were heard recently, in shard order.
     fn live_holders(&self, now: Duration) -> Vec<follower::Holder> {
         let holders = self.holders.borrow();
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -560,6 +560,7 @@
             site_stalls: old.site_stalls + u64::from(misses_site),
             server_stalls: old.server_stalls + u64::from(misses_servers),
             is_holder: self.is_holder(),
+            checks_store: topology.is_first_data_centre(now),
         };
         self.subscription.send_if_modified(|old| {
             let changed = *old != subscription;
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -130,6 +130,22 @@
     assert_eq!(topology.sharer_count(ms(60_000)), Some(7));
 }
 
+/// Guards against polls in every data centre, whose price grows with their number.
+#[test]
+fn only_the_first_live_data_centre_checks_the_store() {
+    let mut topology = Topology::new(&deployment("north-2"));
+    assert!(topology.is_first_data_centre(ms(0)));
+    topology.on_summary(ms(0), &sender("z", 2), 5);
+    assert!(!topology.is_first_data_centre(ms(1_000)));
+    assert!(topology.is_first_data_centre(ms(2_000)));
+    let later = Sender {
+        data_centre: "south-1".parse().unwrap(),
+        ..sender("y", 3)
+    };
+    topology.on_summary(ms(2_000), &later, 5);
+    assert!(topology.is_first_data_centre(ms(2_000)));
+}
+
 /// Guards against an instance that is cut off and uses the shares of all others too.
 #[rstest]
 #[case(185, Some(8), 23)]
--- a/tests/gateway_processes/configurations.rs
+++ b/tests/gateway_processes/configurations.rs
@@ -107,3 +107,27 @@
     site.platform.configure(&config(NEW_VERSION + 1));
     wait_for_version(&site, NEW_VERSION + 1);
 }
+
+/// Guards against the same in a data centre whose polls are long, since another one's show whether the
+/// store answers: its two readers get no answer, and a third instance hears of the configuration.
+#[test]
+fn configuration_reaches_a_data_centre_whose_readers_get_no_answer() {
+    let mut site = Site::start(INSTANCES);
+    site.wait_until_ready();
+    wait_for("leases", || {
+        site.platform.keys("poplarseam", "lease.shard.").len() == LEASE_COUNT
+    });
+    for _ in 0..3 {
+        site.add_instance_in("north-2", GRACE_S);
+    }
+    site.wait_until_ready();
+    std::thread::sleep(Duration::from_secs(2));
+    site.platform.configure(&config(NEW_VERSION));
+    wait_for_version(&site, NEW_VERSION);
+    for reader in [5, 6] {
+        let address = site.instances[reader].0;
+        site.platform.set_silent_to(address, true);
+    }
+    site.platform.configure(&config(NEW_VERSION + 1));
+    wait_for_version(&site, NEW_VERSION + 1);
+}
