Have the readers of a large data centre tell it what all have missed

What callers saw: as before.

If the store answers no holder, readers follow in place of all. Small data centres are as before.

--- a/src/decide/follower.rs
+++ b/src/decide/follower.rs
@@ -3,7 +3,10 @@
 //! The first two holders of leases do: their renewals show whether the store answers them. Both tell
 //! the others, so that a change of either, or a lost datagram, leaves no gap. A holder that gets no
 //! answer goes on with its leases until they end, but does not count here, and if no holder gets one,
-//! every instance follows the list itself.
+//! the readers of every data centre follow the list.
+//!
+//! In a large data centre few instances read the store, also when all have missed changes; they tell the others of their
+//! data centre. In a small one every instance is a reader.
 
 use std::net::SocketAddr;
 
@@ -19,16 +22,32 @@
     pub reaches_store: bool,
 }
 
-/// Whether this instance follows the list, given the holders in the order of their leases. Without
-/// any, the instances decide by how long none was heard.
+/// Instances that are told of changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    All,
+    DataCentre,
+}
+
+/// Whether this instance follows the list, given the holders in the order of their leases and whether
+/// it is a reader. Without any holder, the instances decide by how long none was heard.
 #[must_use]
-pub fn should_follow(holders: &[Holder]) -> bool {
-    should_tell(holders) || (!holders.is_empty() && followers(holders).is_empty())
+pub fn should_follow(holders: &[Holder], is_reader: bool) -> bool {
+    is_follower(holders) || (is_reader && !holders.is_empty() && followers(holders).is_empty())
 }
 
-/// Whether this instance is one of the followers that tell the others of changes.
+/// Whom this instance tells of changes that it has read; `has_few_readers` says whether others of
+/// its data centre rely on the readers.
 #[must_use]
-pub fn should_tell(holders: &[Holder]) -> bool {
+pub fn audience(holders: &[Holder], is_reader: bool, has_few_readers: bool) -> Option<Audience> {
+    if is_follower(holders) {
+        Some(Audience::All)
+    } else {
+        (is_reader && has_few_readers).then_some(Audience::DataCentre)
+    }
+}
+
+fn is_follower(holders: &[Holder]) -> bool {
     let followers = followers(holders);
     followers.iter().take(FOLLOWER_COUNT).any(Option::is_none)
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -3,9 +3,10 @@
 //! Each datagram carries state, not changes, so the next one makes up for a lost one.
 
 use super::event::Announcement;
-use super::traffic::{Tier, Traffic};
+use super::traffic::{ListUpdate, Tier, Traffic};
 use crate::common::*;
-use crate::wire::generated_gossip::Gossip;
+use crate::decide::follower::Audience;
+use crate::wire::generated_gossip::{Batch, Gossip};
 use crate::wire::list;
 use prost::Message;
 use std::rc::Rc;
@@ -195,21 +196,38 @@
         }
         let list_updates = std::mem::take(&mut *traffic.list_updates.borrow_mut());
         for list_update in list_updates {
-            for batch in list::divide(list_update.complete, MAX_BATCH_BYTES) {
-                let mut gossip = traffic.envelope();
-                gossip.batch = Some(batch);
-                let holders = traffic.other_holders();
-                send(&traffic, &socket, "list", &gossip, &holders).await;
-            }
-            for batch in list::divide(list_update.reduced, MAX_BATCH_BYTES) {
-                let mut gossip = traffic.envelope();
-                gossip.batch = Some(batch);
-                broadcast(&traffic, &socket, "list", gossip).await;
+            send_list_update(&traffic, &socket, list_update).await;
+        }
+    }
+}
+
+async fn send_list_update(traffic: &Traffic, socket: &UdpSocket, update: ListUpdate) {
+    if update.audience == Audience::All {
+        let holders = traffic.other_holders();
+        for batch in list::divide(update.complete, MAX_BATCH_BYTES) {
+            let gossip = list_gossip(traffic, batch);
+            send(traffic, socket, "list", &gossip, &holders).await;
+        }
+    }
+    for batch in list::divide(update.reduced, MAX_BATCH_BYTES) {
+        let gossip = list_gossip(traffic, batch);
+        match update.audience {
+            Audience::All => broadcast(traffic, socket, "list", gossip).await,
+            Audience::DataCentre => {
+                let peers = traffic.data_centre_peers();
+                send(traffic, socket, "list", &gossip, &peers).await;
             }
         }
     }
 }
 
+fn list_gossip(traffic: &Traffic, batch: Batch) -> Gossip {
+    Gossip {
+        batch: Some(batch),
+        ..traffic.envelope()
+    }
+}
+
 /// Sends the placer's announcements to other instances.
 pub async fn forward_announcements(
     traffic: Rc<Traffic>,
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -5,7 +5,7 @@
 use super::traffic::{Holder, TIERS, Tier, Traffic};
 use crate::common::*;
 use crate::decide::balance::{AGGREGATE_PREFIX, Balancer, Workload};
-use crate::decide::follower;
+use crate::decide::follower::{self, Audience};
 use crate::decide::tally::Source;
 use crate::decide::topology::{Freshness, Sender};
 use crate::wire::generated_gossip::{Batch, Demand, Gossip, Holding, Lead, Load, Loads, Want};
@@ -314,14 +314,23 @@
         holders.first().is_some_and(|first| first.address.is_none())
     }
 
+    /// Whether this instance reads the server list from the store as soon as it misses changes. In a
+    /// large data centre the others wait for those that do.
+    pub(super) fn reads_list(&self, now: Duration) -> bool {
+        let topology = self.topology.borrow();
+        !topology.has_hubs(now) || topology.is_reader(now)
+    }
+
     /// Whether this instance follows the server list.
     pub(super) fn should_follow_servers(&self, now: Duration) -> bool {
-        follower::should_follow(&self.live_holders(now))
+        follower::should_follow(&self.live_holders(now), self.reads_list(now))
     }
 
-    /// Whether this instance tells the others of changes of the server list.
-    pub(super) fn should_tell_servers(&self) -> bool {
-        follower::should_tell(&self.live_holders(self.clock.now()))
+    /// Returns whom this instance tells of changes of the server list that it has read.
+    pub(super) fn list_audience(&self, now: Duration) -> Option<Audience> {
+        let has_few_readers = self.topology.borrow().has_hubs(now);
+        let holders = self.live_holders(now);
+        follower::audience(&holders, self.reads_list(now), has_few_readers)
     }
 
     /// Whether the polls of this data centre's readers show for all others whether the store answers.
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -11,6 +11,7 @@
 use crate::decide::balance::{Balancer, Need};
 use crate::decide::carrier::Carriers;
 use crate::decide::era::Eras;
+use crate::decide::follower::Audience;
 use crate::decide::lag::Lag;
 use crate::decide::limit::Sharers;
 use crate::decide::memory::Memory;
@@ -150,6 +151,7 @@
 pub struct ListUpdate {
     pub complete: Batch,
     pub reduced: Batch,
+    pub audience: Audience,
 }
 
 /// Number of variants of [`Tier`].
@@ -348,10 +350,12 @@
                     return;
                 };
                 let is_first_list = reduced.from == 0;
-                if !is_first_list && self.should_tell_servers() {
+                let audience = self.list_audience(self.clock.now());
+                if let Some(audience) = audience.filter(|_| !is_first_list) {
                     let list_update = ListUpdate {
                         complete: batch,
                         reduced,
+                        audience,
                     };
                     self.list_updates.borrow_mut().push(list_update);
                     self.gossip_pending.notify_one();
@@ -522,10 +526,13 @@
         let known_version = self.roster.borrow().version();
         let (peer_version, holder_heard_at) = self.peer_servers_version.get();
         let mut lags = self.lags.borrow_mut();
-        // After a return from an old copy all instances read the list.
-        let max_lag = if peer_version.era == known_version.era {
+        let reads_list = self.reads_list(now);
+        let max_lag = if !reads_list {
+            MAX_LAG.mul_f64(2.0 * (1.0 + self.spread))
+        } else if peer_version.era == known_version.era {
             MAX_LAG
         } else {
+            // After a return from an old copy all instances read the list.
             MAX_LAG.mul_f64(1.0 + self.spread)
         };
         let misses_servers = lags
@@ -550,7 +557,8 @@
             newest_site_version: newest,
             site_source: topology.configuration_source(now, in_force),
             is_following_servers: self.should_follow_servers(now)
-                || now >= holder_heard_at.max(STARTUP_LISTEN_TIME) + MAX_HOLDER_SILENCE,
+                || (reads_list
+                    && now >= holder_heard_at.max(STARTUP_LISTEN_TIME) + MAX_HOLDER_SILENCE),
             known_version,
             newest_version: if misses_servers {
                 peer_version
