--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -528,7 +528,7 @@
         let mut lags = self.lags.borrow_mut();
         let reads_list = self.reads_list(now);
         let max_lag = if !reads_list {
-            MAX_LAG.mul_f64(2.0 * (1.0 + self.spread))
+            MAX_LAG.mul_f64(1.5 + self.spread)
         } else if peer_version.era == known_version.era {
             MAX_LAG
         } else {
