--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -211,25 +211,16 @@
     }
     for batch in list::divide(update.reduced, MAX_BATCH_BYTES) {
         let gossip = list_gossip(traffic, batch);
-        send_list_locally(traffic, socket, gossip.clone()).await;
-        if update.audience == Audience::All {
-            send_to_relays(traffic, socket, "list", gossip).await;
+        match update.audience {
+            Audience::All => broadcast(traffic, socket, "list", gossip).await,
+            Audience::DataCentre => {
+                let peers = traffic.data_centre_peers();
+                send(traffic, socket, "list", &gossip, &peers).await;
+            }
         }
     }
 }
 
-/// Sends changes of the list to the peers of this data centre. In a large one its hubs forward them: a
-/// burst of datagrams to all peers would be more than the queue of a slow link holds.
-async fn send_list_locally(traffic: &Traffic, socket: &UdpSocket, mut gossip: Gossip) {
-    let mut peers = traffic.data_centre_peers();
-    if !traffic.hears_all_peers() {
-        let hubs = traffic.load_recipients();
-        gossip.pass_on = !hubs.is_empty();
-        peers = if hubs.is_empty() { peers } else { hubs };
-    }
-    send(traffic, socket, "list", &gossip, &peers).await;
-}
-
 fn list_gossip(traffic: &Traffic, batch: Batch) -> Gossip {
     Gossip {
         batch: Some(batch),
@@ -269,19 +260,9 @@
 }
 
 /// Sends to all instances; relays forward to those of other data centres.
-async fn broadcast(traffic: &Traffic, socket: &UdpSocket, kind: &'static str, gossip: Gossip) {
+async fn broadcast(traffic: &Traffic, socket: &UdpSocket, kind: &'static str, mut gossip: Gossip) {
     let peers = traffic.data_centre_peers();
     send(traffic, socket, kind, &gossip, &peers).await;
-    send_to_relays(traffic, socket, kind, gossip).await;
-}
-
-/// Sends to instances of the other data centres that forward it there.
-async fn send_to_relays(
-    traffic: &Traffic,
-    socket: &UdpSocket,
-    kind: &'static str,
-    mut gossip: Gossip,
-) {
     gossip.pass_on = true;
     send(traffic, socket, kind, &gossip, &traffic.relays()).await;
 }
