Count adapters on their way in a report

What could be seen: a worker ordered to load more adapters than it has places for (LIMIT), right after its shard changed hands. A report lists adapters that are being loaded apart from those that the worker holds; the ledger forgot those that it awaited itself and knew nothing of a former holder's, while the order count of the report includes their orders.

Change: the report's list is decoded and counts like adapters that the ledger awaits.

Test: adapters_on_their_way_take_up_places, which fails if the list is dropped (mutation run: failed; the field is new, so that the code before does not compile with the test).

--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -512,7 +512,10 @@
         self.backend.copies = report.copies;
         self.closing
             .retain(|model, _| self.backend.holdings.contains_key(model));
-        self.arriving.clear();
+        let incoming = report.incoming.into_iter();
+        self.arriving = incoming
+            .map(|target| (target, now + ADAPTER_LOAD_TIME))
+            .collect();
         self.revision += 1;
         self.state = if report.busy {
             State::Unclear {
--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -3,6 +3,7 @@
 use crate::common::*;
 use crate::world::backend::{Backend, Holdings, Report};
 use crate::world::id;
+use crate::world::message::Target;
 use crate::world::order::{Action, Order, Reply};
 use crate::world::unit::Incarnation;
 
@@ -54,6 +55,9 @@
     models: Vec<Held>,
     #[serde(default)]
     available: Available,
+    /// Adapters on their way to the worker, which already take up places.
+    #[serde(default)]
+    incoming: Vec<Value>,
     busy: bool,
     /// Orders accepted since the start. In an [`Entry`], the field of this name counts heartbeats
     /// instead and is not read.
@@ -105,6 +109,7 @@
     let state: State = serde_json::from_slice(bytes).map_err(entry_error)?;
     Ok(Report {
         holdings: decode_holdings(&state.models)?,
+        incoming: state.incoming.iter().filter_map(decode_target).collect(),
         copies: state.available.decode(),
         busy: state.busy,
         orders: state.sequence,
@@ -128,6 +133,11 @@
     }
 }
 
+/// Decodes an adapter, written `MODEL/NAME@VERSION`.
+fn decode_target(value: &Value) -> Option<Target> {
+    value.as_str()?.split('@').next()?.parse().ok()
+}
+
 /// Returns the name of a list item: `NAME` or `PREFIX/NAME@VERSION`, as a string or in the `Name`
 /// of an object.
 fn item_name(value: &Value) -> Option<&str> {
--- a/src/world/backend.rs
+++ b/src/world/backend.rs
@@ -1,6 +1,7 @@
 //! Backend servers, as their entries and reports describe them.
 
 use super::id;
+use super::message::Target;
 use super::unit::Incarnation;
 use crate::common::*;
 use xxhash_rust::xxh3::xxh3_64;
@@ -95,6 +96,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Report {
     pub holdings: Holdings,
+    /// Adapters that are being loaded.
+    pub incoming: Vec<Target>,
     pub copies: BTreeSet<id::Model>,
     /// Whether an order is being carried out.
     pub busy: bool,
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -14,6 +14,7 @@
 fn report(held: &str, orders: u64) -> Report {
     Report {
         holdings: holdings(held),
+        incoming: Vec::new(),
         copies: [].into(),
         busy: false,
         orders,
@@ -200,6 +201,22 @@
     assert!(ledger.is_known());
 }
 
+/// Guards against a worker that ends because it was ordered to load more adapters than it has places
+/// for: the report of a new holder has those on their way apart from those that it holds.
+#[test]
+fn adapters_on_their_way_take_up_places() {
+    let mut ledger = Ledger::new(ms(0), backend("a", "north-1", "m1"));
+    ledger.next(ms(0), &engine());
+    let report = Report {
+        incoming: vec![target("m1/a2")],
+        ..report("m1/a1", 5)
+    };
+    ledger.on_report(ms(10), Some(report));
+    ledger.enqueue_adapter(Action::Load(target("m1/a3")));
+    assert_eq!(ledger.next(ms(12), &engine()), Step::Wait);
+    assert!(ledger.holds_or_expects(&target("m1/a2")));
+}
+
 /// A worker that carries orders out at once, late or not at all, and may leave them unanswered.
 #[derive(Debug)]
 struct Worker {
@@ -243,6 +260,7 @@
     fn report(&self) -> Report {
         Report {
             holdings: self.held.clone(),
+            incoming: Vec::new(),
             copies: [].into(),
             busy: false,
             orders: self.orders,
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -362,3 +362,11 @@
         "{from}"
     );
 }
+
+#[test]
+fn report_tells_adapters_on_their_way() {
+    let body = json!({"Phase": "unified", "Models": [{"Name": "m1", "Adapters": ["a1"]}], "Busy": false,
+        "Sequence": 2, "Incoming": ["m1/a2@1", 7]});
+    let report = worker_format::decode_report(body.to_string().as_bytes()).unwrap();
+    assert_eq!(report.incoming, [target("m1/a2")]);
+}
