Have the last follower of the server list poll briefly

Cause: holders poll for 28 s at a time, since renewals show whether the store answers them. They do not show whether a poll on an older connection hangs; that is noticed only if a peer is ahead, and if both followers' polls hang nobody is.

Change: polls of the last of the two followers last 1.2 s, so that the followers are blind for 1.8 s at most. Calls: one in 1.2 s for the whole deployment, and none where the list changes more often than that.

Test: last_follower_polls_briefly, on the new decision.

--- a/src/decide/follower.rs
+++ b/src/decide/follower.rs
@@ -47,6 +47,14 @@
     }
 }
 
+/// Whether this instance is the last of the followers. Its polls are brief, so that the followers
+/// notice soon if all their polls hang: nobody else is ahead of them then.
+#[must_use]
+pub fn is_last(holders: &[Holder]) -> bool {
+    let followers = followers(holders);
+    followers.iter().take(FOLLOWER_COUNT).next_back() == Some(&None)
+}
+
 fn is_follower(holders: &[Holder]) -> bool {
     let followers = followers(holders);
     followers.iter().take(FOLLOWER_COUNT).any(Option::is_none)
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -115,10 +115,24 @@
     /// hang.
     pub site_stalls: u64,
     pub server_stalls: u64,
-    /// Whether this instance holds a lease, whose renewals show whether the store answers.
-    pub is_holder: bool,
-    /// Whether this instance's polls show for all others whether the store answers.
-    pub checks_store: bool,
+    pub site_poll: Poll,
+    pub server_poll: Poll,
+}
+
+/// How long the store may hold a poll open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Poll {
+    #[default]
+    Long,
+    /// For an instance that others rely on and that learns of no hanging poll in another way.
+    Brief,
+}
+
+impl Poll {
+    /// Returns a brief poll if `is_brief` holds.
+    pub fn brief_if(is_brief: bool) -> Self {
+        if is_brief { Self::Brief } else { Self::Long }
+    }
 }
 
 /// An event for the placer thread.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -5,7 +5,7 @@
 //! stale data.
 
 use super::channel::{self, Channel};
-use super::event::{FailedFetch, Fetch, StoreUpdate, Subscription, milliseconds};
+use super::event::{FailedFetch, Fetch, Poll, StoreUpdate, Subscription, milliseconds};
 use super::store::{CALL_TIMEOUT, MAX_RETRY_DELAY, RETRY_DELAY, SUSPICION_TIME, Store};
 use crate::common::*;
 use crate::decide::retry::backoff;
@@ -33,7 +33,7 @@
     subscription: watch::Receiver<Subscription>,
     stall_count_of: fn(&Subscription) -> u64,
     is_wanted: fn(&Subscription) -> bool,
-    polls_briefly: fn(&Subscription) -> bool,
+    poll_of: fn(&Subscription) -> Poll,
     /// Consecutive failed calls.
     failures: u32,
 }
@@ -55,7 +55,7 @@
         subscription: watch::Receiver<Subscription>,
         stall_count_of: fn(&Subscription) -> u64,
         is_wanted: fn(&Subscription) -> bool,
-        polls_briefly: fn(&Subscription) -> bool,
+        poll_of: fn(&Subscription) -> Poll,
     ) -> Self {
         Self {
             store,
@@ -65,7 +65,7 @@
             subscription,
             stall_count_of,
             is_wanted,
-            polls_briefly,
+            poll_of,
             failures: 0,
         }
     }
@@ -143,12 +143,11 @@
     }
 
     async fn poll_changes(&mut self, after: Version) -> Result<Option<Change>> {
-        let polls_briefly = self.polls_briefly;
-        let is_brief = polls_briefly(&self.subscription.borrow());
-        let poll_time = if is_brief {
-            MAX_BRIEF_POLL_TIME
-        } else {
-            MAX_POLL_TIME
+        let poll_of = self.poll_of;
+        let poll = poll_of(&self.subscription.borrow());
+        let poll_time = match poll {
+            Poll::Brief => MAX_BRIEF_POLL_TIME,
+            Poll::Long => MAX_POLL_TIME,
         };
         let path = rows::feed_path(self.table, after.number, poll_time);
         let request = self.store.get(&path);
@@ -174,7 +173,7 @@
                 let has_stalled = stall_count_of(subscription) != stall_count;
                 (has_stalled && store.now() >= began_at + SUSPICION_TIME)
                     || !is_wanted(subscription)
-                    || (!is_brief && polls_briefly(subscription))
+                    || (poll == Poll::Long && poll_of(subscription) == Poll::Brief)
             }) => None,
         };
         let Some(begun) = begun else {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -35,7 +35,7 @@
         subscription.clone(),
         |subscription| subscription.site_stalls,
         |subscription| subscription.is_following_site,
-        |subscription| subscription.checks_store && !subscription.is_holder,
+        |subscription| subscription.site_poll,
     );
     let mut newest = Version::default();
     let mut seen_stalls = 0;
@@ -170,7 +170,7 @@
         subscription.clone(),
         |subscription| subscription.server_stalls,
         |_| true,
-        |subscription| !subscription.is_holder,
+        |subscription| subscription.server_poll,
     );
     let mut was_following = false;
     // Version of the newest change; only the next batch has changes after it.
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -326,6 +326,11 @@
         follower::should_follow(&self.live_holders(now), self.reads_list(now))
     }
 
+    /// Whether this instance's polls for changes of the server list are brief.
+    pub(super) fn polls_servers_briefly(&self, now: Duration) -> bool {
+        !self.is_holder() || follower::is_last(&self.live_holders(now))
+    }
+
     /// Returns whom this instance tells of changes of the server list that it has read.
     pub(super) fn list_audience(&self, now: Duration) -> Option<Audience> {
         let has_few_readers = self.topology.borrow().has_hubs(now);
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -149,22 +149,21 @@
             url: url.clone(),
             reason,
         };
-        let begin = async {
+        let opening = async {
             let opened = channel::connect(self.address).await;
             let mut channel = opened.map_err(|error| failed(error.to_string()))?;
             let begun = channel.begin(request).await?;
             Ok((channel, begun))
         };
-        let mut begin = pin!(timeout(CALL_TIMEOUT, begin));
-        let begun = if let Ok(begun) = timeout(SUSPICION_TIME, &mut begin).await {
-            begun
+        let mut opening = pin!(timeout(CALL_TIMEOUT, opening));
+        let opened = if let Ok(opened) = timeout(SUSPICION_TIME, &mut opening).await {
+            opened
         } else {
             self.record_call(false).await;
-            begin.await
+            opening.await
         };
-        let begun =
-            begun.unwrap_or_else(|_| Err(failed(format!("no response within {CALL_TIMEOUT:?}"))));
-        let reply = match begun {
+        let late = |_| Err(failed(format!("no response within {CALL_TIMEOUT:?}")));
+        let reply = match opened.unwrap_or_else(late) {
             Ok((_channel, begun)) => begun.read(CALL_TIMEOUT).await,
             Err(error) => Err(error),
         };
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -2,7 +2,7 @@
 //! is sent to peers by gossip.
 
 use super::channel::Channel;
-use super::event::{self, CHANNEL_CAPACITY, Call, PlacerEvent, StoreUpdate, Subscription};
+use super::event::{self, CHANNEL_CAPACITY, Call, PlacerEvent, Poll, StoreUpdate, Subscription};
 use super::journal::Journal;
 use super::metrics::Metrics;
 use super::origins::Binding;
@@ -567,8 +567,8 @@
             },
             site_stalls: old.site_stalls + u64::from(misses_site),
             server_stalls: old.server_stalls + u64::from(misses_servers),
-            is_holder: self.is_holder(),
-            checks_store: topology.is_first_data_centre(now),
+            site_poll: Poll::brief_if(!self.is_holder() && topology.is_first_data_centre(now)),
+            server_poll: Poll::brief_if(self.polls_servers_briefly(now)),
         };
         self.subscription.send_if_modified(|old| {
             let changed = *old != subscription;
--- a/tests/gateway/follower.rs
+++ b/tests/gateway/follower.rs
@@ -1,6 +1,6 @@
 //! Which instances follow the server list.
 
-use poplarseam::decide::follower::{Audience, Holder, audience, should_follow};
+use poplarseam::decide::follower::{Audience, Holder, audience, is_last, should_follow};
 
 /// Whether an instance of a small data centre tells all others of changes.
 fn should_tell(holders: &[Holder]) -> bool {
@@ -88,3 +88,15 @@
     assert!(!should_follow(&unanswered, false));
     assert_eq!(audience(&unanswered, true, true), local);
 }
+
+/// Guards against requests to servers that have left: the polls of both followers hung, and each relied
+/// on the other to be ahead.
+#[test]
+fn last_follower_polls_briefly() {
+    assert!(is_last(&[other(1, true), own(true), other(2, true)]));
+    assert!(!is_last(&[own(true), other(1, true)]));
+    assert!(is_last(&[own(true), own(true)]));
+    assert!(is_last(&[other(1, false), own(true)]));
+    assert!(!is_last(&[other(1, true), other(2, true), own(true)]));
+    assert!(!is_last(&[]));
+}
