Ignore an instance's own datagrams

Cause: an instance whose datagram a peer forwards back takes itself for a peer. It then sends its announcements to itself too, and takes another instance with its own address for the holder of its leases; it no longer counts as a follower.

--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -29,6 +29,10 @@
             log::warn!("datagram without a valid sender dropped");
             return false;
         };
+        if sender.instance == self.deployment.instance {
+            log::debug!("datagram of this instance itself ignored: a peer sent it back");
+            return false;
+        }
         let observation = self.topology.borrow_mut().on_datagram(now, &sender);
         if observation.freshness == Freshness::OlderIncarnation {
             return true;
