--- a/src/decide/follower.rs
+++ b/src/decide/follower.rs
@@ -5,8 +5,8 @@
 //! answer goes on with its leases until they end, but does not count here, and if no holder gets one,
 //! the readers of every data centre follow the list.
 //!
-//! In a large data centre few instances read the store, also when all have missed changes; they tell the others of their
-//! data centre. In a small one every instance is a reader.
+//! In a large data centre few instances read the store, also when all have missed changes; they
+//! tell the others of their data centre. In a small one every instance is a reader.
 
 use std::net::SocketAddr;
 
