--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -19,6 +19,7 @@
 use crate::world::id;
 use crate::world::message::{Generation, PartId, Request, TakeUp};
 use crate::world::site::{Repeat, Route, Site};
+use crate::world::workspace::Workspace;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::{request::Parts, response};
@@ -65,6 +66,8 @@
     pub site: Arc<Site>,
     pub route: Route,
     pub need: Need,
+    /// Workspace of the caller; `None` on public routes and if every caller is served.
+    pub workspace: Option<Arc<Workspace>>,
     pub attempts: RefCell<Attempts>,
     /// Software version at which the stream may go on.
     pub binding: RefCell<Binding>,
@@ -436,7 +439,8 @@
             .map(|it| it.target.to_string());
         self.note(
             "answered",
-            json!({"status": status, "cause": cause, "route": self.route.name, "target": target}),
+            json!({"status": status, "cause": cause, "route": self.route.name, "target": target,
+                "workspace": self.workspace.as_ref().map(|workspace| &workspace.name)}),
         );
         response
     }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -297,6 +297,7 @@
         hop,
         route,
         need,
+        workspace: None,
         arrived,
         deadline,
     })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
     pub mod table;
     pub mod time;
     pub mod unit;
+    pub mod workspace;
 }
 
 /// Decision logic. It is deterministic: it uses no clocks, sockets, threads or randomness of its
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -3,12 +3,16 @@
 use crate::common::*;
 use crate::world::site::{Engine, Limits, Model, Repeat, Route, Service, Site, Version};
 use crate::world::unit::{Bytes, Rate, Tokens};
+use crate::world::workspace::{Quota, Unit, Workspace, Workspaces};
 
 /// Table of the row that holds the configuration.
 pub const TABLE: &str = "op";
 /// Key of the row that holds the configuration.
 pub const KEY: &str = "config";
 
+/// Value of a tenant's `Unit` by which its quota counts tokens and not requests.
+const TOKEN_UNIT: &str = "token_metering";
+
 const MEGABYTE: f64 = 1_000_000.0;
 
 #[derive(Deserialize)]
@@ -18,6 +22,7 @@
     routes: Vec<WireRoute>,
     services: Vec<WireService>,
     limits: WireLimits,
+    tenants: Option<Vec<WireTenant>>,
 }
 
 #[derive(Deserialize)]
@@ -40,6 +45,8 @@
     max_attempts: u32,
     #[serde(default)]
     resumable: bool,
+    #[serde(default)]
+    public: bool,
 }
 
 fn one() -> u32 {
@@ -92,6 +99,23 @@
     idle_timeout_ms: u64,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireTenant {
+    name: CompactString,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u8>,
+    #[serde(default)]
+    unit: String,
+    #[serde(default)]
+    plain_tokens: f64,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
 /// Decodes a configuration.
 ///
 /// # Errors
@@ -107,6 +131,7 @@
         routes: routes?,
         services: services?,
         limits: wire.limits.decode(),
+        workspaces: wire.tenants.map(decode_workspaces),
     })
 }
 
@@ -134,6 +159,7 @@
             target: milliseconds(self.target_latency_ms),
             longest_pause: milliseconds(self.gap_target_ms),
             priority: self.priority,
+            is_public: self.public,
             split,
             most_workers: self.max_attempts.max(1),
         })
@@ -176,6 +202,37 @@
     }
 }
 
+fn decode_workspaces(tenants: Vec<WireTenant>) -> Workspaces {
+    let mut workspaces = Workspaces::default();
+    for tenant in tenants {
+        let workspace = Workspace {
+            quota: tenant.quota(),
+            name: tenant.name,
+            priority: tenant.priority,
+        };
+        workspaces.add(workspace, &tenant.api_keys);
+    }
+    workspaces
+}
+
+impl WireTenant {
+    /// Returns the limit; a rate of 0 means that there is none.
+    fn quota(&self) -> Option<Quota> {
+        let unit = if self.unit == TOKEN_UNIT {
+            Unit::Tokens {
+                plain: tokens(self.plain_tokens),
+            }
+        } else {
+            Unit::Requests
+        };
+        (self.rate_per_s > 0.0).then_some(Quota {
+            rate: Rate(self.rate_per_s),
+            burst: self.burst.max(0.0),
+            unit,
+        })
+    }
+}
+
 impl WireLimits {
     fn decode(&self) -> Limits {
         Limits {
@@ -194,3 +251,8 @@
 fn megabytes(value: f64) -> Bytes {
     Bytes((value.max(0.0) * MEGABYTE).round() as u64)
 }
+
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn tokens(value: f64) -> Tokens {
+    Tokens(value.max(0.0).round() as u64)
+}
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,7 +1,7 @@
 //! Decodes the settings file that the platform writes for each process.
 
 use crate::common::*;
-use crate::world::deployment::{Allowance, Bounds, Deployment};
+use crate::world::deployment::{Allowance, Bounds, Deployment, QuotaSlack};
 
 /// Environment variable that holds the path of the settings file.
 pub const PATH_VARIABLE: &str = "POPLARSEAM_SETTINGS";
@@ -38,6 +38,14 @@
     budget_extra: f64,
     budget_window_s: f64,
     ceiling_window_s: f64,
+    #[serde(default)]
+    revoke_strict: bool,
+    revoke_ms: Option<u64>,
+    quota_window_s: Option<f64>,
+    #[serde(default)]
+    quota_overage: f64,
+    #[serde(default)]
+    quota_slack: f64,
 }
 
 #[derive(Deserialize)]
@@ -86,6 +94,15 @@
                 window: Duration::from_secs_f64(self.budget_window_s.max(0.0)),
             },
             load_window: Duration::from_secs_f64(self.ceiling_window_s.max(0.0)),
+            revocation: self
+                .revoke_ms
+                .filter(|_| self.revoke_strict)
+                .map(Duration::from_millis),
+            quotas: self.quota_window_s.map(|window| QuotaSlack {
+                window: Duration::from_secs_f64(window.max(0.0)),
+                overage: self.quota_overage.max(0.0),
+                extra: self.quota_slack.max(0.0),
+            }),
         }
     }
 }
--- a/src/world/deployment.rs
+++ b/src/world/deployment.rs
@@ -45,6 +45,21 @@
     pub retries: Allowance,
     /// Window over which loads from the weight store are counted against its allowed rate.
     pub load_window: Duration,
+    /// Time after which a key that was taken away must not be served by any instance; `None` if there
+    /// is no such bound.
+    pub revocation: Option<Duration>,
+    /// How far the quotas of workspaces may be exceeded; `None` if it is not stated.
+    pub quotas: Option<QuotaSlack>,
+}
+
+/// Amounts by which all instances together may exceed a workspace's quota within any window.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct QuotaSlack {
+    pub window: Duration,
+    /// Fraction of what the quota allows within the window.
+    pub overage: f64,
+    /// Units of the quota, in addition.
+    pub extra: f64,
 }
 
 /// A retry budget that all instances share within a window.
--- a/src/world/site.rs
+++ b/src/world/site.rs
@@ -2,6 +2,7 @@
 
 use super::id;
 use super::unit::{Bytes, Rate, Tokens};
+use super::workspace::Workspaces;
 use crate::common::*;
 
 /// Version of the operator's configuration; increases monotonically.
@@ -21,6 +22,8 @@
     pub routes: Vec<Route>,
     pub services: BTreeMap<id::Service, Service>,
     pub limits: Limits,
+    /// `None` if every caller is served.
+    pub workspaces: Option<Workspaces>,
 }
 
 /// Whether and how a request may be retried.
@@ -67,6 +70,8 @@
     pub longest_pause: Duration,
     /// Priority of the requests; 0 is the most urgent.
     pub priority: u8,
+    /// Whether callers need no key.
+    pub is_public: bool,
     /// Services between which the traffic is split, with their weights.
     pub split: Vec<(id::Service, u32)>,
     /// Maximum number of workers on which one request may run, retries included.
--- a/tests/gateway/build.rs
+++ b/tests/gateway/build.rs
@@ -84,6 +84,7 @@
         routes: Vec::new(),
         services: BTreeMap::from([(SERVICE.parse().unwrap(), service)]),
         limits: Limits::default(),
+        workspaces: None,
     }
 }
 
@@ -114,6 +115,8 @@
                 window: ms(10_000),
             },
             load_window: ms(5_000),
+            revocation: None,
+            quotas: None,
         },
     }
 }
--- a/tests/gateway/shed.rs
+++ b/tests/gateway/shed.rs
@@ -16,6 +16,7 @@
         target: ms(target_ms),
         longest_pause: ms(0),
         priority,
+        is_public: false,
         split: vec![(SERVICE.parse().unwrap(), 1)],
         most_workers: 1,
     }
