Find the owners of keys by one index

The catalog of the entry and the workspaces of the gateway each had a map from digests of keys to their owners, and the debug output of both showed the digests, which are secrets like the keys. Both now use KeyIndex, which hides them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
     pub mod contract;
     pub mod deployment;
     pub mod id;
+    pub mod key_index;
     pub mod message;
     pub mod order;
     pub mod shard;
--- a/src/world/catalog.rs
+++ b/src/world/catalog.rs
@@ -6,6 +6,7 @@
 use super::artifact::Artifact;
 use super::contract::{self, SITE};
 use super::id;
+use super::key_index::KeyIndex;
 use super::unit::{Bytes, Position, Revision};
 use crate::common::*;
 
@@ -42,7 +43,7 @@
     pub services: BTreeMap<id::Service, contract::Service>,
     pub teams: BTreeMap<id::Team, contract::Team>,
     pub placement: contract::Placement,
-    keys: Map<String, Caller>,
+    keys: KeyIndex<Caller>,
     targets: BTreeMap<(String, CompactString), Target>,
 }
 
@@ -128,7 +129,7 @@
                     team: owner.parse()?,
                     class: key.class,
                 };
-                self.keys.insert(name.to_ascii_lowercase(), caller);
+                self.keys.insert(name, caller);
             }
             (true, _) => {
                 let known_kinds = "workers, services, teams, placement, models, adapters";
@@ -202,7 +203,7 @@
     /// Returns the caller to whom the key with this SHA-256 in hex belongs, if the team exists.
     #[must_use]
     pub fn caller(&self, digest: &str) -> Option<&Caller> {
-        let caller = self.keys.get(digest)?;
+        let caller = self.keys.owner(digest)?;
         self.teams.contains_key(&caller.team).then_some(caller)
     }
 
--- a/src/world/workspace.rs
+++ b/src/world/workspace.rs
@@ -3,6 +3,7 @@
 //! A configuration that lists no workspaces serves every caller. One that does serves only callers
 //! with a key of a workspace, except on public routes.
 
+use super::key_index::KeyIndex;
 use super::unit::{Rate, Tokens};
 use crate::common::*;
 use crate::wire::key::digest;
@@ -42,16 +43,18 @@
 #[derive(Debug, Clone, Default)]
 pub struct Workspaces {
     by_name: BTreeMap<CompactString, Arc<Workspace>>,
-    by_key: Map<String, Arc<Workspace>>,
+    by_key: KeyIndex<Arc<Workspace>>,
 }
 
 impl Workspaces {
-    /// Adds a workspace with its keys.
+    /// Adds a workspace with its keys. A key that belongs to a workspace added before stays with it.
     pub fn add(&mut self, workspace: Workspace, keys: &[String]) {
         let workspace = Arc::new(workspace);
         for key in keys {
-            let known = self.by_key.entry(digest(key.as_bytes()));
-            known.or_insert_with(|| Arc::clone(&workspace));
+            let digest = digest(key.as_bytes());
+            if self.by_key.owner(&digest).is_none() {
+                self.by_key.insert(&digest, Arc::clone(&workspace));
+            }
         }
         self.by_name.insert(workspace.name.clone(), workspace);
     }
@@ -59,7 +62,7 @@
     /// Returns the workspace to which the key with this SHA-256 in hex belongs.
     #[must_use]
     pub fn of_key(&self, digest: &str) -> Option<&Arc<Workspace>> {
-        self.by_key.get(digest)
+        self.by_key.owner(digest)
     }
 
     /// Returns the workspace with this name.
