Serve only callers with a key of a workspace

Configurations with tenants were decoded, but every caller was served, keys reached servers, and callers could set X-Tenant-Name themselves.

decide/access.rs decides by the configuration, the key's digest and how current the configuration is; gateway/access.rs asks it on arrival, before the body is read, while a request waits, and right before each send to a server or a carrier. Servers get the workspace's name and priority in place of the key. A carrier that does not serve a key declines, so that another instance may; an instance whose configuration has no workspaces carries nothing for one whose configuration has, since it would pass the key on. Bodies of denied requests are read and dropped, so that the answer is not lost with the connection.

Errors about unreadable tenants quoted the values of ApiKeys, and errors are logged; they no longer do. A null list of keys counts as empty. Denials are counted and logged by cause and workspace.

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -4,6 +4,7 @@
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::platform::settings;
+use crate::world::workspace::Workspaces;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -78,6 +79,7 @@
         "instance": traffic.deployment.instance,
         "at_ms": traffic.clock.now().as_millis(),
         "version": site.as_ref().map(|site| site.version),
+        "workspaces": site.as_ref().and_then(|site| site.workspaces.as_ref()).map(names),
         "plans": traffic.is_planner(),
         "open": traffic.open_connections.get(),
         "answer_bytes": traffic.memory.borrow().used(),
@@ -94,6 +96,11 @@
     })
 }
 
+fn names(workspaces: &Workspaces) -> Vec<&str> {
+    let names = workspaces.iter().map(|workspace| workspace.name.as_str());
+    names.collect()
+}
+
 /// Returns the software versions of each service, with the seconds since each was listed.
 fn software_dump(traffic: &Traffic) -> Value {
     let origins = traffic.origins.borrow();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to serve a request at one server, and the interpretation of its response.
 
+use super::access::{Clearance, Denial};
 use super::body::Body;
 use super::buffer::{self, Failure};
 use super::channel::{self, Channel};
@@ -41,12 +42,21 @@
     NotRun,
     /// No connection could be opened, so the request reached no server.
     Unreachable,
+    /// The caller's key no longer allows the request, which was not sent.
+    Denied(Denial),
     /// The server failed; its own response may be passed on.
     Failed(Response<Body>),
     Unknown(&'static str),
     TimedOut,
 }
 
+impl Attempt {
+    /// Whether the server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self, Self::NotRun | Self::Unreachable | Self::Denied(_))
+    }
+}
+
 impl Exchange {
     pub(super) fn log_attempt(&self, worker: &id::Worker, expected: f64, attempt: &Attempt) {
         let outcome = match attempt {
@@ -54,6 +64,7 @@
             Attempt::Complete(_) => "answer",
             Attempt::NotRun => "not_run",
             Attempt::Unreachable => "unreached",
+            Attempt::Denied(_) => "denied",
             Attempt::Failed(_) => "failed",
             Attempt::Unknown(cause) => cause,
             Attempt::TimedOut => "late",
@@ -144,7 +155,10 @@
                 self.traffic.on_unreached(&self.need.service, &worker);
                 return Attempt::NotRun;
             }
-            let outgoing_request = self.outgoing_request(&worker, last_event);
+            let outgoing_request = match self.clearance() {
+                Ok(clearance) => self.outgoing_request(&worker, last_event, &clearance),
+                Err(denial) => return Attempt::Denied(denial),
+            };
             match channel.send(outgoing_request).await {
                 Ok(response) => {
                     self.traffic.on_heard(&self.need.service, &worker);
@@ -204,11 +218,14 @@
         &self,
         worker: &id::Worker,
         last_event: Option<&str>,
+        clearance: &Clearance,
     ) -> hyper::Request<Full<Bytes>> {
+        let generation = self.need.generation.as_ref();
         let stamp = Stamp {
             worker,
             remaining: self.time_left(),
-            priority: self.need.generation.as_ref().map(|_| self.route.priority),
+            priority: generation.map(|_| clearance.priority(&self.route)),
+            identity: clearance.identity(),
             last_event,
         };
         let mut outgoing_request = hyper::Request::new(Full::new(self.body.clone()));
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -1,5 +1,6 @@
 //! Requests that another instance sends to a server, because this one has no path to the servers.
 
+use super::access::Clearance;
 use super::buffer;
 use super::channel::{self, Channel};
 use super::forward::{DEADLINE_MARGIN, Exchange, Outcome, Stream};
@@ -61,6 +62,7 @@
             let outcome = match &passed {
                 Passed::Ended(Outcome::Stream(_) | Outcome::Complete(_)) => "carried",
                 Passed::Ended(Outcome::Refused { .. }) => "refused",
+                Passed::Ended(Outcome::Denied(_)) => "denied",
                 Passed::Ended(Outcome::Unknown { .. }) => "unknown",
                 Passed::Ended(Outcome::TimedOut) => "late",
                 Passed::Declined => "declined",
@@ -86,6 +88,7 @@
         (max_servers > 0).then_some(Hop {
             max_servers,
             is_repeat: !attempts.is_unsent(),
+            has_workspaces: self.has_workspaces(),
         })
     }
 
@@ -109,7 +112,10 @@
         let Ok(mut channel) = channel::connect(peer).await else {
             return Passed::Unreachable;
         };
-        let request = self.request_for_carrier(hop, last_event);
+        let request = match self.clearance() {
+            Ok(clearance) => self.request_for_carrier(hop, last_event, &clearance),
+            Err(denial) => return Passed::Ended(Outcome::Denied(denial)),
+        };
         match channel.send(request).await {
             Ok(response) => self.handle_carried(response, channel).await,
             Err(mut error) => match error.take_message() {
@@ -123,10 +129,13 @@
         &self,
         hop: Hop,
         last_event: Option<&str>,
+        clearance: &Clearance,
     ) -> hyper::Request<Full<bytes::Bytes>> {
         let remaining = self.time_left().saturating_sub(RETURN_MARGIN);
         let id = &self.request.id;
-        let mut headers = request::encode_passed_on(&self.head.headers, remaining, id, last_event);
+        let identity = clearance.identity();
+        let mut headers =
+            request::encode_passed_on(&self.head.headers, remaining, id, last_event, identity);
         hop.write(&mut headers);
         let mut request = hyper::Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.head.method.clone();
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -1,5 +1,6 @@
 //! Life of one request: choice of a server, retries, and the answer to its caller.
 
+use super::access::Denial;
 use super::attempt::{Attempt, BROKEN, CUT};
 use super::body::Body;
 use super::channel::Channel;
@@ -68,6 +69,8 @@
     pub need: Need,
     /// Workspace of the caller; `None` on public routes and if every caller is served.
     pub workspace: Option<Arc<Workspace>>,
+    /// SHA-256 of the caller's key in hex; a secret like the key.
+    pub key: Option<String>,
     pub attempts: RefCell<Attempts>,
     /// Software version at which the stream may go on.
     pub binding: RefCell<Binding>,
@@ -103,6 +106,8 @@
         cause: &'static str,
         retry_after: Duration,
     },
+    /// The request did not run: its caller's key does not allow it now.
+    Denied(Denial),
     /// The request may have run.
     Unknown {
         cause: &'static str,
@@ -188,10 +193,11 @@
                 && std::mem::take(&mut may_detour)
                 && let Some(outcome) = self.detour(last_event).await
             {
-                return outcome;
+                return self.end(outcome, failed);
             }
             let (worker, expected) = match self.wait_for_worker(may_detour).await {
                 Ok(chosen) => chosen,
+                Err(denied @ Outcome::Denied(_)) => return self.end(denied, failed),
                 Err(_) if may_detour && (self.has_no_path() || unreachable > 0) => {
                     unreachable = UNREACHABLE_BEFORE_DETOUR;
                     continue;
@@ -228,7 +234,7 @@
                 .attempt(&worker, expected, last_event, may_try_another)
                 .await;
             self.log_attempt(&worker, expected, &attempt);
-            if !matches!(attempt, Attempt::NotRun | Attempt::Unreachable) {
+            if attempt.may_have_run() {
                 self.attempts.borrow_mut().on_possible_run(&worker);
             }
             if matches!(attempt, Attempt::Unknown(BROKEN | CUT)) {
@@ -238,6 +244,7 @@
                 Attempt::Stream(stream) => return Outcome::Stream(stream),
                 Attempt::Complete(response) => return Outcome::Complete(response),
                 Attempt::TimedOut => return Outcome::TimedOut,
+                Attempt::Denied(denial) => return self.end(Outcome::Denied(denial), failed),
                 Attempt::Unreachable if unreachable < MAX_UNREACHABLE => unreachable += 1,
                 Attempt::NotRun | Attempt::Unreachable => {
                     rejections += 1;
@@ -282,6 +289,7 @@
             .on_request(started_at, &self.need);
         loop {
             let now = self.now();
+            self.clearance().map_err(Outcome::Denied)?;
             if self.crashes_servers() {
                 return Err(Outcome::Refused {
                     cause: CRASHES_SERVERS,
@@ -426,6 +434,7 @@
                     retry_after.mul_f64(1.0 + f64::from(u32::try_from(spread).unwrap_or(0)) / 1e3);
                 (reply::refusal(&self.request.id, cause, retry_after), cause)
             }
+            Outcome::Denied(denial) => (denial.response(&self.request.id), denial.cause()),
             Outcome::Unknown { cause } => (self.problem(StatusCode::BAD_GATEWAY, cause), cause),
             Outcome::TimedOut => (self.problem(StatusCode::GATEWAY_TIMEOUT, "late"), "late"),
         };
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -4,6 +4,7 @@
 use super::body::Body;
 use super::channel;
 use super::detour::NO_PATH;
+use super::discard::discard;
 use super::forward::{self, Exchange};
 use super::origins::Binding;
 use super::reply;
@@ -217,8 +218,12 @@
     body: Incoming,
     hop: Hop,
 ) -> Response<Body> {
+    let site = traffic.site.borrow().clone();
+    let has_workspaces = site.is_some_and(|site| site.workspaces.is_some());
     let declined = if traffic.is_stopping() {
         Some("stopping")
+    } else if hop.has_workspaces && !has_workspaces {
+        Some("no workspaces")
     } else if traffic.lacks_path(&head) {
         Some(NO_PATH)
     } else {
@@ -266,6 +271,17 @@
             "no route",
         ));
     };
+    let key = request::key_digest(&head.headers);
+    let workspace = match traffic.admit(&site, &route, &request.id, key.as_deref()) {
+        Ok(workspace) => workspace,
+        Err(denial) => {
+            discard(&head, body, site.limits.body);
+            let response = denial.response(&request.id);
+            let status = response.status().as_u16();
+            traffic.metrics.on_answer(status, denial.cause());
+            return Err(response);
+        }
+    };
     let time_allowed = request
         .patience
         .unwrap_or(DEFAULT_TIMEOUT)
@@ -297,7 +313,8 @@
         hop,
         route,
         need,
-        workspace: None,
+        workspace,
+        key,
         arrived,
         deadline,
     })
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,6 +25,7 @@
     stream_breaks: Family<Labels, Counter>,
     quarantine_changes: Family<Labels, Counter>,
     gossip_bytes: Family<Labels, Counter>,
+    denials: Family<Labels, Counter>,
     take_ups: Family<Labels, Counter>,
     paths: Family<Labels, Counter>,
     detours: Family<Labels, Counter>,
@@ -94,6 +95,7 @@
                 "gossip_bytes",
                 "Bytes of datagrams sent to other instances, by kind",
             ),
+            denials: denials(&mut registry),
             take_ups: family(
                 &mut registry,
                 "take_ups",
@@ -119,11 +121,10 @@
                 "timer_delay_seconds",
                 "Delay with which the periodic timer of the traffic thread fires",
             ),
-            quarantined: register(
+            quarantined: gauge(
                 &mut registry,
                 "quarantined",
                 "Sets of prompt parts in quarantine",
-                Gauge::default(),
             ),
             first_byte: histogram(
                 &mut registry,
@@ -150,6 +151,18 @@
     register(registry, name, help, Family::default())
 }
 
+/// Registers the counters of denied requests and returns them.
+fn denials(registry: &mut Registry) -> Family<Labels, Counter> {
+    let help = "Requests that were not served for their key, by cause and workspace; the workspace \
+                is empty if the key belongs to none";
+    family(registry, "denials", help)
+}
+
+/// Registers a gauge and returns it.
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    register(registry, name, help, Gauge::default())
+}
+
 /// Registers a histogram of times from 1 ms to 8 s and returns it.
 fn histogram(registry: &mut Registry, name: &str, help: &str) -> Histogram {
     let buckets = exponential_buckets(0.001, 2.0, 14);
@@ -223,6 +236,12 @@
         self.quarantine_changes.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was not served for its key, of this workspace if it is known.
+    pub fn on_denial(&self, cause: &'static str, workspace: &str) {
+        let labels = vec![("cause", cause.into()), ("workspace", workspace.into())];
+        self.denials.get_or_create(&labels).inc();
+    }
+
     /// Counts a stream that a caller takes up.
     pub fn on_take_up(&self, outcome: &'static str) {
         let labels = vec![("outcome", outcome.into())];
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -36,11 +36,18 @@
 #[derive(Debug, Clone, Copy)]
 struct Local;
 
+/// Marks a refusal of a request that another instance may serve.
+#[derive(Debug, Clone, Copy)]
+pub struct Declined;
+
 /// Returns what a response says to the instance that passed the request on.
 pub fn verdict(response: &Response<Body>) -> Verdict {
     if response.extensions().get::<Local>().is_none() {
         return Verdict::Answer;
     }
+    if response.extensions().get::<Declined>().is_some() {
+        return Verdict::Declined;
+    }
     match response.status() {
         StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => Verdict::Unknown,
         _ => Verdict::Refused,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -38,6 +38,7 @@
 /// Decision logic. It is deterministic: it uses no clocks, sockets, threads or randomness of its
 /// own.
 pub mod decide {
+    pub mod access;
     pub mod attempts;
     pub mod balance;
     pub mod brittle;
@@ -112,6 +113,7 @@
 
 /// The process that serves callers on every instance of the users' platform.
 pub mod gateway {
+    mod access;
     mod admin;
     mod announcements;
     mod attempt;
@@ -120,6 +122,7 @@
     mod channel;
     pub mod command;
     mod detour;
+    mod discard;
     mod event;
     mod feed;
     mod follower;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,5 +1,6 @@
 //! Decodes the operator's configuration from its row in the store.
 
+use super::request::is_workspace_name;
 use crate::common::*;
 use crate::world::site::{Engine, Limits, Model, Repeat, Route, Service, Site, Version};
 use crate::world::unit::{Bytes, Rate, Tokens};
@@ -104,7 +105,7 @@
 struct WireTenant {
     name: CompactString,
     #[serde(default)]
-    api_keys: Vec<String>,
+    api_keys: ApiKeys,
     priority: Option<u8>,
     #[serde(default)]
     unit: String,
@@ -116,6 +117,19 @@
     burst: f64,
 }
 
+/// Keys of a tenant. Errors quote no value, because they are logged.
+#[derive(Default)]
+struct ApiKeys(Vec<String>);
+
+impl<'de> Deserialize<'de> for ApiKeys {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let value = Value::deserialize(deserializer)?;
+        let keys: Option<Vec<String>> = serde_json::from_value(value)
+            .map_err(|_| serde::de::Error::custom("`ApiKeys` is not a list of strings"))?;
+        Ok(Self(keys.unwrap_or_default()))
+    }
+}
+
 /// Decodes a configuration.
 ///
 /// # Errors
@@ -131,7 +145,7 @@
         routes: routes?,
         services: services?,
         limits: wire.limits.decode(),
-        workspaces: wire.tenants.map(decode_workspaces),
+        workspaces: wire.tenants.map(decode_workspaces).transpose()?,
     })
 }
 
@@ -202,17 +216,26 @@
     }
 }
 
-fn decode_workspaces(tenants: Vec<WireTenant>) -> Workspaces {
+fn decode_workspaces(tenants: Vec<WireTenant>) -> Result<Workspaces> {
     let mut workspaces = Workspaces::default();
     for tenant in tenants {
+        if !is_workspace_name(&tenant.name) {
+            return Err(Error::Settings {
+                problems: vec![format!(
+                    "the configuration: {:?} can't be the name of a tenant; write it anew with a \
+                     name without control characters",
+                    tenant.name
+                )],
+            });
+        }
         let workspace = Workspace {
             quota: tenant.quota(),
             name: tenant.name,
             priority: tenant.priority,
         };
-        workspaces.add(workspace, &tenant.api_keys);
+        workspaces.add(workspace, &tenant.api_keys.0);
     }
-    workspaces
+    Ok(workspaces)
 }
 
 impl WireTenant {
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -1,6 +1,7 @@
 //! Header names and codecs for requests of callers and answers of backend servers.
 
 use crate::common::*;
+use crate::wire::key::digest;
 use crate::world::id;
 use crate::world::message::{
     Answer, Generation, Load, MaxRejections, Notice, Outcome, Part, Request, TakeUp,
@@ -26,6 +27,13 @@
 const RESUMES: &str = "resumes";
 const LEAVING: &str = "server-leaving";
 const RETRY_AFTER: &str = "retry-after";
+const AUTHORIZATION: &str = "authorization";
+/// In an answer with 401: how callers prove who they are.
+const CHALLENGE: &str = "www-authenticate";
+/// Scheme of the keys of workspaces; its case does not matter.
+const KEY_SCHEME: &str = "Token";
+/// Name of the caller's workspace, for servers.
+const WORKSPACE: &str = "x-tenant-name";
 /// Requests per second that a server accepts from all instances together.
 const LIMIT: &str = "server-limit";
 /// Rejections in a second beyond which a server falls over.
@@ -115,10 +123,60 @@
     Tokens(text.trim().parse().unwrap_or(0))
 }
 
+/// Returns the SHA-256 of a caller's key in hex; `None` if there is no key, or more than one value
+/// that might be one.
+#[must_use]
+pub fn key_digest(headers: &HeaderMap) -> Option<String> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let (value, other) = (values.next()?, values.next());
+    let (scheme, key) = value.as_bytes().split_at_checked(KEY_SCHEME.len())?;
+    let is_separated = key.first().is_some_and(u8::is_ascii_whitespace);
+    let key = key.trim_ascii();
+    let is_key = scheme.eq_ignore_ascii_case(KEY_SCHEME.as_bytes())
+        && is_separated
+        && !key.is_empty()
+        && other.is_none();
+    is_key.then(|| digest(key))
+}
+
+/// Whether the name of a workspace can be told to servers.
+#[must_use]
+pub fn is_workspace_name(name: &str) -> bool {
+    !name.is_empty() && HeaderValue::from_bytes(name.as_bytes()).is_ok()
+}
+
+/// Adds the header that tells a caller which kind of key it must send.
+pub fn set_challenge(headers: &mut HeaderMap) {
+    set(headers, CHALLENGE, KEY_SCHEME);
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
+/// Who sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Identity<'a> {
+    /// Every caller is served; what the caller says of itself is passed on.
+    Unchecked,
+    /// A workspace, or none if the request came on a public route.
+    Checked(Option<&'a str>),
+}
+
+impl Identity<'_> {
+    /// Replaces what the caller says of its workspace.
+    fn write(self, headers: &mut HeaderMap) {
+        let Self::Checked(workspace) = self else {
+            return;
+        };
+        headers.remove(WORKSPACE);
+        let name = workspace.map(|name| HeaderValue::from_bytes(name.as_bytes()));
+        if let Some(Ok(name)) = name {
+            headers.insert(HeaderName::from_static(WORKSPACE), name);
+        }
+    }
+}
+
 /// Values for the headers that the system sets on a request to a backend server.
 #[derive(Debug, Clone)]
 pub struct Stamp<'a> {
@@ -126,6 +184,7 @@
     /// Time left until the request's deadline.
     pub remaining: Duration,
     pub priority: Option<u8>,
+    pub identity: Identity<'a>,
     /// Id of the last event that the caller received, if a stream is resumed.
     pub last_event: Option<&'a str>,
 }
@@ -139,6 +198,10 @@
     }
     headers.remove("content-length");
     headers.remove("expect");
+    if stamp.identity != Identity::Unchecked {
+        headers.remove(AUTHORIZATION);
+    }
+    stamp.identity.write(&mut headers);
     set(&mut headers, EXPECTED_INSTANCE, stamp.worker.as_str());
     let remaining = stamp.remaining.as_millis().max(1).to_string();
     set(&mut headers, DEADLINE, &remaining);
@@ -152,17 +215,20 @@
 }
 
 /// Builds the headers of a request that another instance sends to a server; `last_event` is set if it
-/// continues the stream that began under the request's own id.
+/// continues the stream that began under the request's own id. The caller's key is kept, since the
+/// other instance checks it itself.
 #[must_use]
 pub fn encode_passed_on(
     caller: &HeaderMap,
     remaining: Duration,
     id: &str,
     last_event: Option<&str>,
+    identity: Identity<'_>,
 ) -> HeaderMap {
     let mut headers = end_to_end(caller);
     headers.remove("content-length");
     headers.remove("expect");
+    identity.write(&mut headers);
     set(
         &mut headers,
         DEADLINE,
--- a/src/wire/hop.rs
+++ b/src/wire/hop.rs
@@ -6,6 +6,7 @@
 
 const MAX_SERVERS: HeaderName = HeaderName::from_static("x-poplarseam-max-servers");
 const IS_REPEAT: HeaderName = HeaderName::from_static("x-poplarseam-repeat");
+const HAS_WORKSPACES: HeaderName = HeaderName::from_static("x-poplarseam-workspaces");
 const VERDICT: HeaderName = HeaderName::from_static("x-poplarseam-verdict");
 
 /// What the carrier must know of the request's past.
@@ -15,6 +16,9 @@
     pub max_servers: u32,
     /// Whether the request was sent to a server before, so that it earns no further retries.
     pub is_repeat: bool,
+    /// Whether the sender's configuration lists workspaces, so that only an instance whose
+    /// configuration does too may carry the request.
+    pub has_workspaces: bool,
 }
 
 impl Hop {
@@ -22,18 +26,23 @@
     pub fn write(self, headers: &mut HeaderMap) {
         headers.insert(MAX_SERVERS, HeaderValue::from(self.max_servers));
         headers.insert(IS_REPEAT, HeaderValue::from(u32::from(self.is_repeat)));
+        let has_workspaces = u32::from(self.has_workspaces);
+        headers.insert(HAS_WORKSPACES, HeaderValue::from(has_workspaces));
     }
 
-    /// Removes the headers from a request; `None` if they are missing or unreadable.
+    /// Removes the headers from a request; `None` if they are missing or unreadable. Instances of
+    /// the previous release don't state `has_workspaces`: the carrier's own configuration decides.
     pub fn take(headers: &mut HeaderMap) -> Option<Self> {
         let mut number = |name| {
             let value: HeaderValue = headers.remove(name)?;
             value.to_str().ok()?.parse::<u32>().ok()
         };
         let (max_servers, is_repeat) = (number(MAX_SERVERS), number(IS_REPEAT));
+        let has_workspaces = number(HAS_WORKSPACES);
         Some(Self {
             max_servers: max_servers?,
             is_repeat: is_repeat? != 0,
+            has_workspaces: has_workspaces.is_some_and(|it| it != 0),
         })
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's decisions and formats, without processes or a network.
 
+mod access;
 mod attempts;
 mod balance;
 mod brittle;
@@ -12,6 +13,7 @@
 mod follower;
 mod forecast;
 mod herd;
+mod keys;
 mod lag;
 mod lease;
 mod limit;
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -155,6 +155,7 @@
         worker: &id,
         remaining: ms(4_321),
         priority: Some(1),
+        identity: request::Identity::Unchecked,
         last_event: None,
     };
     let sent = request::encode(&head.headers, &stamp);
