Check keys at gateway processes

The stand-in's workers record the headers of the requests that come to them. The tests check on each way to a server (first send, retry, resumption, another instance) that it gets no key and the right name, that revoked keys are not sent any more, that a 401 means that the request has not run, that a connection outlives a denied request, and that logs, metrics and dumps show no key.

--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -22,6 +22,8 @@
     orders: u64,
     /// When requests came, by id, whether they ran or not.
     arrivals: Vec<(Instant, String)>,
+    /// Headers of the requests that came, in the same order.
+    heads: Vec<HeaderMap>,
     /// Ids of the requests that ran, in order.
     ran: Vec<String>,
     /// Ids of the requests whose connection closed before their end.
@@ -122,6 +124,12 @@
         self.state().arrivals.clone()
     }
 
+    /// Headers of the requests that came, whether they ran or not.
+    #[must_use]
+    pub fn heads(&self) -> Vec<HeaderMap> {
+        self.state().heads.clone()
+    }
+
     /// Ids of the requests that ran here.
     #[must_use]
     pub fn ran(&self) -> Vec<String> {
@@ -325,6 +333,7 @@
     let id = text(headers, "x-request-id").to_owned();
     let target = text(headers, "x-model-name");
     worker.state().arrivals.push((Instant::now(), id.clone()));
+    worker.state().heads.push(headers.clone());
     let fault = worker.state().fault;
     if fault == Fault::TurnAway {
         let headers = [("x-request-id", id.as_str()), ("x-not-executed", "1")];
--- a/tests/gateway_processes/configurations.rs
+++ b/tests/gateway_processes/configurations.rs
@@ -16,7 +16,7 @@
 const STORE_DELAY: Duration = Duration::from_millis(150);
 
 /// Tells all instances that an instance of another data centre has a configuration.
-fn announce_from_afar(site: &Site, version: u64) {
+pub fn announce_from_afar(site: &Site, version: u64) {
     let gossip = Gossip {
         instance: "far-1".into(),
         incarnation: 1,
--- a/tests/gateway_processes/cuts.rs
+++ b/tests/gateway_processes/cuts.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// Time after the beginning of a cut from which its instances must serve like the others.
-const STABLE_WINDOW: Duration = Duration::from_secs(4);
+pub const STABLE_WINDOW: Duration = Duration::from_secs(4);
 /// How long a sound server may be silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
 /// Time within which a server must hear that a caller left.
@@ -18,7 +18,7 @@
 /// First tries of each kind that are counted at each instance.
 const TRIES: usize = 12;
 /// Routes of requests, with the model that they ask for.
-const KINDS: [(&str, &str); 4] = [
+pub const KINDS: [(&str, &str); 4] = [
     ("issue", ""),
     ("check", ""),
     ("draft", "m2"),
@@ -26,7 +26,7 @@
 ];
 
 /// Starts instances whose links to the servers can be cut, with open connections to them.
-fn linked_site(instances: u8) -> Site {
+pub fn linked_site(instances: u8) -> Site {
     let site = Site::start_all(Vec::new(), instances, GRACE_S, Platform::start_linked);
     site.wait_until_ready();
     for instance in 0..usize::from(instances) {
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -20,6 +20,7 @@
 mod slow_callers;
 mod soak;
 mod versions;
+mod workspaces;
 
 use raw_server::{RawServer, stream_head};
 use serde_json::json;
