Go on using a carrier that declines one key

A carrier that did not serve a request's key declined as if it had no path to the servers, so the sender left it out for 1.5 s for all requests to the service, and with two such carriers their whole data centre. One key that was just added could so block the detour of all other callers. Such a carrier now says that the key is the reason. Instances of the previous release read the same verdict as before.

Bodies of declined requests are read and dropped too, since a reset would make the sender take a request that was declined for one that may have run.

--- a/src/gateway/access.rs
+++ b/src/gateway/access.rs
@@ -29,13 +29,16 @@
     /// It has no key of a workspace.
     Unauthorized(&'static str),
     /// This instance can't decide now.
-    Undecided(&'static str),
+    Undecided(Doubt),
 }
 
 impl Denial {
     pub(super) fn cause(self) -> &'static str {
-        let (Self::Unauthorized(cause) | Self::Undecided(cause)) = self;
-        cause
+        match self {
+            Self::Unauthorized(cause) => cause,
+            Self::Undecided(Doubt::Unproven) => UNPROVEN,
+            Self::Undecided(Doubt::Behind) => BEHIND,
+        }
     }
 
     /// Builds the response. At a carrier, it says that another instance may serve the request, since
@@ -47,13 +50,17 @@
                 request::set_challenge(response.headers_mut());
                 response
             }
-            Self::Undecided(cause) => {
+            Self::Undecided(_) => {
                 let spread = u32::try_from(xxh3_64(id.as_bytes()) % 1_000).unwrap_or(0);
                 let retry_after = RETRY_AFTER.mul_f64(1.0 + f64::from(spread) / 1e3);
-                reply::refusal(id, cause, retry_after)
+                reply::refusal(id, self.cause(), retry_after)
             }
         };
-        response.extensions_mut().insert(reply::Declined);
+        // Without a proof, the carrier serves no key.
+        let is_for_key = self != Self::Undecided(Doubt::Unproven);
+        response
+            .extensions_mut()
+            .insert(reply::Declined { is_for_key });
         response
     }
 }
@@ -84,7 +91,8 @@
 }
 
 impl Traffic {
-    /// Returns how current the configuration in force is.
+    /// Returns how current the configuration in force is. Instances exchange no proofs yet, so it
+    /// counts as proven at all times.
     pub(super) fn currency(&self, _now: Duration) -> Currency {
         Currency {
             age: Some(Duration::ZERO),
@@ -115,7 +123,7 @@
             Access::Granted(workspace) => return Ok(Some(workspace)),
             Access::Unknown if key.is_none() => Denial::Unauthorized(NO_KEY),
             Access::Unknown => Denial::Unauthorized(UNKNOWN_KEY),
-            Access::Undecided(doubt) => undecided(doubt),
+            Access::Undecided(doubt) => Denial::Undecided(doubt),
         };
         let workspaces = site.workspaces.as_ref();
         let owner = workspaces.and_then(|workspaces| workspaces.of_key(key?));
@@ -156,7 +164,7 @@
             Access::Unknown if self.workspace.is_some() => Denial::Unauthorized(REVOKED_KEY),
             Access::Unknown if self.key.is_none() => Denial::Unauthorized(NO_KEY),
             Access::Unknown => Denial::Unauthorized(UNKNOWN_KEY),
-            Access::Undecided(doubt) => undecided(doubt),
+            Access::Undecided(doubt) => Denial::Undecided(doubt),
         };
         let owner = self.workspace.as_ref();
         traffic.on_denial(denial, &self.request.id, &self.route, owner);
@@ -190,10 +198,3 @@
         }
     }
 }
-
-fn undecided(doubt: Doubt) -> Denial {
-    Denial::Undecided(match doubt {
-        Doubt::Unproven => UNPROVEN,
-        Doubt::Behind => BEHIND,
-    })
-}
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -34,6 +34,8 @@
     Ended(Outcome),
     /// The request did not run, and another peer may carry it.
     Declined,
+    /// The same, but the peer may carry requests with other keys.
+    KeyDeclined,
     Unreachable,
 }
 
@@ -66,6 +68,7 @@
                 Passed::Ended(Outcome::Unknown { .. }) => "unknown",
                 Passed::Ended(Outcome::TimedOut) => "late",
                 Passed::Declined => "declined",
+                Passed::KeyDeclined => "key declined",
                 Passed::Unreachable => "unreachable",
             };
             self.traffic.metrics.on_detour(outcome);
@@ -76,6 +79,7 @@
             match passed {
                 Passed::Ended(outcome) => return Some(outcome),
                 Passed::Declined => carriers.on_declined(now, service, peer),
+                Passed::KeyDeclined => {}
                 Passed::Unreachable => carriers.on_unreachable(now, peer),
             }
         }
@@ -167,6 +171,7 @@
             }
             // Its configuration may be another one than that by which the request was accepted here.
             Verdict::Refused | Verdict::Declined => Passed::Declined,
+            Verdict::KeyDeclined => Passed::KeyDeclined,
             Verdict::Unknown if head.status == StatusCode::GATEWAY_TIMEOUT => {
                 Passed::Ended(Outcome::TimedOut)
             }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -231,6 +231,7 @@
     };
     if let Some(cause) = declined {
         traffic.metrics.on_answer(503, cause);
+        discard(&head, body, limits(traffic).body);
         let mut response = reply::refusal("", cause, RETRY_AFTER);
         Verdict::Declined.write(response.headers_mut());
         return response;
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -38,15 +38,22 @@
 
 /// Marks a refusal of a request that another instance may serve.
 #[derive(Debug, Clone, Copy)]
-pub struct Declined;
+pub struct Declined {
+    /// Whether it concerns the key of the request only.
+    pub is_for_key: bool,
+}
 
 /// Returns what a response says to the instance that passed the request on.
 pub fn verdict(response: &Response<Body>) -> Verdict {
     if response.extensions().get::<Local>().is_none() {
         return Verdict::Answer;
     }
-    if response.extensions().get::<Declined>().is_some() {
-        return Verdict::Declined;
+    if let Some(declined) = response.extensions().get::<Declined>() {
+        return if declined.is_for_key {
+            Verdict::KeyDeclined
+        } else {
+            Verdict::Declined
+        };
     }
     match response.status() {
         StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => Verdict::Unknown,
--- a/src/wire/hop.rs
+++ b/src/wire/hop.rs
@@ -8,6 +8,8 @@
 const IS_REPEAT: HeaderName = HeaderName::from_static("x-poplarseam-repeat");
 const HAS_WORKSPACES: HeaderName = HeaderName::from_static("x-poplarseam-workspaces");
 const VERDICT: HeaderName = HeaderName::from_static("x-poplarseam-verdict");
+/// Beside a verdict `declined`: it concerns the key of the request only.
+const FOR_KEY: HeaderName = HeaderName::from_static("x-poplarseam-for-key");
 
 /// What the carrier must know of the request's past.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -54,6 +56,9 @@
     Answer,
     /// The carrier can't serve it; it has not run, and another instance may.
     Declined,
+    /// The same, because the carrier's configuration does not have the request's key; it may carry
+    /// other requests. Instances of the previous release take it for `Declined`.
+    KeyDeclined,
     /// It has not run and should not be tried elsewhere now.
     Refused,
     /// It may have run.
@@ -66,7 +71,7 @@
     const fn text(self) -> &'static str {
         match self {
             Self::Answer => "answer",
-            Self::Declined => "declined",
+            Self::Declined | Self::KeyDeclined => "declined",
             Self::Refused => "refused",
             Self::Unknown => "unknown",
         }
@@ -75,14 +80,23 @@
     /// Adds the header to an answer, in place of one that a server sent.
     pub fn write(self, headers: &mut HeaderMap) {
         headers.insert(VERDICT, HeaderValue::from_static(self.text()));
+        headers.remove(FOR_KEY);
+        if self == Self::KeyDeclined {
+            headers.insert(FOR_KEY, HeaderValue::from_static("1"));
+        }
     }
 
     /// Removes the header from an answer; `None` if it is missing or unreadable, as from a process that
     /// is not a carrier.
     pub fn take(headers: &mut HeaderMap) -> Option<Self> {
         let value = headers.remove(VERDICT)?;
-        Self::ALL
+        let is_for_key = headers.remove(FOR_KEY).is_some();
+        let verdict = Self::ALL
             .into_iter()
-            .find(|verdict| value.as_bytes() == verdict.text().as_bytes())
+            .find(|verdict| value.as_bytes() == verdict.text().as_bytes())?;
+        Some(match verdict {
+            Self::Declined if is_for_key => Self::KeyDeclined,
+            verdict => verdict,
+        })
     }
 }
--- a/tests/gateway/keys.rs
+++ b/tests/gateway/keys.rs
@@ -5,7 +5,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use poplarseam::platform::config;
 use poplarseam::platform::request::{self, Identity, Stamp};
-use poplarseam::wire::hop::Hop;
+use poplarseam::wire::hop::{Hop, Verdict};
 use poplarseam::wire::key::digest;
 use poplarseam::world::key_index::KeyIndex;
 use poplarseam::world::site::Site;
@@ -126,6 +126,22 @@
     assert!(headers.is_empty(), "{headers:?}");
 }
 
+/// Guards against instances of the previous release, which know only `declined`, that take a denial
+/// for a request that may have run; and against a carrier left out because of one key.
+#[test]
+fn denials_for_keys_are_a_kind_of_declining() {
+    let mut headers = HeaderMap::new();
+    Verdict::KeyDeclined.write(&mut headers);
+    assert_eq!(values(&headers, "x-poplarseam-verdict"), [b"declined"]);
+    let mut of_a_server = headers.clone();
+    Verdict::Answer.write(&mut of_a_server);
+    assert_eq!(Verdict::take(&mut of_a_server), Some(Verdict::Answer));
+    assert_eq!(Verdict::take(&mut headers), Some(Verdict::KeyDeclined));
+    assert!(headers.is_empty(), "{headers:?}");
+    Verdict::Declined.write(&mut headers);
+    assert_eq!(Verdict::take(&mut headers), Some(Verdict::Declined));
+}
+
 fn decode(tenants: &Value) -> poplarseam::Result<Site> {
     let configuration = json!({"Version": 1, "Routes": [], "Services": [], "Tenants": tenants,
         "Limits": {"MaxHeaderBytes": 100, "MaxBodyBytes": 200, "IdleTimeoutMs": 15000}});
--- a/tests/gateway_processes/workspaces.rs
+++ b/tests/gateway_processes/workspaces.rs
@@ -173,6 +173,7 @@
         answer.contains("x-poplarseam-verdict: declined"),
         "{answer}"
     );
+    assert!(answer.contains("x-poplarseam-for-key"), "{answer}");
     assert_heads(&site, "direct", 0, None);
 }
 
