--- a/tests/gateway/roster.rs
+++ b/tests/gateway/roster.rs
@@ -447,13 +447,13 @@
             }
             for (instance, roster) in instances.iter().enumerate() {
                 let complete = roster.version().number;
-                for server in 0..SERVERS.len() {
+                for (server, name) in SERVERS.iter().enumerate() {
                     let newest = newest_row(&rows, server, u64::MAX);
                     let Some(newest) = newest.filter(|row| row.version <= complete) else {
                         continue;
                     };
                     assert_eq!(
-                        roster.is_listed(&worker(SERVERS[server])),
+                        roster.is_listed(&worker(name)),
                         newest.boot.is_some(),
                         "seed {seed}, instance {instance}, {newest:?}, complete up to {complete}"
                     );
