Prove that the configuration in force is current

An instance could not know whether a newer configuration, which may revoke a key, had been acknowledged by the store. decide/freshness keeps proofs on the own boot-time clock: by own calls (the moment at which the call began) and by echo of the own time from peers with such a proof. With Bounds::revocation readers poll for 1.2 s at a time, loads and sums carry proofs, old ones are asked for, and an instance that gets none calls the store itself. Without the bound nothing changes.

--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -307,6 +307,17 @@
         preceding.count() < READER_COUNT * (1 + cut_off.len())
     }
 
+    /// Returns the live peers of this data centre that read the configuration and that the store
+    /// answers, as far as they have told.
+    #[must_use]
+    pub fn readers(&self, now: Duration) -> Vec<SocketAddr> {
+        let (reaching, cut_off): (Vec<_>, Vec<_>) = self
+            .live_locals(now)
+            .partition(|(_, member)| member.reaches_store);
+        let readers = reaching.iter().take(READER_COUNT * (1 + cut_off.len()));
+        readers.map(|(_, member)| member.address).collect()
+    }
+
     /// Whether this instance's data centre is the first by name of those that are heard. Its readers
     /// notice soon if the store does not answer them; the others hear of a configuration from there.
     #[must_use]
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -1,6 +1,7 @@
 //! HTTP endpoints for the platform's readiness probe, for metrics and for operators' state
 //! dumps.
 
+use super::event::milliseconds;
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::platform::settings;
@@ -78,6 +79,7 @@
         "instance": traffic.deployment.instance,
         "at_ms": traffic.clock.now().as_millis(),
         "version": site.as_ref().map(|site| site.version),
+        "configuration_age_ms": traffic.configuration_age(traffic.clock.now()).map(milliseconds),
         "plans": traffic.is_planner(),
         "open": traffic.open_connections.get(),
         "answer_bytes": traffic.memory.borrow().used(),
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -38,6 +38,9 @@
         written: Bytes,
         peer: Option<SocketAddr>,
     },
+    /// The store's answer to a call that began at this time, on this process's clock, shows that no
+    /// newer configuration than this version was acknowledged before then.
+    Proof { began_at: Duration, version: u64 },
     /// Changed rows of the server list.
     Servers(Batch),
     /// This instance had no row in the store, so it has never run before.
@@ -115,6 +118,8 @@
     /// hang.
     pub site_stalls: u64,
     pub server_stalls: u64,
+    /// Increased each time the store must be asked at once whether the configuration is current.
+    pub site_checks: u64,
     pub site_poll: Poll,
     pub server_poll: Poll,
 }
@@ -124,8 +129,11 @@
 pub enum Poll {
     #[default]
     Long,
-    /// For an instance that others rely on and that learns of no hanging poll in another way.
+    /// For an instance that others rely on and that learns of no hanging poll in another way, or that
+    /// proves to others that the configuration is current.
     Brief,
+    /// The store answers at once.
+    Immediate,
 }
 
 impl Poll {
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -3,6 +3,8 @@
 //! When the store has dropped the history or has come back from an old copy, the table is read in
 //! full. A response older than the last version seen is discarded, because the store may return
 //! stale data.
+//!
+//! A response that is not older shows what the table held when the call began.
 
 use super::channel::{self, Channel};
 use super::event::{FailedFetch, Fetch, Poll, StoreUpdate, Subscription, milliseconds};
@@ -20,6 +22,8 @@
 /// whose only call is a long poll learns no sooner that it gets no answer.
 const MAX_POLL_TIME: Duration = Duration::from_secs(28);
 const MAX_BRIEF_POLL_TIME: Duration = Duration::from_millis(1_200);
+/// Wait of a poll that the store is to answer at once: not 0, which might mean an unlimited one.
+const IMMEDIATE_POLL_TIME: Duration = Duration::from_millis(1);
 /// Time after that within which the answer must begin.
 const POLL_MARGIN: Duration = Duration::from_millis(600);
 
@@ -30,6 +34,13 @@
     /// Newest version seen; none before the first read.
     pub last_version: Option<Version>,
     pub channel: Option<Channel>,
+    /// When the call began to which the last change is the answer; `None` if the answer doesn't show
+    /// that the table held nothing newer then.
+    pub confirmed_at: Option<Duration>,
+    /// Whether [`Self::next`] returns when there was no change.
+    pub returns_unchanged: bool,
+    /// Newest version of the store in any response.
+    newest_response: Option<Version>,
     subscription: watch::Receiver<Subscription>,
     stall_count_of: fn(&Subscription) -> u64,
     is_wanted: fn(&Subscription) -> bool,
@@ -42,6 +53,8 @@
 pub enum Change {
     /// No change: the call failed, was dropped or is no longer wanted.
     Empty,
+    /// The store answered that there is no change.
+    Unchanged,
     /// The complete table.
     Snapshot(Vec<rows::Row>),
     Some(Vec<rows::Row>),
@@ -62,6 +75,9 @@
             table,
             last_version: None,
             channel: None,
+            confirmed_at: None,
+            returns_unchanged: false,
+            newest_response: None,
             subscription,
             stall_count_of,
             is_wanted,
@@ -74,28 +90,61 @@
     /// another source.
     pub async fn next(&mut self) -> Change {
         loop {
-            let began_at = self.store.now();
-            let change = match self.last_version {
-                None => self.read_all().await,
-                Some(version) => self.poll_changes(version).await,
-            };
-            match change {
-                Ok(Some(change)) => {
-                    self.failures = 0;
-                    return change;
-                }
-                Ok(None) if !(self.is_wanted)(&self.subscription.borrow()) => return Change::Empty,
-                Ok(None) => {}
-                Err(error) => {
-                    self.log_failure(began_at, error.to_string()).await;
-                    self.channel = None;
-                    self.store.record_call(false).await;
-                    sleep(backoff(RETRY_DELAY, self.failures, MAX_RETRY_DELAY, 1.0)).await;
-                    self.failures += 1;
-                    return Change::Empty;
-                }
+            let poll = (self.poll_of)(&self.subscription.borrow());
+            if let Some(change) = self.call(poll).await {
+                return change;
+            }
+        }
+    }
+
+    /// Makes one call that the store answers at once, also if the feed is not followed.
+    pub async fn check(&mut self) -> Change {
+        let change = self.call(Poll::Immediate).await;
+        if !(self.is_wanted)(&self.subscription.borrow()) {
+            // The store would close it, which the next check would take for a failure.
+            self.channel = None;
+        }
+        change.unwrap_or(Change::Empty)
+    }
+
+    /// Makes one call; returns nothing if the next one should follow at once.
+    async fn call(&mut self, poll: Poll) -> Option<Change> {
+        self.confirmed_at = None;
+        let began_at = self.store.now();
+        let change = match self.last_version {
+            None => self.read_all().await,
+            Some(version) => self.poll_changes(version, poll).await,
+        };
+        match change {
+            Ok(Some(change)) => {
+                self.failures = 0;
+                Some(change)
+            }
+            Ok(None) if self.returns_unchanged && self.confirmed_at.is_some() => {
+                self.failures = 0;
+                Some(Change::Unchanged)
             }
+            Ok(None) if !(self.is_wanted)(&self.subscription.borrow()) => Some(Change::Empty),
+            Ok(None) => None,
+            Err(error) => {
+                self.log_failure(began_at, error.to_string()).await;
+                self.channel = None;
+                self.store.record_call(false).await;
+                sleep(backoff(RETRY_DELAY, self.failures, MAX_RETRY_DELAY, 1.0)).await;
+                self.failures += 1;
+                Some(Change::Empty)
+            }
+        }
+    }
+
+    /// Records the moment for which a response shows what the table held. It shows nothing if it is older
+    /// than another one, or not complete.
+    fn confirm(&mut self, began_at: Duration, version: Version, is_complete: bool) {
+        let is_newest = self.newest_response.is_none_or(|newest| version >= newest);
+        if is_newest {
+            self.newest_response = Some(version);
         }
+        self.confirmed_at = (is_newest && is_complete).then_some(began_at);
     }
 
     /// Reads the complete table now, or waits for the retry delay if that fails.
@@ -110,9 +159,10 @@
         Ok(Some(Change::Snapshot(page.rows)))
     }
 
-    async fn read_table(&self) -> Result<Page> {
+    async fn read_table(&mut self) -> Result<Page> {
         let began_at = self.store.now();
         let page = self.store.read(self.table, "").await?;
+        self.confirm(began_at, page.version, true);
         let took = self.store.now().saturating_sub(began_at);
         self.log_fetch(&page, Some(took)).await;
         Ok(page)
@@ -142,12 +192,12 @@
         self.store.log_fetch(fetch).await;
     }
 
-    async fn poll_changes(&mut self, after: Version) -> Result<Option<Change>> {
+    async fn poll_changes(&mut self, after: Version, poll: Poll) -> Result<Option<Change>> {
         let poll_of = self.poll_of;
-        let poll = poll_of(&self.subscription.borrow());
         let poll_time = match poll {
             Poll::Brief => MAX_BRIEF_POLL_TIME,
             Poll::Long => MAX_POLL_TIME,
+            Poll::Immediate => IMMEDIATE_POLL_TIME,
         };
         let path = rows::feed_path(self.table, after.number, poll_time);
         let request = self.store.get(&path);
@@ -172,7 +222,7 @@
             _ = self.subscription.wait_for(|subscription| {
                 let has_stalled = stall_count_of(subscription) != stall_count;
                 (has_stalled && store.now() >= began_at + SUSPICION_TIME)
-                    || !is_wanted(subscription)
+                    || (poll != Poll::Immediate && !is_wanted(subscription))
                     || (poll == Poll::Long && poll_of(subscription) == Poll::Brief)
             }) => None,
         };
@@ -201,6 +251,7 @@
             );
             return self.reread_after_gap(after).await;
         }
+        self.confirm(began_at, page.version, !page.more && page.version >= after);
         self.last_version = Some(after.max(page.version));
         if page.rows.is_empty() {
             return Ok(None);
@@ -213,6 +264,7 @@
     async fn reread_after_gap(&mut self, after: Version) -> Result<Option<Change>> {
         let page = self.read_table().await?;
         if page.version < after {
+            self.confirmed_at = None;
             sleep(RETRY_DELAY).await;
             return Ok(None);
         }
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -28,6 +28,7 @@
     store: Rc<Store>,
     mut subscription: watch::Receiver<Subscription>,
     metrics_port: u16,
+    wants_proofs: bool,
 ) {
     let mut feed = Feed::new(
         Rc::clone(&store),
@@ -37,11 +38,14 @@
         |subscription| subscription.is_following_site,
         |subscription| subscription.site_poll,
     );
-    let mut newest = Version::default();
+    feed.returns_unchanged = wants_proofs;
+    let mut known = Known::default();
     let mut seen_stalls = 0;
+    let mut seen_checks = 0;
     let mut has_peer_failed = false;
     loop {
         let now = *subscription.borrow_and_update();
+        let newest = known.newest;
         if now.newest_site_version <= newest.0 {
             seen_stalls = now.site_stalls;
         }
@@ -66,7 +70,7 @@
             Source::Peer(peer) => {
                 let raw = fetch_from_peer(&store, peer, metrics_port).await;
                 let is_newer = match raw {
-                    Some(raw) => apply_site(&store, &mut newest, &raw, Some(peer)).await,
+                    Some(raw) => known.apply(&store, &raw, Some(peer)).await == Applied::Newer,
                     None => false,
                 };
                 if !is_newer {
@@ -76,13 +80,20 @@
             }
             Source::Store if progress == Progress::Late => {
                 seen_stalls = now.site_stalls;
-                apply_rows(&store, &mut newest, feed.reread().await).await;
+                seen_checks = now.site_checks;
+                let change = feed.reread().await;
+                known.apply_change(&store, change, feed.confirmed_at).await;
+            }
+            Source::Store | Source::Await if now.site_checks > seen_checks => {
+                seen_checks = now.site_checks;
+                let change = feed.check().await;
+                known.apply_change(&store, change, feed.confirmed_at).await;
             }
             Source::Store => {
                 let change = feed.next().await;
-                let is_empty = matches!(change, Change::Empty);
-                apply_rows(&store, &mut newest, change).await;
-                if !is_empty {
+                let has_rows = matches!(change, Change::Snapshot(_) | Change::Some(_));
+                known.apply_change(&store, change, feed.confirmed_at).await;
+                if has_rows {
                     sleep(BATCHING_DELAY).await;
                 }
             }
@@ -95,46 +106,78 @@
     }
 }
 
-async fn apply_rows(store: &Store, newest: &mut Version, change: Change) {
-    let (Change::Snapshot(rows) | Change::Some(rows)) = change else {
-        return;
-    };
-    let rows = rows.into_iter().filter(|row| row.key == config::KEY);
-    for value in rows.filter_map(|row| row.value) {
-        apply_site(store, newest, &Bytes::from(value), None).await;
-    }
+/// What became of a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Applied {
+    /// It was put in force.
+    Newer,
+    NotNewer,
+    Unreadable,
 }
 
-/// Puts a configuration in force if it is newer than the current one; `peer` names its source
-/// unless that is the store.
-async fn apply_site(
-    store: &Store,
-    newest: &mut Version,
-    raw: &Bytes,
-    peer: Option<SocketAddr>,
-) -> bool {
-    match config::decode(raw) {
-        Ok(site) if site.version > *newest => {
-            *newest = site.version;
-            store
-                .send_update(StoreUpdate::Site {
-                    site: Arc::new(site),
-                    written: raw.clone(),
-                    peer,
-                })
-                .await;
-            true
+/// What this thread knows of the configuration.
+#[derive(Debug, Default)]
+struct Known {
+    /// Version in force.
+    newest: Version,
+    /// Whether the newest row of the store that was seen could be read. An unreadable one may be a
+    /// newer configuration, so that the store's answers prove nothing.
+    is_row_readable: bool,
+}
+
+impl Known {
+    /// Applies an answer of the store. If it shows what the store held when the call began, passes this
+    /// on after the configuration itself.
+    async fn apply_change(
+        &mut self,
+        store: &Store,
+        change: Change,
+        confirmed_at: Option<Duration>,
+    ) {
+        match change {
+            Change::Empty => return,
+            Change::Unchanged => {}
+            Change::Snapshot(rows) | Change::Some(rows) => {
+                let rows = rows.into_iter().filter(|row| row.key == config::KEY);
+                for value in rows.filter_map(|row| row.value) {
+                    let applied = self.apply(store, &Bytes::from(value), None).await;
+                    self.is_row_readable = applied != Applied::Unreadable;
+                }
+            }
         }
-        Ok(site) => {
-            log::info!(
-                "configuration {} ignored: not newer than the current one",
-                site.version
-            );
-            false
+        if let Some(began_at) = confirmed_at.filter(|_| self.is_row_readable) {
+            let version = self.newest.0;
+            let proof = StoreUpdate::Proof { began_at, version };
+            store.send_update(proof).await;
         }
-        Err(error) => {
-            log::error!("{error}");
-            false
+    }
+
+    /// Puts a configuration in force if it is newer than the current one; `peer` names its source
+    /// unless that is the store.
+    async fn apply(&mut self, store: &Store, raw: &Bytes, peer: Option<SocketAddr>) -> Applied {
+        match config::decode(raw) {
+            Ok(site) if site.version > self.newest => {
+                self.newest = site.version;
+                store
+                    .send_update(StoreUpdate::Site {
+                        site: Arc::new(site),
+                        written: raw.clone(),
+                        peer,
+                    })
+                    .await;
+                Applied::Newer
+            }
+            Ok(site) => {
+                log::info!(
+                    "configuration {} ignored: not newer than the current one",
+                    site.version
+                );
+                Applied::NotNewer
+            }
+            Err(error) => {
+                log::error!("{error}");
+                Applied::Unreadable
+            }
         }
     }
 }
@@ -206,7 +249,7 @@
                 newest.number = versions.max().unwrap_or(newest.number);
                 (from, rows)
             }
-            Change::Empty => continue,
+            Change::Empty | Change::Unchanged => continue,
         };
         let to = feed.last_version.unwrap_or_default();
         let entries = rows.into_iter().map(|row| Entry {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -93,9 +93,11 @@
         if tier == Tier::DataCentre {
             traffic.notify_placer_of_demand(&gossip);
         }
+        let has_new_proof = tier == Tier::DataCentre && traffic.take_new_proof();
         let has_changed = gossip.running != last_sent.running
             || gossip.leaving != last_sent.leaving
-            || !gossip.demands.is_empty();
+            || !gossip.demands.is_empty()
+            || has_new_proof;
         if has_changed || last_sent_at.elapsed() >= MAX_GOSSIP_INTERVAL {
             send(&traffic, &socket, "load", &gossip, &peers).await;
             last_sent = gossip;
@@ -133,11 +135,7 @@
             continue;
         }
         let sum = traffic.build_gossip(Tier::DataCentreSum).encode_to_vec();
-        for (peer, included) in peers {
-            let included_part = Gossip {
-                included: Some(included),
-                ..Gossip::default()
-            };
+        for (peer, included_part) in peers {
             // Concatenated protobuf messages are decoded as one merged message.
             let datagram = [sum.clone(), included_part.encode_to_vec()].concat();
             send_bytes(&traffic, &socket, "load", &datagram, &[peer]).await;
@@ -145,8 +143,8 @@
     }
 }
 
-/// Sends urgent updates at once: adapter requests to holders, new configurations and whether the
-/// store answers to the data centre, and departures, rate limits, the quarantine and server list changes to all instances.
+/// Sends urgent updates at once: adapter requests to holders, requests for proofs and their answers to
+/// single peers, new configurations and whether the store answers to the data centre, and departures, rate limits, the quarantine and server list changes to all instances.
 pub async fn gossip_urgent(traffic: Rc<Traffic>, socket: Rc<UdpSocket>) {
     loop {
         traffic.gossip_pending.notified().await;
@@ -167,6 +165,9 @@
             gossip.limits = limits;
             broadcast(&traffic, &socket, "limit", gossip).await;
         }
+        for (peer, gossip) in traffic.take_proof_messages() {
+            send(&traffic, &socket, "proof", &gossip, &[peer]).await;
+        }
         let has_reach_changed = traffic.has_reach_changed.take();
         let has_new_site = traffic.has_new_site.take();
         if has_reach_changed && traffic.is_holder() {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a gateway.
 
+use super::freshness::NO_AGE;
 use crate::decide::reach::Change;
 use crate::world::id;
 use prometheus_client::encoding::text::encode;
@@ -38,6 +39,8 @@
     pub connections: Counter,
     /// Times that the store came back from an old copy.
     pub era_changes: Counter,
+    /// Age of the proof that the configuration is current; `NO_AGE` if there is none.
+    pub configuration_age_ms: Gauge,
 }
 
 impl Default for Metrics {
@@ -119,11 +122,10 @@
                 "timer_delay_seconds",
                 "Delay with which the periodic timer of the traffic thread fires",
             ),
-            quarantined: register(
+            quarantined: gauge(
                 &mut registry,
                 "quarantined",
                 "Sets of prompt parts in quarantine",
-                Gauge::default(),
             ),
             first_byte: histogram(
                 &mut registry,
@@ -140,6 +142,7 @@
                 "era_changes",
                 "Times that the store came back from an old copy",
             ),
+            configuration_age_ms: age_gauge(&mut registry),
             registry,
         }
     }
@@ -161,6 +164,22 @@
     register(registry, name, help, Counter::default())
 }
 
+/// Registers a gauge and returns it.
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    register(registry, name, help, Gauge::default())
+}
+
+/// Registers the gauge of the configuration's age and returns it.
+fn age_gauge(registry: &mut Registry) -> Gauge {
+    let age = gauge(
+        registry,
+        "configuration_age_ms",
+        "Time since the configuration in force was certainly the newest, -1 if unknown",
+    );
+    age.set(NO_AGE);
+    age
+}
+
 /// Registers a metric and returns it.
 fn register<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
     registry.register(name, help, metric.clone());
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -37,6 +37,7 @@
         if observation.freshness == Freshness::OlderIncarnation {
             return true;
         }
+        self.on_peer_proofs(now, &sender, &gossip);
         gossip.incarnation = observation.start;
         if observation.is_new_start {
             self.has_newly_leaving.set(!self.leaving().is_empty());
@@ -210,6 +211,11 @@
             pass_on: matches!(tier, Tier::Region | Tier::Far),
             instances: self.topology.borrow().heard_local_count(now),
             leaving: self.leaving(),
+            proofs: if is_sum || self.has_hubs() {
+                Vec::new()
+            } else {
+                self.proofs_for_peers(now)
+            },
             ..self.envelope()
         }
     }
@@ -229,6 +235,7 @@
             configuration: self.configuration_version(),
             reaches_store: self.reaches_store.get() && !self.is_stopping(),
             quarantine_digest: self.quarantine.borrow().digest(),
+            sent_at_ms: self.stated_time_ms(),
             ..Gossip::default()
         }
     }
@@ -376,10 +383,11 @@
         }
     }
 
-    /// If this instance is a hub, returns each peer's own part of the sum, which the peer
-    /// subtracts because it knows that part better.
+    /// If this instance is a hub, returns what each peer gets in addition to the sum: its own part of
+    /// it, which the peer subtracts because it knows that part better, and a proof that the
+    /// configuration is current.
     #[must_use]
-    pub fn included_loads(&self) -> Vec<(SocketAddr, Loads)> {
+    pub fn included_loads(&self) -> Vec<(SocketAddr, Gossip)> {
         let now = self.clock.now();
         let topology = self.topology.borrow();
         if !topology.has_hubs(now) || !topology.is_hub(now) {
@@ -387,8 +395,14 @@
         }
         let balance = self.balance.borrow();
         let peers = topology.local_peers();
-        let parts =
-            peers.map(|(peer, address)| (address, encode_loads(balance.peer_workload(peer))));
+        let parts = peers.map(|(peer, address)| {
+            let part = Gossip {
+                included: Some(encode_loads(balance.peer_workload(peer))),
+                proofs: self.proof_for(now, peer).into_iter().collect(),
+                ..Gossip::default()
+            };
+            (address, part)
+        });
         parts.collect()
     }
 
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -68,6 +68,7 @@
         Rc::clone(&store),
         subscription.clone(),
         deployment.metrics.port(),
+        deployment.bounds.revocation.is_some(),
     );
     tokio::task::spawn_local(site);
     tokio::task::spawn_local(follower::follow_servers(Rc::clone(&store), subscription));
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -3,6 +3,7 @@
 
 use super::channel::Channel;
 use super::event::{self, CHANNEL_CAPACITY, Call, PlacerEvent, Poll, StoreUpdate, Subscription};
+use super::freshness::Proofs;
 use super::journal::Journal;
 use super::metrics::Metrics;
 use super::origins::Binding;
@@ -91,6 +92,7 @@
     pub(super) reach: RefCell<Reach>,
     pub(super) carriers: RefCell<Carriers>,
     pub(super) origins: RefCell<Origins>,
+    pub(super) proofs: Proofs,
     /// Wakes requests that wait for the origin of a stream.
     pub(super) origins_changed: Notify,
     /// Whether peers must be told of new streams now.
@@ -212,6 +214,7 @@
         let balance = Balancer::new(&deployment);
         let topology = RefCell::new(Topology::new(&deployment));
         let spread = deployment.spread();
+        let proofs = Proofs::new(&deployment, incarnation);
         Rc::new(Self {
             deployment,
             clock,
@@ -239,6 +242,7 @@
             reach: RefCell::default(),
             carriers: RefCell::default(),
             origins: RefCell::new(Origins::new(seed)),
+            proofs,
             origins_changed: Notify::new(),
             has_new_streams: Cell::new(false),
             quarantine_sent_at: Cell::default(),
@@ -368,6 +372,7 @@
             StoreUpdate::Quarantine(rows) => self.on_quarantine_rows(&rows),
             StoreUpdate::Leaving(rows) => self.on_leaving_rows(&rows),
             StoreUpdate::Origins(rows) => self.on_origin_rows(&rows),
+            StoreUpdate::Proof { began_at, version } => self.on_store_proof(began_at, version),
             StoreUpdate::FirstStart => self.on_first_start(),
             StoreUpdate::Members(members) => self.on_members(members),
             StoreUpdate::Fetched(fetch) => self.journal.note("fetched", &json!(fetch)),
@@ -567,7 +572,8 @@
             },
             site_stalls: old.site_stalls + u64::from(misses_site),
             server_stalls: old.server_stalls + u64::from(misses_servers),
-            site_poll: Poll::brief_if(!self.is_holder() && topology.is_first_data_centre(now)),
+            site_checks: self.site_checks(now, &old),
+            site_poll: Poll::brief_if(self.polls_site_briefly(now)),
             server_poll: Poll::brief_if(self.polls_servers_briefly(now)),
         };
         self.subscription.send_if_modified(|old| {
@@ -652,6 +658,7 @@
             self.on_changes(changes);
         }
         self.update_subscription(now);
+        self.check_proofs(now);
         self.update_versions(now);
         self.pool.tick(now);
         if !self.quarantine.borrow().is_empty() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
     pub mod fleet;
     pub mod follower;
     pub mod forecast;
+    pub mod freshness;
     pub mod lag;
     pub mod lease;
     pub mod ledger;
@@ -123,6 +124,7 @@
     mod feed;
     mod follower;
     mod forward;
+    mod freshness;
     #[allow(clippy::module_inception)]
     mod gateway;
     mod gossip;
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -75,6 +75,32 @@
     /// from a sender that does not know eras.
     #[prost(uint64, optional, tag = "26")]
     pub era: ::core::option::Option<u64>,
+    /// Time on the sender's own clock in milliseconds; 0 if it wants no proofs.
+    #[prost(uint64, tag = "27")]
+    pub sent_at_ms: u64,
+    /// Proofs by the sender's own calls to the store that a configuration was the newest.
+    #[prost(message, repeated, tag = "28")]
+    pub proofs: ::prost::alloc::vec::Vec<Proof>,
+    /// Whether receivers with a proof of their own send it at once.
+    #[prost(bool, tag = "29")]
+    pub asks_proof: bool,
+}
+/// The version was the newest at most `age_ms` before the receiver's datagram of `echoed_ms` arrived
+/// at the sender. Each proof is complete in itself, however late it is read.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Proof {
+    /// Hash of the receiver's name; the proof counts for no other instance or incarnation.
+    #[prost(fixed64, tag = "1")]
+    pub instance: u64,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// The `sent_at_ms` of the receiver's datagram.
+    #[prost(uint64, tag = "3")]
+    pub echoed_ms: u64,
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
+    #[prost(uint64, tag = "5")]
+    pub age_ms: u64,
 }
 /// Streams that servers of one software version began.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -57,8 +57,9 @@
     silent_addresses: BTreeSet<usize>,
     /// How often it came back from an old copy.
     era: u64,
-    /// Reads of whole tables, by table.
+    /// Reads of whole tables, and polls for changes, by table.
     reads: BTreeMap<String, usize>,
+    polls: BTreeMap<String, usize>,
 }
 
 impl Store {
@@ -260,6 +261,12 @@
         self.store().reads.get(table).copied().unwrap_or_default()
     }
 
+    /// Number of times that changes of a table were asked for.
+    #[must_use]
+    pub fn polls(&self, table: &str) -> usize {
+        self.store().polls.get(table).copied().unwrap_or_default()
+    }
+
     /// Changes what the link to a worker or to the store does.
     pub fn disturb(&self, name: &str, mode: Mode) {
         self.links[name].set(mode);
@@ -435,6 +442,7 @@
         "/v1/rows-feed" => {
             let after = parameter(&query, "after").parse().unwrap_or(0);
             let table = parameter(&query, "Table");
+            *lock().polls.entry(table.clone()).or_default() += 1;
             let wait = parameter(&query, "WaitMs")
                 .parse()
                 .map(Duration::from_millis);
--- /dev/null
+++ b/tests/gateway_processes/freshness.rs
@@ -0,0 +1,146 @@
+//! Age of the proof that the configuration is current, in `/state`.
+
+use super::site::{Site, config, wait_for};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+const BOUND_MS: u64 = 5_000;
+/// Age above which requests with keys are refused.
+const LIMIT_MS: u64 = 4_500;
+/// Largest age in calm: two polls of 1.2 s, 0.2 s to the next datagram, and room for the machine.
+const CALM_MS: u64 = 3_400;
+const SAMPLING_INTERVAL: Duration = Duration::from_millis(100);
+/// Instances of a data centre with hubs.
+const MANY: u8 = 10;
+/// Table of the configuration.
+const TABLE: &str = "op";
+
+fn age_ms(site: &Site, instance: usize) -> Option<u64> {
+    site.state(instance)["configuration_age_ms"].as_u64()
+}
+
+/// Returns the largest age of some instances within a time.
+fn max_age_ms(site: &Site, instances: &[usize], time: Duration) -> u64 {
+    let until = Instant::now() + time;
+    let mut max = 0;
+    while Instant::now() < until {
+        let ages = instances.iter().map(|instance| age_ms(site, *instance));
+        max = max.max(ages.map(|age| age.expect("a proof")).max().unwrap());
+        std::thread::sleep(SAMPLING_INTERVAL);
+    }
+    println!("largest age of {instances:?}: {max} ms");
+    max
+}
+
+fn start(instances: u8) -> Site {
+    let site = Site::start_with_revocation(instances, BOUND_MS);
+    site.wait_until_ready();
+    wait_for("proofs", || {
+        (0..site.instances.len())
+            .all(|instance| age_ms(&site, instance).is_some_and(|age| age < CALM_MS))
+    });
+    site
+}
+
+/// Guards against keys that are refused in calm.
+#[test]
+fn ages_stay_small_in_a_small_data_centre() {
+    let site = start(3);
+    let max = max_age_ms(&site, &[0, 1, 2], Duration::from_secs(8));
+    assert!(max < CALM_MS, "{max} ms");
+    let line = "poplarseam_configuration_age_ms ";
+    assert!(site.counter(0, line) < CALM_MS);
+}
+
+/// The same where two hubs pass loads on. The polls must be those of the two readers only.
+#[test]
+fn ages_stay_small_in_a_data_centre_with_hubs_with_calls_by_its_readers_only() {
+    let site = start(MANY);
+    std::thread::sleep(Duration::from_secs(4));
+    let before = site.platform.polls(TABLE);
+    let all: Vec<usize> = (0..usize::from(MANY)).collect();
+    let began_at = Instant::now();
+    let max = max_age_ms(&site, &all, Duration::from_secs(8));
+    let seconds = began_at.elapsed().as_secs_f64();
+    assert!(max < CALM_MS, "{max} ms");
+    let polls = u32::try_from(site.platform.polls(TABLE) - before).unwrap();
+    let expected = 2.0 * (seconds / 1.2 + 1.0);
+    assert!(f64::from(polls) <= expected, "{polls} polls");
+}
+
+/// Guards against keys that are refused while the store answers most instances: the hubs, which read
+/// the configuration, get no answer, and the readers that replace them are not hubs.
+#[test]
+fn ages_stay_below_the_limit_while_the_store_does_not_answer_the_hubs() {
+    let site = start(MANY);
+    let hubs = [9, 0].map(|index: usize| site.instances[index].0);
+    for hub in hubs {
+        site.platform.set_silent_to(hub, true);
+    }
+    let others: Vec<usize> = (1..usize::from(MANY) - 1).collect();
+    let max = max_age_ms(&site, &others, Duration::from_secs(12));
+    assert!(max < LIMIT_MS, "{max} ms");
+}
+
+/// Guards against keys that are refused until dead readers are replaced.
+#[test]
+fn ages_stay_below_the_limit_when_both_readers_are_killed() {
+    let mut site = start(MANY);
+    for hub in [9, 0] {
+        site.instances[hub].1.kill();
+    }
+    let others: Vec<usize> = (1..usize::from(MANY) - 1).collect();
+    let max = max_age_ms(&site, &others, Duration::from_secs(8));
+    assert!(max < LIMIT_MS, "{max} ms");
+}
+
+/// Guards against an instance that goes on serving keys although it can't know that they are valid.
+#[test]
+fn age_grows_at_an_instance_that_gets_no_answer_and_recovers_after_it() {
+    let mut site = start(2);
+    site.add_instance_in("north-2", super::site::GRACE_S);
+    site.wait_until_ready();
+    wait_for("a proof", || age_ms(&site, 2).is_some());
+    let cut_off = site.instances[2].0;
+    site.platform.set_silent_to(cut_off, true);
+    wait_for("an old proof", || {
+        age_ms(&site, 2).is_some_and(|age| age > 2 * BOUND_MS)
+    });
+    assert!(max_age_ms(&site, &[0, 1], Duration::from_secs(1)) < CALM_MS);
+    site.platform.set_silent_to(cut_off, false);
+    wait_for("a new proof", || {
+        age_ms(&site, 2).is_some_and(|age| age < CALM_MS)
+    });
+}
+
+/// Guards against polls that show no change counted as proof although the newest row can't be read: it
+/// may revoke a key.
+#[test]
+fn unreadable_configuration_proves_nothing() {
+    let site = start(3);
+    site.platform.put_bytes(TABLE, "config", b"{");
+    wait_for("old proofs", || {
+        (0..3).all(|instance| age_ms(&site, instance).is_some_and(|age| age > BOUND_MS))
+    });
+    site.platform.configure(&config(5_100));
+    wait_for("new proofs", || {
+        (0..3).all(|instance| {
+            site.state(instance)["version"] == json!(5_100)
+                && age_ms(&site, instance).is_some_and(|age| age < CALM_MS)
+        })
+    });
+}
+
+/// Guards against more calls to the store, which cost money, where no bound asks for them: the only
+/// instance holds the leases, and its poll for the configuration is a long one.
+#[test]
+fn without_a_bound_the_store_gets_no_more_calls() {
+    let site = Site::ready();
+    wait_for("the leases", || site.state(0)["plans"] == json!(true));
+    std::thread::sleep(Duration::from_secs(3));
+    let calls = || (site.platform.polls(TABLE), site.platform.reads(TABLE));
+    let before = calls();
+    std::thread::sleep(Duration::from_secs(5));
+    assert_eq!(calls(), before);
+    assert_eq!(site.state(0)["configuration_age_ms"], json!(null));
+}
--- a/tests/gateway_processes/site.rs
+++ b/tests/gateway_processes/site.rs
@@ -46,6 +46,8 @@
     subnet: u8,
     /// Number of instances started so far.
     launches: AtomicUsize,
+    /// Time after which a revoked key must not be served, if the settings state one.
+    revocation_ms: Option<u64>,
 }
 
 pub fn config(timeout_ms: u64) -> Value {
@@ -134,6 +136,7 @@
             keeps_logs: false,
             subnet,
             launches: AtomicUsize::new(0),
+            revocation_ms: None,
         };
         for _ in 0..instances {
             site.add_instance(grace_s);
@@ -141,6 +144,16 @@
         site
     }
 
+    /// Starts a site whose settings state the time after which a revoked key must not be served.
+    pub fn start_with_revocation(instances: u8, revocation_ms: u64) -> Self {
+        let mut site = Self::start(0);
+        site.revocation_ms = Some(revocation_ms);
+        for _ in 0..instances {
+            site.add_instance(GRACE_S);
+        }
+        site
+    }
+
     /// Adds an instance in another data centre.
     pub fn add_instance_in(&mut self, data_centre: &'static str, grace_s: u64) {
         self.data_centres.insert(self.instances.len(), data_centre);
@@ -181,6 +194,10 @@
         let settings = self.folder.join(format!("{name}.json"));
         let mut values = self.platform.settings(&name, ip);
         values["Bounds"]["GraceS"] = json!(grace_s);
+        if let Some(revocation_ms) = self.revocation_ms {
+            values["Bounds"]["RevokeStrict"] = json!(true);
+            values["Bounds"]["RevokeMs"] = json!(revocation_ms);
+        }
         let index = usize::from(number) - 1;
         if let Some(data_centre) = self.data_centres.get(&index) {
             values["Zone"] = json!(data_centre);
