Test proofs with old ages, a freeze and killed readers

The tests of failed readers began right after the start, when every instance has a proof by its own read, so they met young proofs. They now wait until proofs are as old as they get in calm. A frozen instance has a test of its own.

--- a/tests/gateway_processes/freshness.rs
+++ b/tests/gateway_processes/freshness.rs
@@ -9,6 +9,9 @@
 const LIMIT_MS: u64 = 4_500;
 /// Largest age in calm: two polls of 1.2 s, 0.2 s to the next datagram, and room for the machine.
 const CALM_MS: u64 = 3_400;
+/// Age that proofs in a data centre with hubs reach before each new one: with the polls of the two readers
+/// in turn, 1.2 and 0.6 s.
+const OLD_MS: u64 = 1_700;
 const SAMPLING_INTERVAL: Duration = Duration::from_millis(100);
 /// Instances of a data centre with hubs.
 const MANY: u8 = 10;
@@ -42,6 +45,18 @@
     site
 }
 
+/// Starts a data centre with hubs, and waits until proofs are as old as they get in calm, so that a
+/// fault meets them then.
+fn start_with_old_proofs() -> Site {
+    let site = start(MANY);
+    // The proofs by each instance's own read at its start.
+    std::thread::sleep(Duration::from_secs(4));
+    wait_for("old proofs", || {
+        age_ms(&site, 4).is_some_and(|age| age > OLD_MS)
+    });
+    site
+}
+
 /// Guards against keys that are refused in calm.
 #[test]
 fn ages_stay_small_in_a_small_data_centre() {
@@ -72,7 +87,7 @@
 /// the configuration, get no answer, and the readers that replace them are not hubs.
 #[test]
 fn ages_stay_below_the_limit_while_the_store_does_not_answer_the_hubs() {
-    let site = start(MANY);
+    let site = start_with_old_proofs();
     let hubs = [9, 0].map(|index: usize| site.instances[index].0);
     for hub in hubs {
         site.platform.set_silent_to(hub, true);
@@ -85,7 +100,7 @@
 /// Guards against keys that are refused until dead readers are replaced.
 #[test]
 fn ages_stay_below_the_limit_when_both_readers_are_killed() {
-    let mut site = start(MANY);
+    let mut site = start_with_old_proofs();
     for hub in [9, 0] {
         site.instances[hub].1.kill();
     }
@@ -113,6 +128,25 @@
     });
 }
 
+/// Guards against a frozen instance that takes the datagrams and answers which it finds when it goes on
+/// for new ones.
+#[test]
+fn proof_of_an_instance_that_was_frozen_is_old() {
+    let site = start(3);
+    let began_at = Instant::now();
+    site.platform.set_silent(true);
+    site.instances[2].1.signal("STOP");
+    std::thread::sleep(Duration::from_millis(BOUND_MS));
+    site.instances[2].1.signal("CONT");
+    let age = age_ms(&site, 2).expect("a proof");
+    assert!(age >= BOUND_MS, "{age} ms");
+    site.platform.set_silent(false);
+    wait_for("a new proof", || {
+        let since = u64::try_from(began_at.elapsed().as_millis()).unwrap();
+        age_ms(&site, 2).is_some_and(|age| age < CALM_MS.min(since))
+    });
+}
+
 /// Guards against polls that show no change counted as proof although the newest row can't be read: it
 /// may revoke a key.
 #[test]
