Read the table in full after an incomplete page of changes

A page of changes that lacks rows moved the feed past them, so the next answer without changes would have proven a version that was not the newest. With proofs wanted, the table is read in full instead.

No test has the stand-in send incomplete pages.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -138,13 +138,13 @@
     }
 
     /// Records the moment for which a response shows what the table held. It shows nothing if it is older
-    /// than another one, or not complete.
-    fn confirm(&mut self, began_at: Duration, version: Version, is_complete: bool) {
+    /// than another one, or than the version after which changes were wanted.
+    fn confirm(&mut self, began_at: Duration, version: Version, is_current: bool) {
         let is_newest = self.newest_response.is_none_or(|newest| version >= newest);
         if is_newest {
             self.newest_response = Some(version);
         }
-        self.confirmed_at = (is_newest && is_complete).then_some(began_at);
+        self.confirmed_at = (is_newest && is_current).then_some(began_at);
     }
 
     /// Reads the complete table now, or waits for the retry delay if that fails.
@@ -251,7 +251,11 @@
             );
             return self.reread_after_gap(after).await;
         }
-        self.confirm(began_at, page.version, !page.more && page.version >= after);
+        if page.more && self.returns_unchanged {
+            // Rows that are missing here would be skipped by the next poll, which would prove too much.
+            return self.reread_after_gap(after).await;
+        }
+        self.confirm(began_at, page.version, page.version >= after);
         self.last_version = Some(after.max(page.version));
         if page.rows.is_empty() {
             return Ok(None);
