Test proofs on the wire and the choice of readers to ask

Two process tests play a peer on a socket: without the bound datagrams carry no times, proofs or requests; with it a peer that asks gets a proof for its own time at once. Topology::readers has a test.

--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -56,6 +56,25 @@
     assert!(topology_with(&later).is_reader(ms(0)));
 }
 
+/// Guards against requests for proofs to instances that have none.
+#[test]
+fn readers_are_the_first_live_peers_that_the_store_answers() {
+    let refused = Sender {
+        reaches_store: false,
+        ..sender("a", 1)
+    };
+    let others = ["b", "c", "d", "e", "f"];
+    let others = others.iter().zip(2..).map(|(name, it)| sender(name, it));
+    let senders: Vec<Sender> = std::iter::once(refused).chain(others).collect();
+    let topology = topology_with(&senders);
+    assert_eq!(topology.readers(ms(0)), [2, 3, 4, 5].map(address));
+    assert_eq!(
+        topology_with(&senders[1..]).readers(ms(0)),
+        [2, 3].map(address)
+    );
+    assert!(topology.readers(ms(1_600)).is_empty());
+}
+
 /// Guards against 80 instances that each read every version from the store when the configuration
 /// changes many times in quick succession.
 #[test]
--- a/tests/gateway_processes/freshness.rs
+++ b/tests/gateway_processes/freshness.rs
@@ -1,7 +1,11 @@
 //! Age of the proof that the configuration is current, in `/state`.
 
 use super::site::{Site, config, wait_for};
+use poplarseam::decide::freshness::hash_name;
+use poplarseam::wire::generated_gossip::Gossip;
+use prost::Message;
 use serde_json::json;
+use std::net::UdpSocket;
 use std::time::{Duration, Instant};
 
 const BOUND_MS: u64 = 5_000;
@@ -178,3 +182,71 @@
     assert_eq!(calls(), before);
     assert_eq!(site.state(0)["configuration_age_ms"], json!(null));
 }
+
+/// A peer of instance 0 that is played by the test.
+struct Peer(UdpSocket);
+
+impl Peer {
+    const NAME: &str = "peer";
+
+    /// Sends a datagram, after which the instance sends its own as well.
+    fn hello(site: &Site, sent_at_ms: u64, asks_proof: bool) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket
+            .set_read_timeout(Some(Duration::from_secs(3)))
+            .unwrap();
+        let hello = Gossip {
+            instance: Self::NAME.into(),
+            incarnation: 7,
+            sequence: 1,
+            data_centre: "north-1".into(),
+            address: socket.local_addr().unwrap().to_string(),
+            reaches_store: true,
+            sent_at_ms,
+            asks_proof,
+            ..Gossip::default()
+        };
+        let instance = (site.instances[0].0, 7000);
+        socket.send_to(&hello.encode_to_vec(), instance).unwrap();
+        Self(socket)
+    }
+
+    fn receive(&self) -> Gossip {
+        let mut buffer = vec![0; 60_000];
+        let length = self.0.recv(&mut buffer).unwrap();
+        Gossip::decode(&buffer[..length]).unwrap()
+    }
+}
+
+/// Guards against datagrams that grow where no bound asks for proofs.
+#[test]
+fn without_a_bound_datagrams_carry_no_times_and_proofs() {
+    let site = Site::ready();
+    let peer = Peer::hello(&site, 10_000, true);
+    for _ in 0..3 {
+        let gossip = peer.receive();
+        assert_eq!((gossip.sent_at_ms, gossip.asks_proof), (0, false));
+        assert!(gossip.proofs.is_empty());
+    }
+}
+
+/// Guards against an instance that waits for its next load to answer a peer whose proof is old.
+#[test]
+fn peer_that_asks_gets_a_proof_for_its_own_time_at_once() {
+    let site = start(1);
+    let asked_at = Instant::now();
+    let peer = Peer::hello(&site, 10_000, true);
+    let proof = loop {
+        let gossip = peer.receive();
+        assert_ne!(gossip.sent_at_ms, 0);
+        if let Some(proof) = gossip.proofs.first() {
+            break *proof;
+        }
+    };
+    let waited = asked_at.elapsed();
+    assert!(waited < Duration::from_millis(500), "{waited:?}");
+    assert_eq!(proof.instance, hash_name(Peer::NAME));
+    assert_eq!((proof.incarnation, proof.echoed_ms), (7, 10_000));
+    assert_eq!(proof.version, 5_000);
+    assert!(proof.age_ms < CALM_MS, "{proof:?}");
+}
