--- a/src/decide/access.rs
+++ b/src/decide/access.rs
@@ -3,14 +3,11 @@
 //! A key that was taken away must not be served for longer than the bound on revocation, and a key
 //! that was just added must not be called unknown by an instance with an older configuration.
 
+use super::freshness::SERVED_FRACTION;
 use crate::common::*;
 use crate::world::site::Site;
 use crate::world::workspace::Workspace;
 
-/// Part of the bound on revocation within which a proof that the configuration is current counts; the
-/// rest covers the time from the decision until the request is at a server.
-const USABLE_PART: f64 = 0.9;
-
 /// How current the configuration in force at this instance is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Currency {
@@ -24,7 +21,8 @@
     /// Whether the last proof is recent enough to serve keys under a bound on revocation.
     fn is_proven(self, bound: Option<Duration>) -> bool {
         let Some(bound) = bound else { return true };
-        self.age.is_some_and(|age| age < bound.mul_f64(USABLE_PART))
+        self.age
+            .is_some_and(|age| age < bound.mul_f64(SERVED_FRACTION))
     }
 }
 
--- a/src/gateway/access.rs
+++ b/src/gateway/access.rs
@@ -93,9 +93,9 @@
 impl Traffic {
     /// Returns how current the configuration in force is. Instances exchange no proofs yet, so it
     /// counts as proven at all times.
-    pub(super) fn currency(&self, _now: Duration) -> Currency {
+    pub(super) fn currency(&self, now: Duration) -> Currency {
         Currency {
-            age: Some(Duration::ZERO),
+            age: self.configuration_age(now),
             is_behind: self.peer_configuration_version.get() > self.configuration_version(),
         }
     }
