Bound the memory and connections of callers at a gateway

Bodies of requests were read whole, each up to the operator's limit, without any common bound, and connections were not counted: 80 callers that stopped just short of the end of 4 MiB took 350 MB.

A request that doesn't fit is refused with 503 before it is read, or as soon as it doesn't fit. Bytes are copied from the pieces in which they arrive, and what is allocated for them is counted, both buffers while one grows.

Connections of callers, peers and operators have limits derived from MaxFds and MemoryMb. At a limit, the one that has waited longest for its caller is closed; one whose request is complete never is. The receive buffers of connections are bounded if the memory is stated. A failed accept at the operators' ports no longer spins.

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -1,6 +1,8 @@
 //! HTTP endpoints for the platform's readiness probe, for metrics and for operators' state
 //! dumps.
 
+use super::callers::{self, Connection, Opener};
+use super::forward;
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::platform::settings;
@@ -23,9 +25,21 @@
 pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::task::yield_now().await;
+            traffic
+                .callers
+                .close_longest_waiting(Opener::Operators, &traffic.metrics);
+            forward::wait_before_retry().await;
             continue;
         };
+        if !traffic
+            .callers
+            .make_room(Opener::Operators, &traffic.metrics)
+            .await
+        {
+            callers::refuse(&stream);
+            continue;
+        }
+        let connection = Connection::new(&traffic.callers, Opener::Operators);
         let traffic = Rc::clone(&traffic);
         tokio::task::spawn_local(async move {
             let answer = service_fn(move |request| {
@@ -35,8 +49,12 @@
             let served = hyper::server::conn::http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEAD_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), answer)
-                .await;
+                .serve_connection(TokioIo::new(stream), answer);
+            let served = tokio::select! {
+                biased;
+                () = connection.closing() => return,
+                served = served => served,
+            };
             if let Err(error) = served {
                 log::debug!("a request for readiness, metrics or state failed: {error}");
             }
@@ -81,6 +99,8 @@
         "plans": traffic.is_planner(),
         "open": traffic.open_connections.get(),
         "answer_bytes": traffic.memory.borrow().used(),
+        "request_bytes": traffic.memory.borrow().used_by_requests(),
+        "connections": traffic.callers.counts().collect::<BTreeMap<_, _>>(),
         "stopping": traffic.is_stopping(),
         "instances": traffic.instances(),
         "sharers": traffic.sharers(),
--- a/src/gateway/buffer.rs
+++ b/src/gateway/buffer.rs
@@ -1,14 +1,18 @@
-//! An answer that is read in full before it is passed on.
+//! Requests and answers that are read in full before they are passed on.
 
 use super::traffic::Traffic;
-use bytes::{Bytes, BytesMut};
+use crate::decide::memory::Share;
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use std::rc::Rc;
 
 /// Limit on the pieces, such as chunks, of one answer: each costs about as much time as some kilobytes.
 const MAX_PIECES: usize = 16_384;
 
+/// Smallest allocation for bytes whose number is not announced.
+const MIN_CAPACITY: usize = 1 << 10;
+
 /// Why an answer could not be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -18,27 +22,99 @@
     TooLarge,
     /// It comes in too many pieces.
     TooManyPieces,
-    /// The answers at this instance fill the memory for them.
+    /// What this instance holds fills the memory for it.
     NoMemory,
 }
 
-/// Memory of an answer, given back when it is dropped.
+/// Memory of a request or an answer, given back when it is dropped.
 pub struct Lease {
     traffic: Rc<Traffic>,
+    share: Share,
     bytes: usize,
 }
 
+/// What the memory is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    Request,
+    Answer,
+}
+
 impl Lease {
-    fn grow(&mut self, bytes: usize) -> bool {
-        let is_taken = self.traffic.memory.borrow_mut().take(bytes);
-        self.bytes += if is_taken { bytes } else { 0 };
-        is_taken
+    fn take(traffic: &Rc<Traffic>, purpose: Purpose, bytes: usize) -> Option<Self> {
+        let mut memory = traffic.memory.borrow_mut();
+        let share = match purpose {
+            Purpose::Request => memory.take_request(bytes)?,
+            Purpose::Answer => memory.take(bytes).then_some(Share::Answers)?,
+        };
+        Some(Self {
+            traffic: Rc::clone(traffic),
+            share,
+            bytes,
+        })
     }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.traffic.memory.borrow_mut().give_back(self.bytes);
+        let mut memory = self.traffic.memory.borrow_mut();
+        memory.give_back_to(self.share, self.bytes);
+    }
+}
+
+/// Bytes that are copied from the pieces in which they arrive, since a piece of one byte may keep a whole
+/// read buffer alive. What is allocated for them is leased, both allocations while they are moved to a
+/// larger one.
+pub struct Collected {
+    bytes: Vec<u8>,
+    lease: Lease,
+    purpose: Purpose,
+    limit: usize,
+}
+
+impl Collected {
+    /// Creates a buffer for `announced` bytes that accepts at most `limit`; `None` if there is no memory.
+    pub fn new(
+        traffic: &Rc<Traffic>,
+        purpose: Purpose,
+        announced: usize,
+        limit: usize,
+    ) -> Option<Self> {
+        let capacity = announced.min(limit);
+        let lease = Lease::take(traffic, purpose, capacity)?;
+        Some(Self {
+            bytes: Vec::with_capacity(capacity),
+            lease,
+            purpose,
+            limit,
+        })
+    }
+
+    /// Appends a piece.
+    ///
+    /// # Errors
+    /// If it exceeds the limit, or if there is no memory.
+    pub fn push(&mut self, piece: &[u8]) -> Result<(), Failure> {
+        let needed = self.bytes.len() + piece.len();
+        if needed > self.limit {
+            return Err(Failure::TooLarge);
+        }
+        if needed > self.bytes.capacity() {
+            let doubled = self.bytes.capacity() * 2;
+            let capacity = doubled.max(MIN_CAPACITY).min(self.limit).max(needed);
+            let lease = Lease::take(&self.lease.traffic, self.purpose, capacity);
+            let lease = lease.ok_or(Failure::NoMemory)?;
+            let mut larger = Vec::with_capacity(capacity);
+            larger.extend_from_slice(&self.bytes);
+            self.bytes = larger;
+            self.lease = lease;
+        }
+        self.bytes.extend_from_slice(piece);
+        Ok(())
+    }
+
+    pub fn finish(self) -> (Bytes, Lease) {
+        (self.bytes.into(), self.lease)
     }
 }
 
@@ -52,11 +128,13 @@
     mut incoming: Incoming,
     limit: usize,
 ) -> Result<(Bytes, Lease), Failure> {
-    let mut lease = Lease {
-        traffic: Rc::clone(traffic),
-        bytes: 0,
-    };
-    let mut body = BytesMut::new();
+    let announced = incoming.size_hint().lower();
+    let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+    if announced > limit {
+        return Err(Failure::TooLarge);
+    }
+    let body = Collected::new(traffic, Purpose::Answer, announced, limit);
+    let mut body = body.ok_or(Failure::NoMemory)?;
     let mut pieces = 0;
     while let Some(frame) = incoming.frame().await {
         let Ok(data) = frame.map_err(|_| Failure::Broken)?.into_data() else {
@@ -66,13 +144,7 @@
         if pieces > MAX_PIECES {
             return Err(Failure::TooManyPieces);
         }
-        if body.len() + data.len() > limit {
-            return Err(Failure::TooLarge);
-        }
-        if !lease.grow(data.len()) {
-            return Err(Failure::NoMemory);
-        }
-        body.extend_from_slice(&data);
+        body.push(&data)?;
     }
-    Ok((body.freeze(), lease))
+    Ok(body.finish())
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::{Attempt, BROKEN, CUT};
 use super::body::Body;
+use super::buffer::Lease;
 use super::channel::Channel;
 use super::detour::{NO_PATH, UNREACHABLE_BEFORE_DETOUR};
 use super::in_flight::Guard;
@@ -63,6 +64,8 @@
     pub head: Parts,
     pub request: Request,
     pub body: Bytes,
+    /// Memory that is given back when the request has ended.
+    pub _lease: Lease,
     pub site: Arc<Site>,
     pub route: Route,
     pub need: Need,
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -13,7 +13,7 @@
 use crate::decide::shutdown::Shutdown;
 use crate::node::clock::{Clock, incarnation};
 use crate::platform::settings;
-use crate::world::deployment::Deployment;
+use crate::world::deployment::{Deployment, Machine};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -27,6 +27,8 @@
 
 /// Callers' connections that may wait to be accepted.
 const LISTEN_BACKLOG: u32 = 1024;
+/// Receive buffer of a connection; the kernel allocates up to twice as much.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// Interval at which time-dependent state is updated.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// After a stop signal, the platform needs this long until it sends no new connections.
@@ -144,10 +146,15 @@
     Ok(LocalSet::new().block_on(&runtime, async { thread_main().await }))
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener> {
+/// Listens on an address. If the memory of the machine is stated, the buffers for bytes that are received and
+/// unread are bounded, since they are part of it.
+fn listen(address: SocketAddr, machine: Machine) -> Result<TcpListener> {
     let open = || {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
+        if machine.memory.is_some() {
+            socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        }
         socket.bind(address)?;
         socket.listen(LISTEN_BACKLOG)
     };
@@ -171,12 +178,16 @@
         address: peers,
         source: Box::new(error),
     })?);
-    let callers = listen(deployment.callers)?;
-    let carried = listen(peers)?;
-    spawn_local(admin::serve(Rc::clone(&traffic), listen(deployment.ready)?));
+    let machine = deployment.machine;
+    let callers = listen(deployment.callers, machine)?;
+    let carried = listen(peers, machine)?;
+    spawn_local(admin::serve(
+        Rc::clone(&traffic),
+        listen(deployment.ready, machine)?,
+    ));
     spawn_local(admin::serve(
         Rc::clone(&traffic),
-        listen(deployment.metrics)?,
+        listen(deployment.metrics, machine)?,
     ));
     spawn_local(gossip::listen(Rc::clone(&traffic), Rc::clone(&socket)));
     for tier in [Tier::DataCentre, Tier::Region, Tier::Far] {
@@ -224,6 +235,7 @@
         ticks.tick().await;
         let now = traffic.clock.now();
         traffic.on_timer(now.saturating_sub(due_at));
+        traffic.callers.log(&traffic.journal);
         due_at = now + TICK_INTERVAL;
         traffic.tick();
     }
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -2,11 +2,14 @@
 //! order.
 
 use super::body::Body;
+use super::buffer::Lease;
+use super::callers::{self, Answer, Connection, Opener};
 use super::channel;
 use super::detour::NO_PATH;
 use super::forward::{self, Exchange};
 use super::origins::Binding;
 use super::reply;
+use super::request_body::{self, Refusal};
 use super::traffic::Traffic;
 use super::write_limit;
 use crate::common::*;
@@ -17,8 +20,8 @@
 use crate::world::message::Request;
 use crate::world::site::{Limits, Site};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -32,6 +35,9 @@
 
 /// Retry-After while this instance has no configuration yet.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Cause and Retry-After of a refusal because bodies and answers fill the memory for them.
+const NO_MEMORY: &str = "no memory for the body";
+const RETRY_AFTER_MEMORY: Duration = Duration::from_secs(1);
 /// Time-out of a request whose caller states none; the route's time-out applies as well.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// During shutdown, a connection that was just opened is kept this long for its first request.
@@ -49,6 +55,15 @@
     Peers,
 }
 
+impl Door {
+    const fn opener(self) -> Opener {
+        match self {
+            Self::Callers => Opener::Callers,
+            Self::Peers => Opener::Peers,
+        }
+    }
+}
+
 /// Accepts connections until shutdown.
 pub async fn serve(
     traffic: Rc<Traffic>,
@@ -56,6 +71,7 @@
     door: Door,
     closing: watch::Receiver<bool>,
 ) {
+    let opener = door.opener();
     let mut closing_signal = closing.clone();
     let end = async {
         if closing_signal
@@ -74,12 +90,20 @@
         };
         match accepted {
             Ok((stream, _)) => {
+                if !traffic.callers.make_room(opener, &traffic.metrics).await {
+                    callers::refuse(&stream);
+                    continue;
+                }
+                let connection = Connection::new(&traffic.callers, opener);
                 let guard = ConnectionGuard::new(&traffic);
-                let connection = run_connection(guard, stream, door, closing.clone());
+                let connection = run_connection(guard, connection, stream, door, closing.clone());
                 tokio::task::spawn_local(connection);
             }
             Err(error) => {
                 log::warn!("accepting a caller's connection failed: {error}");
+                traffic
+                    .callers
+                    .close_longest_waiting(opener, &traffic.metrics);
                 forward::wait_before_retry().await;
             }
         }
@@ -88,6 +112,7 @@
 
 async fn run_connection(
     guard: ConnectionGuard,
+    connection: Rc<Connection>,
     stream: TcpStream,
     door: Door,
     mut closing: watch::Receiver<bool>,
@@ -98,24 +123,38 @@
     let first_request = Rc::new(Notify::new());
     let on_first_request = Rc::clone(&first_request);
     let head = usize::try_from(limits.header.0).unwrap_or(usize::MAX / 2);
+    let stream = write_limit::Stream::new(stream, Rc::clone(&connection), limits.head);
+    let close = Rc::clone(&connection);
     let answer = service_fn(move |request| {
-        let traffic = Rc::clone(&traffic);
+        let (traffic, connection) = (Rc::clone(&traffic), Rc::clone(&connection));
         on_first_request.notify_one();
-        async move { Ok::<_, Infallible>(handle(traffic, door, request).await) }
+        connection.on_head();
+        async move {
+            let response = handle(traffic, &connection, door, request).await;
+            Ok::<_, Infallible>(response.map(|body| Answer { body, connection }))
+        }
     });
     let served = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
         .max_buf_size(head + HEAD_SLACK_BYTES)
-        .serve_connection(TokioIo::new(write_limit::Stream::new(stream)), answer);
+        .serve_connection(TokioIo::new(stream), answer);
     let mut served = std::pin::pin!(served);
-    let ended = tokio::select! {
-        ended = served.as_mut() => ended,
-        () = wait_for_closing(&mut closing, &first_request) => {
-            served.as_mut().graceful_shutdown();
-            served.await
+    let serve = async {
+        tokio::select! {
+            ended = served.as_mut() => ended,
+            () = wait_for_closing(&mut closing, &first_request) => {
+                served.as_mut().graceful_shutdown();
+                served.await
+            }
         }
     };
+    // The signal to close comes first, so that no request is passed on after it.
+    let ended = tokio::select! {
+        biased;
+        () = close.closing() => return,
+        ended = serve => ended,
+    };
     if let Err(error) = ended {
         log::debug!("a caller's connection failed: {error}");
     }
@@ -171,15 +210,16 @@
 
 async fn handle(
     traffic: Rc<Traffic>,
+    connection: &Connection,
     door: Door,
     incoming: hyper::Request<Incoming>,
 ) -> Response<Body> {
     let arrived = traffic.clock.now();
     let (mut head, body) = incoming.into_parts();
     let mut response = match door {
-        Door::Callers => serve_request(&traffic, arrived, head, body, None).await,
+        Door::Callers => serve_request(&traffic, connection, arrived, head, body, None).await,
         Door::Peers => match Hop::take(&mut head.headers) {
-            Some(hop) => carry(&traffic, arrived, head, body, hop).await,
+            Some(hop) => carry(&traffic, connection, arrived, head, body, hop).await,
             None => deny(
                 &traffic,
                 "",
@@ -188,22 +228,21 @@
             ),
         },
     };
-    if traffic.is_stopping()
-        && let Ok(close) = "close".parse()
-    {
-        response.headers_mut().insert("connection", close);
+    if traffic.is_stopping() {
+        response = closing(response);
     }
     response
 }
 
 async fn serve_request(
     traffic: &Rc<Traffic>,
+    connection: &Connection,
     arrived: Duration,
     head: hyper::http::request::Parts,
     body: Incoming,
     hop: Option<Hop>,
 ) -> Response<Body> {
-    match read_exchange(traffic, arrived, head, body, hop).await {
+    match read_exchange(traffic, connection, arrived, head, body, hop).await {
         Ok(exchange) => Rc::new(exchange).serve().await,
         Err(response) => response,
     }
@@ -212,6 +251,7 @@
 /// Serves a request of another instance, and says in the answer what became of it.
 async fn carry(
     traffic: &Rc<Traffic>,
+    connection: &Connection,
     arrived: Duration,
     head: hyper::http::request::Parts,
     body: Incoming,
@@ -230,7 +270,7 @@
         Verdict::Declined.write(response.headers_mut());
         return response;
     }
-    let mut response = serve_request(traffic, arrived, head, body, Some(hop)).await;
+    let mut response = serve_request(traffic, connection, arrived, head, body, Some(hop)).await;
     reply::verdict(&response).write(response.headers_mut());
     response
 }
@@ -238,6 +278,7 @@
 /// Reads a request completely and finds its route.
 async fn read_exchange(
     traffic: &Rc<Traffic>,
+    connection: &Connection,
     arrived: Duration,
     head: hyper::http::request::Parts,
     body: Incoming,
@@ -272,7 +313,8 @@
         .min(route.timeout);
     let need = need(&site, &request, &route)
         .ok_or_else(|| reply::refusal(&request.id, "the route has no service", RETRY_AFTER))?;
-    let body = read_body(traffic, &site, &request, body, time_allowed).await?;
+    let (body, lease) = read_body(traffic, connection, &site, &request, body, time_allowed).await?;
+    connection.on_request();
     let deadline = arrived + time_allowed;
     let shutdown = traffic.shutdown.get();
     if shutdown.is_some_and(|shutdown| !shutdown.accepts(traffic.clock.now(), deadline)) {
@@ -291,6 +333,7 @@
         head,
         request,
         body,
+        _lease: lease,
         site,
         attempts: RefCell::new(attempts),
         binding: RefCell::new(Binding::Free),
@@ -319,34 +362,45 @@
 }
 
 async fn read_body(
-    traffic: &Traffic,
+    traffic: &Rc<Traffic>,
+    connection: &Connection,
     site: &Site,
     request: &Request,
     body: Incoming,
     time_allowed: Duration,
-) -> Result<Bytes, Response<Body>> {
+) -> Result<(Bytes, Lease), Response<Body>> {
     let max_body_bytes = usize::try_from(site.limits.body.0).unwrap_or(usize::MAX);
-    let read = timeout(time_allowed, Limited::new(body, max_body_bytes).collect()).await;
-    match read {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(deny(traffic, &request.id, status, "the body is too large"))
-        }
-        Ok(Err(_)) => {
-            let status = StatusCode::BAD_REQUEST;
-            Err(deny(traffic, &request.id, status, "the body was cut"))
-        }
-        Err(_) => {
-            let status = StatusCode::REQUEST_TIMEOUT;
-            Err(deny(
-                traffic,
+    let refusal = match request_body::read(traffic, body, max_body_bytes, time_allowed).await {
+        Ok(read) => return Ok(read),
+        Err(refusal) => refusal,
+    };
+    let (status, cause) = match refusal {
+        Refusal::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+        Refusal::Cut => (StatusCode::BAD_REQUEST, "the body was cut"),
+        Refusal::TooSlow => (StatusCode::REQUEST_TIMEOUT, "the body came too slowly"),
+        Refusal::Stalled => (StatusCode::REQUEST_TIMEOUT, "the body stalled"),
+        Refusal::NoMemory => {
+            // The caller must learn that the request did not run.
+            connection.discard(max_body_bytes);
+            traffic.metrics.on_answer(503, NO_MEMORY);
+            let values = json!({"request": request.id, "status": 503, "cause": NO_MEMORY});
+            traffic.journal.note("denied", &values);
+            return Err(closing(reply::refusal(
                 &request.id,
-                status,
-                "the body came too slowly",
-            ))
+                NO_MEMORY,
+                RETRY_AFTER_MEMORY,
+            )));
         }
-    }
+    };
+    Err(closing(deny(traffic, &request.id, status, cause)))
+}
+
+/// Has the connection closed after a response, since the rest of the request is not read.
+fn closing(mut response: Response<Body>) -> Response<Body> {
+    response
+        .headers_mut()
+        .insert("connection", HeaderValue::from_static("close"));
+    response
 }
 
 fn deny(traffic: &Traffic, id: &str, status: StatusCode, cause: &'static str) -> Response<Body> {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     take_ups: Family<Labels, Counter>,
     paths: Family<Labels, Counter>,
     detours: Family<Labels, Counter>,
+    connection_limits: Family<Labels, Counter>,
     /// Requests whose callers left before their answers began.
     pub callers_left: Counter,
     /// How late the timer of the traffic thread fires.
@@ -104,11 +105,8 @@
                 "paths",
                 "Changes of the path to all servers of a service, by kind",
             ),
-            detours: family(
-                &mut registry,
-                "detours",
-                "Requests that were passed to another instance, by outcome",
-            ),
+            detours: detours(&mut registry),
+            connection_limits: connection_limits(&mut registry),
             callers_left: counter(
                 &mut registry,
                 "callers_left",
@@ -150,6 +148,16 @@
     register(registry, name, help, Family::default())
 }
 
+fn detours(registry: &mut Registry) -> Family<Labels, Counter> {
+    let help = "Requests that were passed to another instance, by outcome";
+    family(registry, "detours", help)
+}
+
+fn connection_limits(registry: &mut Registry) -> Family<Labels, Counter> {
+    let help = "Connections of others that were closed or refused at the limit on them";
+    family(registry, "connection_limits", help)
+}
+
 /// Registers a histogram of times from 1 ms to 8 s and returns it.
 fn histogram(registry: &mut Registry, name: &str, help: &str) -> Histogram {
     let buckets = exponential_buckets(0.001, 2.0, 14);
@@ -245,6 +253,12 @@
         self.detours.get_or_create(&labels).inc();
     }
 
+    /// Counts a connection that was closed or refused to stay within the limit on connections.
+    pub fn on_connection_limit(&self, door: &'static str, outcome: &'static str) {
+        let labels = vec![("from", door.into()), ("outcome", outcome.into())];
+        self.connection_limits.get_or_create(&labels).inc();
+    }
+
     /// Counts the bytes of datagrams to other instances.
     pub fn on_gossip(&self, kind: &'static str, bytes: u64) {
         let labels = vec![("kind", kind.into())];
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -1,6 +1,7 @@
 //! State of the traffic thread: routes, servers, connections, retry budgets, and the data that
 //! is sent to peers by gossip.
 
+use super::callers::Callers;
 use super::channel::Channel;
 use super::event::{self, CHANNEL_CAPACITY, Call, PlacerEvent, Poll, StoreUpdate, Subscription};
 use super::journal::Journal;
@@ -85,7 +86,9 @@
     pub(super) is_first_start: Cell<bool>,
     /// Servers that are being checked since a connection to them broke.
     pub(super) checked_servers: RefCell<BTreeSet<id::Worker>>,
-    /// Memory of the answers that are held in full.
+    /// Connections that others opened to this instance.
+    pub(super) callers: Rc<Callers>,
+    /// Memory of the requests and answers that are held in full.
     pub(super) memory: RefCell<Memory>,
     pub(super) quarantine: RefCell<Quarantine>,
     pub(super) reach: RefCell<Reach>,
@@ -212,6 +215,8 @@
         let balance = Balancer::new(&deployment);
         let topology = RefCell::new(Topology::new(&deployment));
         let spread = deployment.spread();
+        let callers = Rc::new(Callers::new(&deployment, clock));
+        let memory = RefCell::new(Memory::new(deployment.machine.memory));
         Rc::new(Self {
             deployment,
             clock,
@@ -234,7 +239,8 @@
             budgets: RefCell::default(),
             is_first_start: Cell::new(false),
             checked_servers: RefCell::default(),
-            memory: RefCell::default(),
+            callers,
+            memory,
             quarantine: RefCell::new(Quarantine::new(seed)),
             reach: RefCell::default(),
             carriers: RefCell::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
     pub mod carrier;
     pub mod claim;
     pub mod config_source;
+    pub mod connections;
     pub mod demand;
     pub mod dispatch;
     pub mod era;
@@ -116,6 +117,7 @@
     mod attempt;
     mod body;
     mod buffer;
+    mod callers;
     mod channel;
     pub mod command;
     mod detour;
@@ -141,6 +143,7 @@
     mod registration;
     mod relay;
     mod reply;
+    mod request_body;
     mod retry_budget;
     mod store;
     mod traffic;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -97,6 +97,7 @@
     max_header_bytes: u64,
     max_body_bytes: u64,
     idle_timeout_ms: u64,
+    header_timeout_ms: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -239,6 +240,7 @@
             header: Bytes(self.max_header_bytes),
             body: Bytes(self.max_body_bytes),
             idle: Duration::from_millis(self.idle_timeout_ms),
+            head: self.header_timeout_ms.map(Duration::from_millis),
         }
     }
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,11 +1,14 @@
 //! Decodes the settings file that the platform writes for each process.
 
 use crate::common::*;
-use crate::world::deployment::{Allowance, Bounds, Deployment, QuotaSlack};
+use crate::world::deployment::{Allowance, Bounds, Deployment, Machine, QuotaSlack};
+use crate::world::unit::Bytes;
 
 /// Environment variable that holds the path of the settings file.
 pub const PATH_VARIABLE: &str = "POPLARSEAM_SETTINGS";
 
+const MEGABYTE: u64 = 1_000_000;
+
 /// Path of the platform's readiness probe.
 pub const READY_PATH: &str = "/v1/readyz";
 
@@ -20,6 +23,8 @@
     ip: std::net::IpAddr,
     bounds: WireBounds,
     platform: Store,
+    #[serde(default)]
+    limits: WireLimits,
 }
 
 #[derive(Deserialize)]
@@ -48,6 +53,13 @@
     quota_slack: f64,
 }
 
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase")]
+struct WireLimits {
+    memory_mb: Option<u64>,
+    max_fds: Option<u64>,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Store {
@@ -80,9 +92,20 @@
         metrics: (file.ip, file.internal_ports[0] + 1).into(),
         store: file.platform.address,
         bounds: file.bounds.decode(),
+        machine: file.limits.decode(),
     })
 }
 
+impl WireLimits {
+    fn decode(&self) -> Machine {
+        let memory = self.memory_mb.filter(|megabytes| *megabytes > 0);
+        Machine {
+            memory: memory.map(|megabytes| Bytes(megabytes.saturating_mul(MEGABYTE))),
+            descriptors: self.max_fds.filter(|descriptors| *descriptors > 0),
+        }
+    }
+}
+
 impl WireBounds {
     fn decode(&self) -> Bounds {
         Bounds {
--- a/src/world/deployment.rs
+++ b/src/world/deployment.rs
@@ -1,6 +1,7 @@
 //! Location, addresses and guaranteed bounds of an instance, as the platform configures them.
 
 use super::id;
+use super::unit::Bytes;
 use crate::common::*;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -22,6 +23,7 @@
     /// Address of the platform's store.
     pub store: SocketAddr,
     pub bounds: Bounds,
+    pub machine: Machine,
 }
 
 impl Deployment {
@@ -34,6 +36,14 @@
     }
 }
 
+/// What the platform lets the process use, as far as it states it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Machine {
+    pub memory: Option<Bytes>,
+    /// Maximum number of open descriptors.
+    pub descriptors: Option<u64>,
+}
+
 /// Bounds that the platform guarantees or requires.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct Bounds {
--- a/src/world/site.rs
+++ b/src/world/site.rs
@@ -123,6 +123,8 @@
     pub body: Bytes,
     /// Time-out of a caller's connection while the head of a request is awaited.
     pub idle: Duration,
+    /// Time-out of a head that has begun; `None` if only `idle` bounds it.
+    pub head: Option<Duration>,
 }
 
 impl Default for Limits {
@@ -131,6 +133,7 @@
             header: Bytes(16 << 10),
             body: Bytes(4 << 20),
             idle: Duration::from_secs(15),
+            head: None,
         }
     }
 }
--- a/tests/gateway/build.rs
+++ b/tests/gateway/build.rs
@@ -1,7 +1,7 @@
 //! Builders of servers, settings and requests for tests.
 
 use poplarseam::world::backend::{Backend, Holdings};
-use poplarseam::world::deployment::{Allowance, Bounds, Deployment};
+use poplarseam::world::deployment::{Allowance, Bounds, Deployment, Machine};
 use poplarseam::world::id;
 use poplarseam::world::message::{Generation, Target};
 use poplarseam::world::site::{Engine, Limits, Model, Service, Site, Version};
@@ -118,6 +118,7 @@
             revocation: None,
             quotas: None,
         },
+        machine: Machine::default(),
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod builds;
 mod carrier;
 mod config_source;
+mod connections;
 mod era;
 mod fleet;
 mod follower;
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -3,6 +3,7 @@
 use super::build::{holdings, model, ms, target, worker};
 use hyper::{HeaderMap, Request, Response};
 use poplarseam::platform::{config, request, rows, settings, worker as worker_format};
+use poplarseam::world::deployment::Machine;
 use poplarseam::world::message::{Outcome, PartId};
 use poplarseam::world::order::{Action, Order};
 use poplarseam::world::site::Repeat;
@@ -29,6 +30,33 @@
     assert_eq!(read.bounds.lease, ms(3_000));
 }
 
+/// Guards against settings of a platform that states only one of the limits, or none.
+#[rstest]
+#[case::both(json!({"MemoryMb": 160, "MaxFds": 4100, "New": 1}), Some(160_000_000), Some(4_100))]
+#[case::one(json!({"MaxFds": 4100}), None, Some(4_100))]
+#[case::zero_is_unknown(json!({"MemoryMb": 0}), None, None)]
+fn limits_of_the_machine_are_read(
+    #[case] limits: Value,
+    #[case] memory: Option<u64>,
+    #[case] descriptors: Option<u64>,
+) {
+    let mut file = settings_file();
+    assert_eq!(
+        settings::decode(&file.to_string()).unwrap().machine,
+        Machine::default()
+    );
+    file["Limits"] = limits;
+    let machine = settings::decode(&file.to_string()).unwrap().machine;
+    let memory = memory.map(Bytes);
+    assert_eq!(
+        machine,
+        Machine {
+            memory,
+            descriptors
+        }
+    );
+}
+
 #[rstest]
 #[case::missing("Listen", Value::Null)]
 #[case::invalid_field_type("Bounds", json!({"GraceS": "eight"}))]
