Bound the memory and connections of callers at an entry

One request that announced 4 EiB ended an entry without a key: tiny_http allocates the rest of a body that was not read. It also reads heads of any length (80 of 4 MiB took 1.4 GB), has no time-outs, one thread for each connection without limit, and ends its accept loop when a connection can't be accepted. None of this can be bounded from outside, so an entry reads its connections itself (node/http, node/connections) with httparse, which was in the tree through hyper.

Heads, bodies, idle times and blocked answers have time-outs.

--- a/src/decide/connections.rs
+++ b/src/decide/connections.rs
@@ -37,7 +37,7 @@
             usize::try_from(by_descriptors.min(by_memory).max(1)).unwrap_or(usize::MAX)
         };
         Self {
-            callers: limit(sockets * 3 / 8, room / 4 * 3),
+            callers: limit(sockets * 11 / 32, room / 4 * 3),
             peers: limit(sockets / 8, room / 4),
             operators: limit((sockets / 32).max(MIN_OPERATORS), u64::MAX),
         }
--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -27,15 +27,22 @@
 #[derive(Debug)]
 pub struct Memory {
     limit: usize,
+    /// Limit on requests without the reserve.
+    max_requests: usize,
     answers: usize,
     requests: usize,
     reserve: usize,
 }
 
+fn budget(machine: Bytes) -> usize {
+    usize::try_from(machine.0 / MEMORY_DIVISOR).unwrap_or(usize::MAX)
+}
+
 impl Default for Memory {
     fn default() -> Self {
         Self {
             limit: MAX_ANSWER_BYTES,
+            max_requests: MAX_ANSWER_BYTES / REQUESTS_DIVISOR,
             answers: 0,
             requests: 0,
             reserve: 0,
@@ -47,10 +54,21 @@
     /// Creates the budget of a process whose machine has this memory, if it is known.
     #[must_use]
     pub fn new(machine: Option<Bytes>) -> Self {
-        let limit = machine.map(|memory| memory.0 / MEMORY_DIVISOR);
-        let limit = limit.and_then(|limit| usize::try_from(limit).ok());
+        let limit = machine.map_or(MAX_ANSWER_BYTES, budget);
+        Self {
+            limit,
+            max_requests: limit / REQUESTS_DIVISOR,
+            ..Self::default()
+        }
+    }
+
+    /// Creates the budget of a process that counts requests only.
+    #[must_use]
+    pub fn for_requests(machine: Bytes) -> Self {
+        let limit = budget(machine);
         Self {
-            limit: limit.unwrap_or(MAX_ANSWER_BYTES),
+            limit,
+            max_requests: limit,
             ..Self::default()
         }
     }
@@ -78,7 +96,7 @@
     /// Takes memory for a request; returns from where it was taken, or `None` if there was not enough.
     /// A small request may use the reserve as well.
     pub fn take_request(&mut self, bytes: usize) -> Option<Share> {
-        let free = (self.limit / REQUESTS_DIVISOR).saturating_sub(self.requests);
+        let free = self.max_requests.saturating_sub(self.requests);
         if bytes <= free.min(self.free()) {
             self.requests += bytes;
             return Some(Share::Requests);
--- a/src/flags.rs
+++ b/src/flags.rs
@@ -109,6 +109,18 @@
         help = "maximum size of a request body (entry; default 1048576)"
     )]
     pub max_body: Option<String>,
+    #[options(
+        no_short,
+        meta = "MB",
+        help = "memory of the machine, of which requests may take a quarter (entry; default 512)"
+    )]
+    pub memory_mb: Option<String>,
+    #[options(
+        no_short,
+        meta = "N",
+        help = "maximum number of open descriptors (entry; default 8192)"
+    )]
+    pub max_fds: Option<String>,
     #[options(
         no_short,
         meta = "TIME",
@@ -144,6 +156,8 @@
     pub start_within: Duration,
     pub max_requests: usize,
     pub max_body: usize,
+    pub memory_mb: usize,
+    pub max_fds: usize,
     pub drain_timeout: Duration,
     pub log_level: String,
 }
@@ -316,18 +330,13 @@
         Some("10s"),
         parse_wait,
     );
-    let max_requests = reader.read(
-        "max-requests",
-        flags.max_requests.as_ref(),
-        Some("1024"),
-        parse_positive,
-    );
-    let max_body = reader.read(
-        "max-body",
-        flags.max_body.as_ref(),
-        Some("1048576"),
-        parse_positive,
-    );
+    let mut read_positive = |flag, given: &Option<String>, default| {
+        reader.read(flag, given.as_ref(), Some(default), parse_positive)
+    };
+    let max_requests = read_positive("max-requests", &flags.max_requests, "1024");
+    let max_body = read_positive("max-body", &flags.max_body, "1048576");
+    let memory_mb = read_positive("memory-mb", &flags.memory_mb, "512");
+    let max_fds = read_positive("max-fds", &flags.max_fds, "8192");
     let drain_timeout = reader.read(
         "drain-timeout",
         flags.drain_timeout.as_ref(),
@@ -359,6 +368,8 @@
         start_within: start_within?,
         max_requests: max_requests?,
         max_body: max_body?,
+        memory_mb: memory_mb?,
+        max_fds: max_fds?,
         drain_timeout: drain_timeout?,
         log_level: log_level?,
     })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -159,11 +159,13 @@
     mod claims;
     pub mod client;
     pub(crate) mod clock;
+    mod connections;
     mod convictions;
     mod dispatcher;
     mod duty;
     pub mod entry;
     mod follow;
+    mod http;
     mod input;
     mod isolation;
     mod journal;
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -1,13 +1,16 @@
 //! An entry: callers' requests, from admission to the last token.
 
 use crate::common::*;
+use crate::decide::connections::Limits;
 use crate::decide::dispatch::Verdicts;
 use crate::decide::member::Role;
+use crate::decide::memory::{Memory, Share};
 use crate::decide::pool::Pool;
 use crate::decide::suspect::Fingerprint;
 use crate::error::Result;
 use crate::flags::Settings;
 use crate::node::claims::Claims;
+use crate::node::connections::Connections;
 use crate::node::dispatcher;
 use crate::node::duty::lock;
 use crate::node::input::Input;
@@ -19,11 +22,14 @@
 use crate::wire::generated_gossip::Quarantine;
 use crate::wire::quarantine;
 use crate::world::id;
+use crate::world::unit::Bytes;
 use prost::Message;
 use rouille::{Request, Response};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
+const MEGABYTE: u64 = 1_000_000;
+
 /// Requests per second of each team at each other entry.
 type Asked = BTreeMap<id::Instance, BTreeMap<id::Team, f64>>;
 
@@ -41,6 +47,9 @@
     pub in_hand: AtomicUsize,
     /// Requests whose bodies are being read, by team.
     reading: Mutex<BTreeMap<id::Team, usize>>,
+    pub connections: Connections,
+    /// Memory of the requests in hand.
+    memory: Mutex<Memory>,
     counter: AtomicU64,
 }
 
@@ -58,6 +67,20 @@
     }
 }
 
+/// Memory of a request, given back when it is dropped.
+#[derive(Debug)]
+pub struct Held<'a> {
+    entry: &'a Entry,
+    share: Share,
+    bytes: usize,
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        lock(&self.entry.memory).give_back_to(self.share, self.bytes);
+    }
+}
+
 /// A body that is being read; it stops counting when dropped.
 #[derive(Debug)]
 pub struct Reading<'a> {
@@ -112,6 +135,17 @@
         })
     }
 
+    /// Takes memory for a request; `None` if there is not enough.
+    #[must_use]
+    pub fn hold(&self, bytes: usize) -> Option<Held<'_>> {
+        let share = lock(&self.memory).take_request(bytes)?;
+        Some(Held {
+            entry: self,
+            share,
+            bytes,
+        })
+    }
+
     /// Hands something to the dispatcher.
     pub fn tell(&self, input: Input) {
         let _ = self.dispatcher.send(input);
@@ -124,6 +158,8 @@
 /// Where an address is taken or signals can't be caught.
 pub fn run(settings: Settings) -> Result<()> {
     let (node, rings) = Node::start(settings, Role::Entry)?;
+    let descriptors = node.settings.max_fds;
+    let memory = Bytes(node.settings.memory_mb as u64 * MEGABYTE);
     let (records, kept) = flume::bounded(dispatcher::RECORD_RING);
     let dispatcher = dispatcher::start(&node, records);
     let entry = Arc::new(Entry {
@@ -135,6 +171,8 @@
         running: Mutex::default(),
         in_hand: AtomicUsize::new(0),
         reading: Mutex::default(),
+        connections: Connections::new(&Limits::new(u64::try_from(descriptors).ok(), Some(memory))),
+        memory: Mutex::new(Memory::for_requests(memory)),
         counter: AtomicU64::new(0),
     });
     let taking = Arc::clone(&entry);
@@ -224,6 +262,8 @@
         .unwrap_or(Value::Null);
     json!({
       "in_hand": entry.in_hand.load(Ordering::SeqCst),
+      "connections": entry.connections.count(),
+      "request_bytes": lock(&entry.memory).used_by_requests(),
       "unsettled_outcomes": entry.claims.unsettled(),
       "calls_running": *lock(&entry.running),
       "dispatcher": dispatcher,
