--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
     pub mod carrier;
     pub mod claim;
     pub mod config_source;
+    pub mod connections;
     pub mod demand;
     pub mod dispatch;
     pub mod era;
@@ -120,6 +121,7 @@
     mod attempt;
     mod body;
     mod buffer;
+    mod callers;
     mod channel;
     pub mod command;
     mod detour;
@@ -147,6 +149,7 @@
     mod registration;
     mod relay;
     mod reply;
+    mod request_body;
     mod retry_budget;
     mod store;
     mod traffic;
@@ -162,11 +165,13 @@
     mod claims;
     pub mod client;
     pub(crate) mod clock;
+    mod connections;
     mod convictions;
     mod dispatcher;
     mod duty;
     pub mod entry;
     mod follow;
+    mod http;
     mod input;
     mod isolation;
     mod journal;
