Decide grants of workspaces' quotas

Cause: a workspace's quota must hold over all instances together, whatever happens to datagrams, processes and the grantor.

Change: `decide::quota` has the token bucket of the grantor (`grantor`) and the balance of an instance that uses units (`requester`, `account`).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -64,6 +64,7 @@
     pub mod progress;
     pub mod quarantine;
     pub mod queue;
+    pub mod quota;
     pub mod reach;
     pub mod retry;
     pub mod rollout;
--- a/src/world/shard.rs
+++ b/src/world/shard.rs
@@ -1,5 +1,5 @@
-//! Shards of the workers. Each shard is leased to one instance at a time, and only this holder may
-//! give orders to its workers.
+//! Shards of the workers and workspaces. Each shard is leased to one instance at a time, and only this
+//! holder may give orders to its workers and grant the quotas of its workspaces.
 
 use super::id;
 use crate::common::*;
@@ -17,7 +17,13 @@
     /// Returns the shard to which a worker belongs.
     #[must_use]
     pub fn for_worker(worker: &id::Worker) -> Self {
-        let hash = xxh3_64(worker.as_str().as_bytes());
+        Self::of_name(worker.as_str())
+    }
+
+    /// Returns the shard to which a name belongs.
+    #[must_use]
+    pub fn of_name(name: &str) -> Self {
+        let hash = xxh3_64(name.as_bytes());
         Self(u32::try_from(hash % u64::from(COUNT)).unwrap_or(0))
     }
 
