Fill a late workspace's bucket since the tenure began

Cause: a workspace that was added long after its grantor took the lease began at the lowest level, and one that was removed and added again would have had its burst again. Settings without an overage gave grants no time at all.

Change: buckets open at the beginning of the tenure, and stay when their quota is removed. The expiry is at least 0.2 s; the difference costs extra units.

--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -146,6 +146,14 @@
             .then_some(self.own_entry.fence)
     }
 
+    /// Returns the time until which the lease may be acted on if it is not renewed; `None` if it may not
+    /// be acted on now.
+    #[must_use]
+    pub fn acts_until(&self, now: Duration) -> Option<Duration> {
+        self.fence(now)?;
+        self.held_since.map(|since| since + self.usable_term())
+    }
+
     /// Returns the previous holder, if it may have been another instance, and the latest time at
     /// which it may have acted. The holder is `None` if the table service may have forgotten it.
     #[must_use]
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -16,6 +16,8 @@
 use crate::world::unit::Fence;
 use crate::world::workspace::{Quota, Unit};
 
+/// Shortest expiry of grants: with a shorter one they would hardly reach the instances in time.
+const MIN_EXPIRY: Duration = Duration::from_millis(200);
 /// Expiry of grants if the settings do not state by how much quotas may be exceeded.
 const DEFAULT_EXPIRY: Duration = Duration::from_millis(500);
 /// Share of the extra units by which a bucket may be in debt. The rest raises its capacity.
@@ -55,12 +57,16 @@
                 expiry: expiry(None),
             };
         };
+        // An expiry above what the settings allow for costs extra units.
+        let allowed = slack.window.mul_f64(slack.overage);
+        let excess = expiry(Some(slack)).saturating_sub(allowed);
+        let extra = (slack.extra - rate * excess.as_secs_f64()).max(0.0);
         // The extra units are meant for tokens; they would cover hours of a small limit on requests.
         let extra = match quota.unit {
-            Unit::Tokens { .. } => slack.extra,
+            Unit::Tokens { .. } => extra,
             Unit::Requests => {
                 let useful = rate * slack.window.as_secs_f64() * DEBT_SHARE;
-                slack.extra.min(useful.max(2.0))
+                extra.min(useful.max(2.0))
             }
         };
         Self {
@@ -76,7 +82,9 @@
 /// Returns the time from a request for units to the end of their use.
 #[must_use]
 pub fn expiry(slack: Option<&QuotaSlack>) -> Duration {
-    slack.map_or(DEFAULT_EXPIRY, |slack| slack.window.mul_f64(slack.overage))
+    slack.map_or(DEFAULT_EXPIRY, |slack| {
+        slack.window.mul_f64(slack.overage).max(MIN_EXPIRY)
+    })
 }
 
 /// Time in which a process holds the lease of a shard and no other holder can act, by its own clock.
--- a/src/decide/quota/grantor.rs
+++ b/src/decide/quota/grantor.rs
@@ -89,11 +89,12 @@
     /// Replaces the quotas by those of a new configuration. Levels above a lower quota are cut.
     pub fn on_quotas(&mut self, now: Duration, quotas: BTreeMap<CompactString, Quota>) {
         self.quotas = quotas;
-        let (quotas, slack) = (&self.quotas, self.slack.as_ref());
-        self.buckets.retain(|name, _| quotas.contains_key(name));
         for (name, bucket) in &mut self.buckets {
             bucket.refill(now);
-            bucket.set_terms(Terms::new(&quotas[name], slack));
+            // A bucket without a quota stays, so that the quota does not begin anew if it comes back.
+            if let Some(quota) = self.quotas.get(name) {
+                bucket.set_terms(Terms::new(quota, self.slack.as_ref()));
+            }
         }
         self.open_buckets(now);
     }
@@ -110,13 +111,14 @@
         self.open_buckets(now);
     }
 
-    /// Opens the missing buckets of the shards in which this process acts.
+    /// Opens the missing buckets of the shards in which this process acts. Nobody has granted from them
+    /// since the tenure began, so they have been filling since then.
     fn open_buckets(&mut self, now: Duration) {
         for (name, quota) in &self.quotas {
             let tenure = acting(&self.tenures, now, name);
             if let Some(tenure) = tenure.filter(|_| !self.buckets.contains_key(name)) {
                 let terms = Terms::new(quota, self.slack.as_ref());
-                let bucket = Bucket::new(now, terms, tenure.fence);
+                let bucket = Bucket::new(tenure.from, terms, tenure.fence);
                 self.buckets.insert(name.clone(), bucket);
                 self.opened.push(name.clone());
             }
@@ -126,6 +128,7 @@
     /// Answers a request for units; `None` if this process may not grant them now.
     pub fn on_ask(&mut self, now: Duration, sender: &Sender, ask: &Ask) -> Option<Answer> {
         acting(&self.tenures, now, &ask.workspace)?;
+        self.quotas.get(&ask.workspace)?;
         if !self.buckets.contains_key(&ask.workspace) {
             self.open_buckets(now);
         }
@@ -175,7 +178,8 @@
     #[must_use]
     pub fn levels(&self, now: Duration) -> Vec<Level> {
         let buckets = self.buckets.iter();
-        let held = buckets.filter(|(name, _)| self.is_acting(now, name));
+        let held = buckets
+            .filter(|(name, _)| self.quotas.contains_key(*name) && self.is_acting(now, name));
         let levels = held.map(|(name, bucket)| Level {
             workspace: name.clone(),
             level: bucket.level_at(now),
@@ -193,12 +197,12 @@
 }
 
 impl Bucket {
-    fn new(now: Duration, terms: Terms, fence: Fence) -> Self {
+    fn new(from: Duration, terms: Terms, fence: Fence) -> Self {
         Self {
             level: -terms.debt,
             terms,
             fence,
-            updated_at: now,
+            updated_at: from,
             grants: VecDeque::new(),
             returnable: 0.0,
             answers: BTreeMap::new(),
--- a/tests/gateway/quota_sides.rs
+++ b/tests/gateway/quota_sides.rs
@@ -5,6 +5,7 @@
 use poplarseam::decide::quota::grantor::{Grantor, Sender};
 use poplarseam::decide::quota::requester::{Claim, Refusal, Requester, Taken};
 use poplarseam::decide::quota::{Answer, Ask, Return, Tenure, Terms, expiry};
+use poplarseam::world::deployment::QuotaSlack;
 use poplarseam::world::shard::Shard;
 use poplarseam::world::unit::{Fence, Incarnation, Rate, Tokens};
 use poplarseam::world::workspace::{Quota, Unit};
@@ -177,6 +178,35 @@
     assert_eq!(granted(&mut grantor, 20_000, 3, &[18_000]), Some(18_000));
 }
 
+/// Guards against a workspace that is refused at first because it was added late, and against one that
+/// has its burst again because it was removed and added again.
+#[test]
+fn a_workspace_is_filled_since_the_tenure_began_and_once() {
+    let mut grantor = grantor(4_200.0, 60_000);
+    let quotas = [(WORKSPACE.into(), quota(4_200.0))];
+    grantor.on_quotas(ms(100), [].into());
+    grantor.on_tenures(ms(200), vec![tenure(2, 200, 60_000)]);
+    assert_eq!(granted(&mut grantor, 30_000, 1, &[1]), None);
+    grantor.on_quotas(ms(30_000), quotas.clone().into());
+    assert_eq!(granted(&mut grantor, 30_000, 1, &[21_200]), Some(21_200));
+    grantor.on_quotas(ms(30_010), [].into());
+    assert_eq!(granted(&mut grantor, 30_010, 2, &[1]), None);
+    grantor.on_quotas(ms(30_020), quotas.into());
+    assert_eq!(granted(&mut grantor, 30_020, 2, &[85]), Some(0));
+}
+
+/// Guards against grants that expire before they arrive where the settings allow for no overage.
+#[test]
+fn the_shortest_expiry_is_paid_with_extra_units() {
+    let slack = QuotaSlack {
+        overage: 0.0,
+        ..SLACK
+    };
+    let terms = Terms::new(&quota(10_000.0), Some(&slack));
+    assert_eq!(terms.expiry, ms(200));
+    assert!(close(terms.capacity + terms.debt, 10_000.0 + 15_000.0));
+}
+
 /// Without stated bounds, one request of any size may be in debt.
 #[test]
 fn without_stated_bounds_a_level_above_zero_covers_one_request() {
