Take units of quotas before requests are first sent

Each instance served a workspace without regard to what the others serve.

Change: `gateway::quota` takes units before the first send and before a request is passed on, puts them back if no server may have run it, and exchanges them with the lease holders in gossip fields 30 to 32. `Lead.grants_quotas` states that a holder grants. The placer announces to its own traffic thread in which times it may act as holder (`Tenure`). Refusals over the quota are 429. Nothing is sent without quotas in the configuration.

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -87,6 +87,7 @@
         "budgets": &*traffic.budgets.borrow(),
         "quarantine": traffic.quarantine.borrow().entries().map(|(parts, _)| parts).collect::<Vec<_>>(),
         "software": software_dump(traffic),
+        "quotas": traffic.quotas.dump(traffic.clock.now()),
         "paths": *traffic.reach.borrow(),
         "streams": traffic.origins.borrow().stream_count(),
         "limits": balance.limits().active().collect::<BTreeMap<_, _>>(),
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -144,6 +144,10 @@
                 self.traffic.on_unreached(&self.need.service, &worker);
                 return Attempt::NotRun;
             }
+            if !self.may_use_units() {
+                self.note("units_expired", json!({"server": worker}));
+                return Attempt::Unreachable;
+            }
             let outgoing_request = self.outgoing_request(&worker, last_event);
             match channel.send(outgoing_request).await {
                 Ok(response) => {
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -57,15 +57,19 @@
                 .traffic
                 .choose_carrier(service, &tried, self.need.draw)?;
             tried.push(peer);
+            self.set_may_have_run(true);
             let passed = self.pass_to(peer, hop, last_event).await;
             let outcome = match &passed {
                 Passed::Ended(Outcome::Stream(_) | Outcome::Complete(_)) => "carried",
-                Passed::Ended(Outcome::Refused { .. }) => "refused",
+                Passed::Ended(Outcome::Refused { .. } | Outcome::OverQuota { .. }) => "refused",
                 Passed::Ended(Outcome::Unknown { .. }) => "unknown",
                 Passed::Ended(Outcome::TimedOut) => "late",
                 Passed::Declined => "declined",
                 Passed::Unreachable => "unreachable",
             };
+            let has_run = self.attempts.borrow().has_run()
+                || !matches!(outcome, "refused" | "declined" | "unreachable");
+            self.set_may_have_run(has_run);
             self.traffic.metrics.on_detour(outcome);
             let values = json!({"peer": peer, "service": service, "outcome": outcome});
             self.note("detour", values);
@@ -109,6 +113,9 @@
         let Ok(mut channel) = channel::connect(peer).await else {
             return Passed::Unreachable;
         };
+        if !self.may_use_units() {
+            return Passed::Unreachable;
+        }
         let request = self.request_for_carrier(hop, last_event);
         match channel.send(request).await {
             Ok(response) => self.handle_carried(response, channel).await,
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -4,6 +4,7 @@
 use crate::common::*;
 use crate::decide::notice::Process;
 use crate::decide::quarantine::Parts;
+use crate::decide::quota::Tenure;
 use crate::decide::roster::Change;
 use crate::decide::speed::Speeds;
 use crate::wire::generated_gossip::{Batch, Gossip, Holding, Job, Lead};
@@ -166,6 +167,9 @@
     pub jobs: Vec<Job>,
     /// Notices from workers' responses to orders and report requests; for this instance only.
     pub notices: Vec<(id::Worker, Incarnation, Notice)>,
+    /// Times in which this instance may act as holder of its shards and an earlier holder no longer
+    /// can; for this instance only.
+    pub tenures: Vec<Tenure>,
 }
 
 /// A call that the store thread makes for another thread.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,6 +6,7 @@
 use super::detour::{NO_PATH, UNREACHABLE_BEFORE_DETOUR};
 use super::in_flight::Guard;
 use super::origins::Binding;
+use super::quota::Hold;
 use super::relay::Relay;
 use super::reply;
 use super::traffic::Traffic;
@@ -68,6 +69,8 @@
     pub need: Need,
     /// Workspace of the caller; `None` on public routes and if every caller is served.
     pub workspace: Option<Arc<Workspace>>,
+    /// Units of the workspace's quota that the request has taken.
+    pub units: RefCell<Option<Hold>>,
     pub attempts: RefCell<Attempts>,
     /// Software version at which the stream may go on.
     pub binding: RefCell<Binding>,
@@ -103,6 +106,11 @@
         cause: &'static str,
         retry_after: Duration,
     },
+    /// The request did not run, since the quota of its workspace is used up.
+    OverQuota {
+        cause: &'static str,
+        retry_after: Duration,
+    },
     /// The request may have run.
     Unknown {
         cause: &'static str,
@@ -184,11 +192,13 @@
                 };
             }
             let is_lost = self.has_no_path() || unreachable >= UNREACHABLE_BEFORE_DETOUR;
-            if is_lost
-                && std::mem::take(&mut may_detour)
-                && let Some(outcome) = self.detour(last_event).await
-            {
-                return outcome;
+            if is_lost && std::mem::take(&mut may_detour) {
+                if let Err(refused) = self.take_units().await {
+                    return refused;
+                }
+                if let Some(outcome) = self.detour(last_event).await {
+                    return outcome;
+                }
             }
             let (worker, expected) = match self.wait_for_worker(may_detour).await {
                 Ok(chosen) => chosen,
@@ -208,22 +218,14 @@
                     return failed.map_or(Outcome::Unknown { cause }, Outcome::Complete);
                 }
             };
-            if self.attempts.borrow().is_unsent() {
-                if !self.route.repeat.is_stream() && !self.traffic.memory.borrow().admits() {
-                    return refused("answers fill memory");
-                }
-                if let Some(retry_after) = self.overload_retry_after(expected) {
-                    return Outcome::Refused {
-                        cause: "busy",
-                        retry_after,
-                    };
-                }
-                self.traffic.on_first_send(&self.need.service);
+            if let Err(refused) = self.admit(expected).await {
+                return refused;
             }
             let may_try_another =
                 self.route.repeat.is_allowed() && self.attempts.borrow().may_move_from(&worker);
             self.attempts.borrow_mut().on_sent(&worker);
             self.traffic.on_sent(|| self.parts());
+            self.set_may_have_run(true);
             let attempt = self
                 .attempt(&worker, expected, last_event, may_try_another)
                 .await;
@@ -231,6 +233,7 @@
             if !matches!(attempt, Attempt::NotRun | Attempt::Unreachable) {
                 self.attempts.borrow_mut().on_possible_run(&worker);
             }
+            self.set_may_have_run(self.attempts.borrow().has_run());
             if matches!(attempt, Attempt::Unknown(BROKEN | CUT)) {
                 self.on_broken(&worker, None);
             }
@@ -265,6 +268,27 @@
         }
     }
 
+    /// Checks before a send whether the request may run, and takes the units of its quota.
+    async fn admit(&self, expected: f64) -> Result<(), Outcome> {
+        let is_unsent = self.attempts.borrow().is_unsent();
+        if is_unsent {
+            if !self.route.repeat.is_stream() && !self.traffic.memory.borrow().admits() {
+                return Err(refused("answers fill memory"));
+            }
+            if let Some(retry_after) = self.overload_retry_after(expected) {
+                return Err(Outcome::Refused {
+                    cause: "busy",
+                    retry_after,
+                });
+            }
+        }
+        self.take_units().await?;
+        if is_unsent {
+            self.traffic.on_first_send(&self.need.service);
+        }
+        Ok(())
+    }
+
     /// Takes one retry from the budget; returns whether there was one.
     pub(super) fn try_take_retry(&self, cause: &str) -> bool {
         let service = &self.need.service;
@@ -421,11 +445,14 @@
                 (reply::refusal(&self.request.id, cause, retry_after), cause)
             }
             Outcome::Refused { cause, retry_after } => {
-                let spread = xxh3_64(self.request.id.as_bytes()) % 1_000;
-                let retry_after =
-                    retry_after.mul_f64(1.0 + f64::from(u32::try_from(spread).unwrap_or(0)) / 1e3);
+                let retry_after = self.spread_out(retry_after);
                 (reply::refusal(&self.request.id, cause, retry_after), cause)
             }
+            Outcome::OverQuota { cause, retry_after } => {
+                let retry_after = self.spread_out(retry_after);
+                let response = reply::over_quota(&self.request.id, cause, retry_after);
+                (response, cause)
+            }
             Outcome::Unknown { cause } => (self.problem(StatusCode::BAD_GATEWAY, cause), cause),
             Outcome::TimedOut => (self.problem(StatusCode::GATEWAY_TIMEOUT, "late"), "late"),
         };
@@ -445,6 +472,12 @@
         response
     }
 
+    /// Returns a Retry-After that is longer by up to as much again, depending on the request's id.
+    fn spread_out(&self, retry_after: Duration) -> Duration {
+        let spread = xxh3_64(self.request.id.as_bytes()) % 1_000;
+        retry_after.mul_f64(1.0 + f64::from(u32::try_from(spread).unwrap_or(0)) / 1e3)
+    }
+
     /// Relays a stream; returns an error response if the stream breaks off before its first
     /// bytes.
     async fn relay_stream(self: &Rc<Self>, stream: Stream) -> (Response<Body>, &'static str) {
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -8,7 +8,7 @@
 use super::ingress::Door;
 use super::journal::Journal;
 use super::traffic::{Tier, Traffic};
-use super::{admin, gossip, ingress, notices, origins, placer, quarantine, store};
+use super::{admin, gossip, ingress, notices, origins, placer, quarantine, quota, store};
 use crate::common::*;
 use crate::decide::shutdown::Shutdown;
 use crate::node::clock::{Clock, incarnation};
@@ -191,6 +191,7 @@
         Rc::clone(&traffic),
         Rc::clone(&socket),
     ));
+    spawn_local(quota::run(Rc::clone(&traffic), Rc::clone(&socket)));
     spawn_local(gossip::forward_announcements(
         Rc::clone(&traffic),
         socket,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -240,7 +240,7 @@
             .holdings
             .chunks(MAX_HOLDINGS_PER_DATAGRAM)
             .collect::<Vec<_>>();
-        if parts.is_empty() {
+        if parts.is_empty() && !announcement.leads.is_empty() {
             parts.push(&[]);
         }
         for part in parts {
@@ -267,7 +267,7 @@
     send(traffic, socket, kind, &gossip, &traffic.relays()).await;
 }
 
-async fn send(
+pub(super) async fn send(
     traffic: &Traffic,
     socket: &UdpSocket,
     kind: &'static str,
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -298,6 +298,7 @@
         route,
         need,
         workspace: None,
+        units: RefCell::default(),
         arrived,
         deadline,
     })
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of a gateway.
 
+use crate::decide::quota::requester::Totals;
 use crate::decide::reach::Change;
 use crate::world::id;
 use prometheus_client::encoding::text::encode;
@@ -28,6 +29,7 @@
     take_ups: Family<Labels, Counter>,
     paths: Family<Labels, Counter>,
     detours: Family<Labels, Counter>,
+    quotas: QuotaMetrics,
     /// Requests whose callers left before their answers began.
     pub callers_left: Counter,
     /// How late the timer of the traffic thread fires.
@@ -109,6 +111,7 @@
                 "detours",
                 "Requests that were passed to another instance, by outcome",
             ),
+            quotas: QuotaMetrics::new(&mut registry),
             callers_left: counter(
                 &mut registry,
                 "callers_left",
@@ -119,11 +122,10 @@
                 "timer_delay_seconds",
                 "Delay with which the periodic timer of the traffic thread fires",
             ),
-            quarantined: register(
+            quarantined: gauge(
                 &mut registry,
                 "quarantined",
                 "Sets of prompt parts in quarantine",
-                Gauge::default(),
             ),
             first_byte: histogram(
                 &mut registry,
@@ -145,6 +147,30 @@
     }
 }
 
+/// Counters of workspaces' quotas.
+#[derive(Debug)]
+struct QuotaMetrics {
+    units: Family<Labels, Counter>,
+    refusals: Family<Labels, Counter>,
+}
+
+impl QuotaMetrics {
+    fn new(registry: &mut Registry) -> Self {
+        Self {
+            units: family(
+                registry,
+                "quota_units",
+                "Units granted here, and units received, used, put back, returned or expired here",
+            ),
+            refusals: family(
+                registry,
+                "quota_refusals",
+                "Requests refused for lack of units, by workspace and cause",
+            ),
+        }
+    }
+}
+
 /// Registers a set of counters and returns it.
 fn family(registry: &mut Registry, name: &str, help: &str) -> Family<Labels, Counter> {
     register(registry, name, help, Family::default())
@@ -161,6 +187,11 @@
     register(registry, name, help, Counter::default())
 }
 
+/// Registers a gauge and returns it.
+fn gauge(registry: &mut Registry, name: &str, help: &str) -> Gauge {
+    register(registry, name, help, Gauge::default())
+}
+
 /// Registers a metric and returns it.
 fn register<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
     registry.register(name, help, metric.clone());
@@ -245,6 +276,32 @@
         self.detours.get_or_create(&labels).inc();
     }
 
+    /// Counts units of quotas.
+    pub fn on_quota_units(&self, kind: &'static str, units: u64) {
+        let labels = vec![("kind", kind.into())];
+        self.quotas.units.get_or_create(&labels).inc_by(units);
+    }
+
+    /// Counts what became of units that this instance asked for.
+    pub fn on_quota_totals(&self, totals: Totals) {
+        let kinds = [
+            ("received", totals.granted),
+            ("used", totals.used),
+            ("put_back", totals.put_back),
+            ("returned", totals.returned),
+            ("expired", totals.expired),
+        ];
+        for (kind, units) in kinds.into_iter().filter(|(_, units)| *units > 0) {
+            self.on_quota_units(kind, units);
+        }
+    }
+
+    /// Counts a request that was refused for lack of units.
+    pub fn on_quota_refusal(&self, workspace: &str, cause: &'static str) {
+        let labels = vec![("workspace", workspace.into()), ("cause", cause.into())];
+        self.quotas.refusals.get_or_create(&labels).inc();
+    }
+
     /// Counts the bytes of datagrams to other instances.
     pub fn on_gossip(&self, kind: &'static str, bytes: u64) {
         let labels = vec![("kind", kind.into())];
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -33,6 +33,9 @@
             log::debug!("datagram of this instance itself ignored: a peer sent it back");
             return false;
         }
+        if self.on_quota_gossip(&gossip, sender.address) {
+            return false;
+        }
         let observation = self.topology.borrow_mut().on_datagram(now, &sender);
         if observation.freshness == Freshness::OlderIncarnation {
             return true;
@@ -156,12 +159,15 @@
     }
 
     fn on_leads(&self, now: Duration, leads: &[Lead], address: Option<SocketAddr>) {
-        let holder = Holder {
-            last_heard_at: now,
-            address,
-        };
         let mut holders = self.holders.borrow_mut();
-        holders.extend(leads.iter().map(|lead| (Shard(lead.shard), holder)));
+        holders.extend(leads.iter().map(|lead| {
+            let holder = Holder {
+                last_heard_at: now,
+                address,
+                grants_quotas: lead.grants_quotas,
+            };
+            (Shard(lead.shard), holder)
+        }));
     }
 
     fn on_holdings(&self, holdings: &[Holding]) {
@@ -186,6 +192,7 @@
         let now = self.clock.now();
         self.update_subscription(now);
         self.on_leads(now, &announcement.leads, None);
+        self.on_tenures(&announcement.tenures);
         self.on_holdings(&announcement.holdings);
         for (worker, boot, notice) in &announcement.notices {
             self.on_notice(worker, *boot, *notice);
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -12,6 +12,7 @@
 use crate::decide::fleet::{Fleet, Task};
 use crate::decide::lease::{Action, Lease, Timing};
 use crate::decide::planner;
+use crate::decide::quota::Tenure;
 use crate::decide::retry::backoff;
 use crate::decide::roster::Change;
 use crate::decide::tally::Source;
@@ -76,6 +77,8 @@
     lease: Lease,
     /// No orders are given before this time, since the former holder's may still arrive.
     orders_from: Duration,
+    /// Time from which no earlier holder can act, by its own clock.
+    acts_from: Duration,
     was_holder: bool,
     /// When another holder was last announced; if none was, when this instance last gained or lost
     /// the lease, or zero.
@@ -101,6 +104,7 @@
     announced_revisions: BTreeMap<id::Worker, u64>,
     announced_all_at: Duration,
     announced_leases_at: Duration,
+    announced_tenures: Vec<Tenure>,
     demand_logged_at: Duration,
     /// Notices from workers since the last announcement.
     notices: Vec<(id::Worker, Incarnation, Notice)>,
@@ -198,6 +202,7 @@
                 shard,
                 lease: Lease::new(key, instance, incarnation, timing),
                 orders_from: Duration::ZERO,
+                acts_from: Duration::ZERO,
                 was_holder: false,
                 holder_heard_at: Duration::ZERO,
                 polled_at: Duration::ZERO,
@@ -215,6 +220,7 @@
             announced_revisions: BTreeMap::new(),
             announced_all_at: Duration::ZERO,
             announced_leases_at: Duration::ZERO,
+            announced_tenures: Vec::new(),
             demand_logged_at: Duration::ZERO,
             notices: Vec::new(),
             is_stopping: false,
@@ -334,6 +340,7 @@
         shard_state.holder_heard_at = now;
         if is_holder {
             let former_holder = shard_state.lease.previous_holder();
+            shard_state.acts_from = former_holder.map_or(now, |(_, until)| now.max(until));
             shard_state.orders_from =
                 former_holder.map_or(now, |(_, until)| now.max(until + lease));
             self.fleet
@@ -407,22 +414,35 @@
             self.announced_all_at = now;
             self.announced_revisions.clear();
         }
-        let announces_leases = now >= self.announced_leases_at + LEASE_ANNOUNCEMENT_INTERVAL;
+        let tenures = self.tenures(now);
+        let has_new_tenures = tenures != self.announced_tenures;
+        let announced = &self.announced_tenures;
+        let is_known = |tenure: &Tenure| {
+            let mut known = announced.iter().filter(|it| it.shard == tenure.shard);
+            known.any(|it| it.fence == tenure.fence)
+        };
+        let announces_leases = now >= self.announced_leases_at + LEASE_ANNOUNCEMENT_INTERVAL
+            || !tenures.iter().all(is_known);
+        self.announced_tenures.clone_from(&tenures);
         if announces_leases {
             self.announced_leases_at = now;
         }
         let holdings = self.holdings(now);
         let notices = std::mem::take(&mut self.notices);
-        if !announces_leases && holdings.is_empty() && jobs.is_empty() && notices.is_empty() {
+        let is_for_peers =
+            announces_leases || !(holdings.is_empty() && jobs.is_empty() && notices.is_empty());
+        if !is_for_peers && !has_new_tenures {
             return None;
         }
-        let leads = self.shards.iter().filter_map(|shard_state| {
+        let shards = self.shards.iter().filter(|_| is_for_peers);
+        let leads = shards.filter_map(|shard_state| {
             let version = shard_state.lease.version()?;
             Some(Lead {
                 shard: shard_state.shard.0,
                 version: version.number,
                 era: version.era.map(|era| era.0),
                 fence: shard_state.lease.fence(now)?.0,
+                grants_quotas: true,
             })
         });
         let announcement = Announcement {
@@ -430,14 +450,30 @@
             holdings,
             jobs: jobs.iter().map(announcements::encode_job).collect(),
             notices,
+            tenures,
         };
         let is_empty = announcement.leads.is_empty()
             && announcement.holdings.is_empty()
             && announcement.jobs.is_empty()
-            && announcement.notices.is_empty();
+            && announcement.notices.is_empty()
+            && !has_new_tenures;
         (!is_empty).then_some(announcement)
     }
 
+    /// Returns the times in which this instance may act as holder of its shards.
+    fn tenures(&self, now: Duration) -> Vec<Tenure> {
+        let shards = self.shards.iter().filter(|_| !self.is_stopping);
+        let tenures = shards.filter_map(|shard_state| {
+            Some(Tenure {
+                shard: shard_state.shard,
+                fence: shard_state.lease.fence(now)?,
+                from: shard_state.acts_from,
+                until: shard_state.lease.acts_until(now)?,
+            })
+        });
+        tenures.collect()
+    }
+
     fn holdings(&mut self, now: Duration) -> Vec<Holding> {
         let mut announced = std::mem::take(&mut self.announced_revisions);
         let mut holdings = Vec::new();
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -24,7 +24,22 @@
 /// Builds a refusal: the request did not run, and the caller may retry.
 #[must_use]
 pub fn refusal(id: &str, cause: &str, retry_after: Duration) -> Response<Body> {
-    let mut response = problem(id, StatusCode::SERVICE_UNAVAILABLE, cause);
+    refusal_with(StatusCode::SERVICE_UNAVAILABLE, id, cause, retry_after)
+}
+
+/// Builds the refusal of a request beyond its workspace's quota.
+#[must_use]
+pub fn over_quota(id: &str, cause: &str, retry_after: Duration) -> Response<Body> {
+    refusal_with(StatusCode::TOO_MANY_REQUESTS, id, cause, retry_after)
+}
+
+fn refusal_with(
+    status: StatusCode,
+    id: &str,
+    cause: &str,
+    retry_after: Duration,
+) -> Response<Body> {
+    let mut response = problem(id, status, cause);
     let seconds = format!("{:.2}", retry_after.as_secs_f64());
     if let Ok(seconds) = seconds.parse() {
         response.headers_mut().insert("retry-after", seconds);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -7,6 +7,7 @@
 use super::metrics::Metrics;
 use super::origins::Binding;
 use super::pool::Pool;
+use super::quota::Quotas;
 use crate::common::*;
 use crate::decide::balance::{Balancer, Need};
 use crate::decide::carrier::Carriers;
@@ -88,6 +89,7 @@
     /// Memory of the answers that are held in full.
     pub(super) memory: RefCell<Memory>,
     pub(super) quarantine: RefCell<Quarantine>,
+    pub(super) quotas: Quotas,
     pub(super) reach: RefCell<Reach>,
     pub(super) carriers: RefCell<Carriers>,
     pub(super) origins: RefCell<Origins>,
@@ -188,6 +190,8 @@
     pub last_heard_at: Duration,
     /// None if this instance is the holder.
     pub address: Option<SocketAddr>,
+    /// Whether it grants units of quotas, which earlier releases do not.
+    pub grants_quotas: bool,
 }
 
 impl Holder {
@@ -212,6 +216,7 @@
         let balance = Balancer::new(&deployment);
         let topology = RefCell::new(Topology::new(&deployment));
         let spread = deployment.spread();
+        let quotas = Quotas::new(&deployment.bounds);
         Rc::new(Self {
             deployment,
             clock,
@@ -236,6 +241,7 @@
             checked_servers: RefCell::default(),
             memory: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(seed)),
+            quotas,
             reach: RefCell::default(),
             carriers: RefCell::default(),
             origins: RefCell::new(Origins::new(seed)),
@@ -582,6 +588,7 @@
             json!({"version": site.version, "routes": site.routes.len(), "from_peer": peer});
         self.journal.note("configuration", &values);
         self.balance.borrow_mut().on_site(&site);
+        self.on_quota_site(&site);
         self.notify_placer(PlacerEvent::Site(Arc::clone(&site)));
         *self.site.borrow_mut() = Some(site);
         *self.raw_site.borrow_mut() = written;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -98,6 +98,7 @@
     pub mod list;
     pub mod origin;
     pub mod quarantine;
+    pub(crate) mod quota;
     pub mod token;
 }
 
@@ -139,6 +140,7 @@
     mod placer;
     mod pool;
     mod quarantine;
+    mod quota;
     mod registration;
     mod relay;
     mod reply;
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -90,9 +90,7 @@
 
 fn decode_generation(headers: &HeaderMap) -> Option<Generation> {
     let target = header_text(headers, MODEL)?.parse().ok()?;
-    let (prompt, output) = header_text(headers, TOKENS)
-        .and_then(|text| text.split_once(','))
-        .unwrap_or_default();
+    let (prompt, output) = token_counts(headers).unwrap_or_default();
     let parts = header_text(headers, PARTS).unwrap_or_default();
     Some(Generation {
         target,
@@ -102,6 +100,17 @@
     })
 }
 
+/// Returns the prompt and output tokens that a caller's request states, if it states them.
+#[must_use]
+pub fn decode_usage(headers: &HeaderMap) -> Option<Tokens> {
+    let (prompt, output) = token_counts(headers)?;
+    Some(parse_tokens(prompt).plus(parse_tokens(output)))
+}
+
+fn token_counts(headers: &HeaderMap) -> Option<(&str, &str)> {
+    header_text(headers, TOKENS)?.split_once(',')
+}
+
 fn parse_part(text: &str) -> Option<Part> {
     let (id, count) = text.trim().split_once(':')?;
     let id = id.parse().ok()?;
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -75,6 +75,61 @@
     /// from a sender that does not know eras.
     #[prost(uint64, optional, tag = "26")]
     pub era: ::core::option::Option<u64>,
+    /// Units of quotas that the sender wants of the receiver, which holds the workspaces' leases.
+    #[prost(message, repeated, tag = "30")]
+    pub quota_requests: ::prost::alloc::vec::Vec<QuotaRequest>,
+    /// Answers to the receiver's requests for units.
+    #[prost(message, repeated, tag = "31")]
+    pub quota_grants: ::prost::alloc::vec::Vec<QuotaGrant>,
+    /// Granted units that the sender does not need.
+    #[prost(message, repeated, tag = "32")]
+    pub quota_returns: ::prost::alloc::vec::Vec<QuotaReturn>,
+}
+/// A request for units of a workspace's quota.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuotaRequest {
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// Increases with each new request of one incarnation; a repeated request has the same number.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Units of each caller's request that waits, in order of arrival.
+    #[prost(uint64, repeated, tag = "3")]
+    pub needs: ::prost::alloc::vec::Vec<u64>,
+    /// Units for requests that are expected soon.
+    #[prost(uint64, tag = "4")]
+    pub ahead: u64,
+}
+/// Answer to a request for units.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuotaGrant {
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// Incarnation of the instance that sent the request, and the request's number.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    #[prost(uint64, tag = "4")]
+    pub units: u64,
+    /// Size of the first caller's request that is not covered; 0 if all are.
+    #[prost(uint64, tag = "5")]
+    pub unmet: u64,
+    /// Time until it may be covered.
+    #[prost(uint64, tag = "6")]
+    pub wait_ms: u64,
+}
+/// Granted units that are not needed.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QuotaReturn {
+    #[prost(string, tag = "1")]
+    pub workspace: ::prost::alloc::string::String,
+    /// Number of the request for them.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// All units of that grant returned so far.
+    #[prost(uint64, tag = "3")]
+    pub total: u64,
 }
 /// Streams that servers of one software version began.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -243,6 +298,9 @@
     /// a sender that does not know eras.
     #[prost(uint64, optional, tag = "4")]
     pub era: ::core::option::Option<u64>,
+    /// Whether the holder grants units of the quotas of the shard's workspaces.
+    #[prost(bool, tag = "5")]
+    pub grants_quotas: bool,
 }
 /// Models of a worker, as the holder of its lease knows them.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -59,6 +59,7 @@
             shard: 2,
             version: 12,
             fence: 3,
+            grants_quotas: true,
             era: Some(0),
         }],
         servers_version: 12,
