--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -14,8 +14,10 @@
 use crate::decide::balance::Need;
 use crate::platform::request;
 use crate::wire::hop::{Hop, Verdict};
+use crate::wire::key::digest;
 use crate::world::message::Request;
 use crate::world::site::{Limits, Site};
+use crate::world::workspace::Workspace;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -274,6 +276,7 @@
         .ok_or_else(|| reply::refusal(&request.id, "the route has no service", RETRY_AFTER))?;
     let body = read_body(traffic, &site, &request, body, time_allowed).await?;
     let deadline = arrived + time_allowed;
+    let workspace = key_workspace(&site, &head);
     let shutdown = traffic.shutdown.get();
     if shutdown.is_some_and(|shutdown| !shutdown.accepts(traffic.clock.now(), deadline)) {
         traffic.metrics.on_answer(503, "stopping");
@@ -297,13 +300,20 @@
         hop,
         route,
         need,
-        workspace: None,
+        workspace,
         units: RefCell::default(),
         arrived,
         deadline,
     })
 }
 
+/// Returns the workspace of the request's key; part A replaces this.
+fn key_workspace(site: &Site, head: &hyper::http::request::Parts) -> Option<Arc<Workspace>> {
+    let value = head.headers.get("authorization")?.to_str().ok()?;
+    let key = digest(value.strip_prefix("Token ")?.as_bytes());
+    site.workspaces.as_ref()?.of_key(&key).cloned()
+}
+
 fn need(site: &Site, request: &Request, route: &crate::world::site::Route) -> Option<Need> {
     let draw = xxh3_64(request.id.as_bytes());
     let fraction = f64::from(u32::try_from(draw >> 32).unwrap_or(0)) / f64::from(u32::MAX);
