--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -358,7 +358,8 @@
             "Zones": {"north-1": "north", "north-2": "north", "south-1": "south"},
             "Listen": {"Frontend": format!("{ip}:8000"), "Ready": format!("{ip}:8001")},
             "Bounds": {"GraceS": 8, "LeaseMs": 3000, "RetryBudgetRatio": 0.2, "BudgetExtra": 56,
-                "BudgetWindowS": 10, "CeilingWindowS": 5},
+                "BudgetWindowS": 10, "CeilingWindowS": 5, "QuotaWindowS": 8,
+                "QuotaOverage": 0.1, "QuotaSlack": 17_000},
             "Platform": {"Address": store},
         })
     }
