Expect no grants from a holder of an earlier build

Cause: the recorded datagram of an earlier build lacks `grants_quotas`, and the expected one had it since the field was added, so the test failed.

Change: the expected datagram states that the holder grants nothing.

--- a/tests/gateway/builds.rs
+++ b/tests/gateway/builds.rs
@@ -82,13 +82,14 @@
     }
 }
 
-/// Guards against versions of an earlier build that count as era 0.
+/// Guards against versions of an earlier build that count as era 0, and its holders as grantors.
 #[test]
 fn datagram_of_the_build_before_has_no_era() {
     let read = Gossip::decode(EARLIER_DATAGRAM).unwrap();
     let mut expected = datagram();
     expected.era = None;
     expected.leads[0].era = None;
+    expected.leads[0].grants_quotas = false;
     expected.batch.as_mut().unwrap().era = None;
     assert_eq!(read, expected);
     let mut eras = Eras::default();
