State the mean of the drawn tokens as it is

Cause: the comment said 2,400 on average; the drawn mean, derived from the distribution, is about 2,600, so the loads of the calm tests are some 9 % higher than their names.

Change: the comment only.

--- a/tests/gateway/quota.rs
+++ b/tests/gateway/quota.rs
@@ -32,7 +32,8 @@
     (quota.rate.0 * window + quota.burst) * (1.0 + SLACK.overage) + SLACK.extra
 }
 
-/// Draws the tokens of a request: 2,400 on average, 8,000 at most.
+/// Draws the tokens of a request: about 2,600 on average, somewhat more than the 2,400 from which
+/// loads are computed, and 8,000 at most.
 fn tokens(rng: &mut SmallRng) -> u64 {
     let draw: f64 = rng.random_range(f64::EPSILON..1.0);
     let drawn = 400.0 - 2_300.0 * draw.ln();
