--- a/src/gateway/access.rs
+++ b/src/gateway/access.rs
@@ -186,15 +186,21 @@
         newest.is_some() || self.site.workspaces.is_some()
     }
 
-    /// Returns how the request ends with this outcome: with a denial only if it has run at no server.
-    /// `failed` is a server's own response to it, if there was one.
+    /// Returns how the request ends with this outcome: with a denial or a refusal, which say that it has
+    /// not run, only if it has run at no server. `failed` is a server's own response to it, if there
+    /// was one.
     pub(super) fn end(&self, outcome: Outcome, failed: Option<Response<Body>>) -> Outcome {
-        match outcome {
-            Outcome::Denied(denial) if self.attempts.borrow().has_run() => {
-                let cause = denial.cause();
-                failed.map_or(Outcome::Unknown { cause }, Outcome::Complete)
-            }
-            outcome => outcome,
+        let cause = match &outcome {
+            Outcome::Denied(denial) => denial.cause(),
+            Outcome::Refused { cause, .. } | Outcome::OverQuota { cause, .. } => cause,
+            Outcome::Stream(_)
+            | Outcome::Complete(_)
+            | Outcome::Unknown { .. }
+            | Outcome::TimedOut => return outcome,
+        };
+        if !self.attempts.borrow().has_run() {
+            return outcome;
         }
+        failed.map_or(Outcome::Unknown { cause }, Outcome::Complete)
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -155,10 +155,15 @@
                 self.traffic.on_unreached(&self.need.service, &worker);
                 return Attempt::NotRun;
             }
-            let outgoing_request = match self.clearance() {
-                Ok(clearance) => self.outgoing_request(&worker, last_event, &clearance),
+            let clearance = match self.clearance() {
+                Ok(clearance) => clearance,
                 Err(denial) => return Attempt::Denied(denial),
             };
+            if !self.may_use_units() {
+                self.note("units_expired", json!({"server": worker}));
+                return Attempt::Unreachable;
+            }
+            let outgoing_request = self.outgoing_request(&worker, last_event, &clearance);
             match channel.send(outgoing_request).await {
                 Ok(response) => {
                     self.traffic.on_heard(&self.need.service, &worker);
--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -60,10 +60,11 @@
                 .traffic
                 .choose_carrier(service, &tried, self.need.draw)?;
             tried.push(peer);
+            self.set_may_have_run(true);
             let passed = self.pass_to(peer, hop, last_event).await;
             let outcome = match &passed {
                 Passed::Ended(Outcome::Stream(_) | Outcome::Complete(_)) => "carried",
-                Passed::Ended(Outcome::Refused { .. }) => "refused",
+                Passed::Ended(Outcome::Refused { .. } | Outcome::OverQuota { .. }) => "refused",
                 Passed::Ended(Outcome::Denied(_)) => "denied",
                 Passed::Ended(Outcome::Unknown { .. }) => "unknown",
                 Passed::Ended(Outcome::TimedOut) => "late",
@@ -71,6 +72,9 @@
                 Passed::KeyDeclined => "key declined",
                 Passed::Unreachable => "unreachable",
             };
+            let has_run = self.attempts.borrow().has_run()
+                || !matches!(outcome, "refused" | "declined" | "unreachable");
+            self.set_may_have_run(has_run);
             self.traffic.metrics.on_detour(outcome);
             let values = json!({"peer": peer, "service": service, "outcome": outcome});
             self.note("detour", values);
@@ -116,10 +120,14 @@
         let Ok(mut channel) = channel::connect(peer).await else {
             return Passed::Unreachable;
         };
-        let request = match self.clearance() {
-            Ok(clearance) => self.request_for_carrier(hop, last_event, &clearance),
+        let clearance = match self.clearance() {
+            Ok(clearance) => clearance,
             Err(denial) => return Passed::Ended(Outcome::Denied(denial)),
         };
+        if !self.may_use_units() {
+            return Passed::Unreachable;
+        }
+        let request = self.request_for_carrier(hop, last_event, &clearance);
         match channel.send(request).await {
             Ok(response) => self.handle_carried(response, channel).await,
             Err(mut error) => match error.take_message() {
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -359,6 +359,7 @@
         need,
         workspace,
         key,
+        units: RefCell::default(),
         arrived,
         deadline,
     })
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -9,6 +9,7 @@
 use super::metrics::Metrics;
 use super::origins::Binding;
 use super::pool::Pool;
+use super::quota::Quotas;
 use crate::common::*;
 use crate::decide::balance::{Balancer, Need};
 use crate::decide::carrier::Carriers;
@@ -92,6 +93,7 @@
     /// Memory of the requests and answers that are held in full.
     pub(super) memory: RefCell<Memory>,
     pub(super) quarantine: RefCell<Quarantine>,
+    pub(super) quotas: Quotas,
     pub(super) reach: RefCell<Reach>,
     pub(super) carriers: RefCell<Carriers>,
     pub(super) origins: RefCell<Origins>,
@@ -202,6 +204,8 @@
     pub last_heard_at: Duration,
     /// None if this instance is the holder.
     pub address: Option<SocketAddr>,
+    /// Whether it grants units of quotas, which earlier releases do not.
+    pub grants_quotas: bool,
 }
 
 impl Holder {
@@ -229,6 +233,7 @@
         let proofs = Proofs::new(&deployment, incarnation);
         let callers = Rc::new(Callers::new(&deployment, clock));
         let memory = RefCell::new(Memory::new(deployment.machine.memory));
+        let quotas = Quotas::new(&deployment.bounds);
         Rc::new(Self {
             deployment,
             clock,
@@ -254,6 +259,7 @@
             callers,
             memory,
             quarantine: RefCell::new(Quarantine::new(seed)),
+            quotas,
             reach: RefCell::default(),
             carriers: RefCell::default(),
             origins: RefCell::new(Origins::new(seed)),
@@ -604,6 +610,7 @@
             json!({"version": site.version, "routes": site.routes.len(), "from_peer": peer});
         self.journal.note("configuration", &values);
         self.balance.borrow_mut().on_site(&site);
+        self.on_quota_site(&site);
         self.notify_placer(PlacerEvent::Site(Arc::clone(&site)));
         *self.site.borrow_mut() = Some(site);
         *self.raw_site.borrow_mut() = written;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
     pub mod progress;
     pub mod quarantine;
     pub mod queue;
+    pub mod quota;
     pub mod reach;
     pub mod retry;
     pub mod rollout;
@@ -101,6 +102,7 @@
     pub mod list;
     pub mod origin;
     pub mod quarantine;
+    pub(crate) mod quota;
     pub mod token;
 }
 
@@ -146,6 +148,7 @@
     mod placer;
     mod pool;
     mod quarantine;
+    mod quota;
     mod registration;
     mod relay;
     mod reply;
