Multiply the expected time of work by the pace that servers state

Servers share their machines, so the same work takes up to several times as long from one moment to the next. The learned slowness follows far too slowly for that. The fourth figure of the load header states the pace; the balancer ignored it.

The balancer keeps the newest pace of each server and an average weighted by time. The expected time of reading, steps and plain services is multiplied by it. Since an answer is measured against that expected time, the slowness and the learned reading speeds only learn what the pace does not explain; the service time of plain services is learned at the usual pace. A server that never stated a pace has the factor 1.

--- a/src/decide/balance/answers.rs
+++ b/src/decide/balance/answers.rs
@@ -86,7 +86,8 @@
     }
 
     /// Updates the learned speeds from the measured and the expected time to first byte. `model` is
-    /// the model that read the prompt.
+    /// the model that read the prompt. The expected time contains the pace of the server at that
+    /// time, so that `slowness` learns only what the pace does not explain.
     pub fn on_served(
         &mut self,
         worker: &id::Worker,
@@ -101,7 +102,9 @@
         view.failures *= 1.0 - ANSWER_WEIGHT;
         view.unreachable_count = 0;
         view.backoff_until = Duration::ZERO;
-        view.service_time += ANSWER_WEIGHT * (elapsed - view.service_time);
+        // The head of this answer stated the pace, so the service time is that of the usual pace.
+        let usual = elapsed / view.pace.newest();
+        view.service_time += ANSWER_WEIGHT * (usual - view.service_time);
         let ratio = (elapsed / expected_seconds.max(0.001)).clamp(0.2, 5.0);
         let average = view.slowness.powf(1.0 - SLOWNESS_DECAY);
         let slowness = average * (1.0 - ANSWER_WEIGHT + ANSWER_WEIGHT * ratio);
@@ -115,6 +118,18 @@
     pub fn on_load(&mut self, now: Duration, worker: &id::Worker, load: Load) {
         if let Some(view) = self.views.get_mut(worker) {
             view.reported = Some((now, load));
+            if let Some(pace) = load.pace {
+                view.pace.on_stated(now, pace);
+            }
+        }
+    }
+
+    /// Records the interval between two events of a stream from a server, which shows its pace. An
+    /// interval in which this instance waits for a prompt to be read there is ignored.
+    pub fn on_event_interval(&mut self, now: Duration, worker: &id::Worker, interval: Duration) {
+        let view = self.views.get_mut(worker);
+        if let Some(view) = view.filter(|view| view.own.reading_us == 0) {
+            view.pace.on_interval(now, interval);
         }
     }
 
--- a/src/decide/balance/view.rs
+++ b/src/decide/balance/view.rs
@@ -3,6 +3,7 @@
 use crate::common::*;
 use crate::decide::brittle::Exposure;
 use crate::decide::limit::Timestamps;
+use crate::decide::pace::Pace;
 use crate::world::backend::Backend;
 use crate::world::id;
 use crate::world::message::{Load, Target};
@@ -79,7 +80,10 @@
     /// Learned factor by which the server is slower than an average one; corrected with each answer
     /// by the ratio of the measured to the expected time to first byte.
     pub slowness: f64,
-    /// Average seconds that a plain service takes for a request.
+    /// Pace that the server states in its answers.
+    #[serde(skip)]
+    pub(super) pace: Pace,
+    /// Average seconds that a plain service takes for a request at the usual pace.
     pub(super) service_time: f64,
     /// Moving average of the failure rate, in `0..1`.
     pub(super) failures: f64,
@@ -108,6 +112,7 @@
             heard_at: None,
             closing: BTreeSet::new(),
             slowness: 1.0,
+            pace: Pace::default(),
             service_time: INITIAL_SERVICE_SECONDS,
             failures: 0.0,
             backoff_until: Duration::ZERO,
@@ -124,6 +129,12 @@
         fresh.fold(self.own, |sum, (_, peer)| sum.plus(peer))
     }
 
+    /// Returns the factor by which work at the server takes longer now than usual.
+    #[must_use]
+    pub fn pace(&self, now: Duration) -> f64 {
+        self.pace.effective(now)
+    }
+
     pub(super) fn on_peer(&mut self, now: Duration, peer: &id::Instance, running: Workload) {
         match self.peers.get_mut(peer) {
             Some(known) => *known = (now, running),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -58,6 +58,7 @@
     pub mod notice;
     pub mod orders;
     pub mod origin;
+    pub mod pace;
     pub mod place;
     pub mod planner;
     pub mod pool;
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -3,7 +3,8 @@
 use crate::common::*;
 use crate::world::id;
 use crate::world::message::{
-    Answer, Generation, Load, MaxRejections, Notice, Outcome, Part, Request, TakeUp,
+    Answer, Generation, Load, MAX_PACE, MIN_PACE, MaxRejections, Notice, Outcome, Part, Request,
+    TakeUp,
 };
 use crate::world::unit::{Rate, Tokens};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -306,9 +307,17 @@
     Some(Load {
         running: numbers.next()??,
         waiting: numbers.next()??,
+        pace: text.split(',').nth(3).and_then(parse_pace),
     })
 }
 
+/// Parses the time that work takes at a server, in percent of the usual time.
+fn parse_pace(text: &str) -> Option<f64> {
+    let percent: f64 = text.trim().parse().ok()?;
+    let is_valid = percent.is_finite() && percent > 0.0;
+    is_valid.then(|| (percent / 100.0).clamp(MIN_PACE, MAX_PACE))
+}
+
 /// Returns the id of a server-sent event if this line of the stream holds it.
 #[must_use]
 pub fn event_id(line: &[u8]) -> Option<&str> {
--- a/src/world/message.rs
+++ b/src/world/message.rs
@@ -120,11 +120,17 @@
     pub first_request: Option<CompactString>,
 }
 
-/// Numbers of requests at a backend server, as reported in the head of an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+/// Bounds of the pace of a server; values beyond them are clamped.
+pub const MIN_PACE: f64 = 0.2;
+pub const MAX_PACE: f64 = 10.0;
+
+/// Numbers of requests at a backend server, and its pace, as reported in the head of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 pub struct Load {
     pub running: u32,
     pub waiting: u32,
+    /// Factor by which work takes longer there at the moment than usual; `None` if not stated.
+    pub pace: Option<f64>,
 }
 
 /// Head of a backend server's answer.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod notice;
 mod orders;
 mod origin;
+mod pace;
 mod planner;
 mod platform;
 mod progress;
