Derive the pace of a server from the events of its streams

A server states its pace only in the heads of answers, and a server that serves long streams sends few. The interval between two complete events of a stream, compared with the server's usual interval, shows the pace at no cost.

Progress::on_bytes returns the mean interval of the events that the bytes complete; the relay passes it on. Nothing is allocated for an event.

--- a/src/decide/progress.rs
+++ b/src/decide/progress.rs
@@ -65,14 +65,18 @@
         }
     }
 
-    /// Processes the next bytes of the stream.
-    pub fn on_bytes(&mut self, now: Duration, bytes: &[u8]) {
+    /// Processes the next bytes of the stream. Returns the mean interval between the events that
+    /// they complete, counted from the last event before them; `None` if there is no such interval.
+    pub fn on_bytes(&mut self, now: Duration, bytes: &[u8]) -> Option<Duration> {
+        let previous_event_at = self.first_event_at.map(|_| self.last_event_at);
+        let mut events = 0;
         for byte in bytes {
             self.pending_bytes += 1;
             match byte {
                 b'\r' => {}
                 b'\n' if self.is_at_line_start => {
                     if self.has_field {
+                        events += 1;
                         self.last_event_at = now;
                         self.first_event_at.get_or_insert(now);
                         self.pending_bytes = 0;
@@ -88,6 +92,7 @@
                 }
             }
         }
+        now.saturating_sub(previous_event_at?).checked_div(events)
     }
 
     /// Returns whether the stream may end here, that is, no event is incomplete.
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -69,6 +69,12 @@
         balance.on_first_byte(&self.worker, &mut self.added);
         balance.on_served(&self.worker, self.model.as_ref(), self.expected, latency);
     }
+
+    /// Records the interval between two events of the response body, which shows the server's pace.
+    pub fn on_event_interval(&self, now: Duration, interval: Duration) {
+        let mut balance = self.traffic.balance.borrow_mut();
+        balance.on_event_interval(now, &self.worker, interval);
+    }
 }
 
 impl Drop for Guard {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -139,7 +139,12 @@
                             let Ok(data) = frame.into_data() else {
                                 continue;
                             };
-                            self.progress.on_bytes(self.exchange.now(), &data);
+                            let now = self.exchange.now();
+                            if let Some(interval) = self.progress.on_bytes(now, &data)
+                                && let Some(server) = &teardown.server
+                            {
+                                server.guard.on_event_interval(now, interval);
+                            }
                             if self.progress.exceeds_event_limit() {
                                 if !self.resume(NO_EVENT) {
                                     self.penalize_worker();
--- a/tests/gateway/progress.rs
+++ b/tests/gateway/progress.rs
@@ -98,3 +98,16 @@
     }
     assert_eq!(progress.is_complete(), is_complete);
 }
+
+/// Guards against intervals that count a pause before the first event, or that count several events
+/// that arrived together as one.
+#[test]
+fn bytes_that_complete_events_give_the_mean_interval() {
+    let mut progress = Progress::new(ms(0), ms(2_000), false);
+    assert_eq!(progress.on_bytes(ms(300), b"data: 1\n\n"), None);
+    assert_eq!(progress.on_bytes(ms(310), b"data: 2\n"), None);
+    assert_eq!(progress.on_bytes(ms(320), b"\n"), Some(ms(20)));
+    let three = b"data: 3\n\ndata: 4\n\ndata: 5\n\n";
+    assert_eq!(progress.on_bytes(ms(380), three), Some(ms(20)));
+    assert_eq!(progress.on_bytes(ms(400), b": comment\n\n"), None);
+}
