--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -96,7 +96,8 @@
             return average;
         };
         let age = now.saturating_sub(at);
-        let weight = STALE.saturating_sub(age).as_secs_f64() / (STALE - FRESH).as_secs_f64();
+        let fading = STALE.saturating_sub(FRESH);
+        let weight = STALE.saturating_sub(age).div_duration_f64(fading);
         average + weight.min(1.0) * (pace - average)
     }
 
