Bound the unread prompts at a server by the pauses of its streams

A server reads prompts between the tokens of its running requests, so its streams stop meanwhile. The balancer looked only at the first byte of the new request and sent prompts to servers with many streams although others were free; the longest streams met the most pauses.

decide/pause.rs: the reading time of all unread prompts there, plus the request's own and a step, at the pace of the server, must stay within the smallest pause target of the routes to the service. Servers below that bound are preferred unless they fail often or their memory is full. If there is none, the excess costs one second for each second and stream. Such a choice is Choice::AboveBound if waiting can help, that is, if the server has unread prompts. All of it applies only to generations with a pause target and servers that state a pace.

decide/waiting.rs: the order of requests that wait (priority, then arrival) and how long each may wait (half of the target less the expected time).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,6 +59,7 @@
     pub mod orders;
     pub mod origin;
     pub mod pace;
+    pub mod pause;
     pub mod place;
     pub mod planner;
     pub mod pool;
@@ -80,6 +81,7 @@
     pub mod tally;
     pub mod throttle;
     pub mod topology;
+    pub mod waiting;
     pub mod water_filling;
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod orders;
 mod origin;
 mod pace;
+mod pauses;
 mod planner;
 mod platform;
 mod progress;
