Let requests wait while every server is above its pause bound

A request for which all servers have as much unread prompt as their streams can bear was sent at once and stopped streams beyond the target.

It now waits at its instance, in its line (service and target), the most urgent and then the oldest first. The first of a line looks for a server whenever capacity changes, an answer begins, or 20 ms have passed; the others keep their place. A new request also waits behind those before it. At the end of its time, at a stop, or when a server is below the bound, the request is sent to the best server. A place is released when the request's future is dropped, so a caller that leaves blocks no one.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -9,6 +9,7 @@
 use super::relay::Relay;
 use super::reply;
 use super::traffic::Traffic;
+use super::waiting::Waiter;
 use crate::common::*;
 use crate::decide::attempts::Attempts;
 use crate::decide::balance::{Choice, Need};
@@ -280,7 +281,9 @@
             .balance
             .borrow_mut()
             .on_request(started_at, &self.need);
+        let mut waiter: Option<Waiter> = None;
         loop {
+            self.wait_for_turn(waiter.as_ref()).await;
             let now = self.now();
             if self.crashes_servers() {
                 return Err(Outcome::Refused {
@@ -294,7 +297,11 @@
             if !self.has_fitting_server() {
                 return Err(refused(VERSION_GONE));
             }
-            let (max_wait, cause, retry_after) = match self.choose(now) {
+            let choice = self.choose(now);
+            if self.wait_for_room(&choice, &mut waiter).await {
+                continue;
+            }
+            let (max_wait, cause, retry_after) = match choice {
                 Choice::Send(worker, expected) | Choice::AboveBound(worker, expected) => {
                     return Ok((worker, expected));
                 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,6 +28,7 @@
     take_ups: Family<Labels, Counter>,
     paths: Family<Labels, Counter>,
     detours: Family<Labels, Counter>,
+    pub pauses: Pauses,
     /// Requests whose callers left before their answers began.
     pub callers_left: Counter,
     /// How late the timer of the traffic thread fires.
@@ -40,6 +41,37 @@
     pub era_changes: Counter,
 }
 
+/// Counters of requests whose prompts stop the streams of servers.
+#[derive(Debug)]
+pub struct Pauses {
+    waits: Family<Labels, Counter>,
+    /// Requests sent to a server whose streams they may stop for longer than the pause target.
+    pub sends_above_bound: Counter,
+}
+
+impl Pauses {
+    fn new(registry: &mut Registry) -> Self {
+        Self {
+            waits: family(
+                registry,
+                "pause_waits",
+                "Requests that waited for a server whose streams can bear their prompts, by outcome",
+            ),
+            sends_above_bound: counter(
+                registry,
+                "sends_above_pause_bound",
+                "Requests sent although they may stop streams for longer than the pause target",
+            ),
+        }
+    }
+
+    /// Counts a request that waited for a server whose streams can bear its prompt.
+    pub fn on_wait(&self, outcome: &'static str) {
+        let labels = vec![("outcome", outcome.into())];
+        self.waits.get_or_create(&labels).inc();
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("poplarseam");
@@ -109,6 +141,7 @@
                 "detours",
                 "Requests that were passed to another instance, by outcome",
             ),
+            pauses: Pauses::new(&mut registry),
             callers_left: counter(
                 &mut registry,
                 "callers_left",
@@ -119,12 +152,7 @@
                 "timer_delay_seconds",
                 "Delay with which the periodic timer of the traffic thread fires",
             ),
-            quarantined: register(
-                &mut registry,
-                "quarantined",
-                "Sets of prompt parts in quarantine",
-                Gauge::default(),
-            ),
+            quarantined: quarantined(&mut registry),
             first_byte: histogram(
                 &mut registry,
                 "first_byte_seconds",
@@ -145,6 +173,12 @@
     }
 }
 
+/// Registers the gauge of the quarantine and returns it.
+fn quarantined(registry: &mut Registry) -> Gauge {
+    let help = "Sets of prompt parts in quarantine";
+    register(registry, "quarantined", help, Gauge::default())
+}
+
 /// Registers a set of counters and returns it.
 fn family(registry: &mut Registry, name: &str, help: &str) -> Family<Labels, Counter> {
     register(registry, name, help, Family::default())
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -7,6 +7,7 @@
 use super::metrics::Metrics;
 use super::origins::Binding;
 use super::pool::Pool;
+use super::waiting::Waiting;
 use crate::common::*;
 use crate::decide::balance::{Balancer, Need};
 use crate::decide::carrier::Carriers;
@@ -91,6 +92,7 @@
     pub(super) reach: RefCell<Reach>,
     pub(super) carriers: RefCell<Carriers>,
     pub(super) origins: RefCell<Origins>,
+    pub(super) waiting: Waiting,
     /// Wakes requests that wait for the origin of a stream.
     pub(super) origins_changed: Notify,
     /// Whether peers must be told of new streams now.
@@ -239,6 +241,7 @@
             reach: RefCell::default(),
             carriers: RefCell::default(),
             origins: RefCell::new(Origins::new(seed)),
+            waiting: Waiting::default(),
             origins_changed: Notify::new(),
             has_new_streams: Cell::new(false),
             quarantine_sent_at: Cell::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -147,6 +147,7 @@
     mod retry_budget;
     mod store;
     mod traffic;
+    mod waiting;
     mod write_limit;
 }
 
