Average the pace over the time of the expected work

The balancer multiplied work of several hundred milliseconds by the pace of this moment, which lasts for a shorter time. The estimate fades from the newest value to the average; the mean of that over the work is now used, for the expected time as well as for the bound on unread prompts.

--- a/src/decide/balance/cost.rs
+++ b/src/decide/balance/cost.rs
@@ -51,18 +51,19 @@
     pub(super) fn expected_seconds(&self, now: Duration, need: &Need, view: &View) -> f64 {
         let running = view.running(now);
         let round_trip = self.round_trip(view);
-        let pace = view.pace(now);
         let Some(generation) = &need.generation else {
             let places = f64::from(view.backend.places.max(1));
             let taken = f64::from(running.requests) / places;
             let queue = (taken + 1.0 / places - 1.0).max(0.0) + taken.powi(3) * 0.5;
-            return round_trip + (1.0 + queue) * view.service_time * pace;
+            let seconds = (1.0 + queue) * view.service_time;
+            return round_trip + seconds * view.pace_during(now, seconds);
         };
         let own = prompt::prefill_time(&self.speeds, view, generation);
         let prefill_seconds = (Duration::from_micros(running.reading_us) + own).as_secs_f64();
         let steps = BATCH_STEP_COST_SECONDS * f64::from(running.requests);
         let memory = self.cache_wait_seconds(need, running, generation);
-        round_trip + ((prefill_seconds + steps) * pace + memory) * view.slowness
+        let work = prefill_seconds + steps;
+        round_trip + (work * view.pace_during(now, work) + memory) * view.slowness
     }
 
     /// Returns the expected seconds of waiting for memory or for a place in the engine's batch.
--- a/src/decide/balance/pauses.rs
+++ b/src/decide/balance/pauses.rs
@@ -2,6 +2,7 @@
 
 use super::cost::FAILURE_RATE_THRESHOLD;
 use super::prompt::prefill_time;
+use super::view::Workload;
 use super::{Balancer, Need, View};
 use crate::common::*;
 use crate::decide::pause::{INITIAL_STEP, Reading};
@@ -30,13 +31,14 @@
 }
 
 impl View {
-    /// Returns the work at the server that stops its streams.
-    pub(super) fn reading(&self, now: Duration) -> Reading {
-        let running = self.running(now);
+    /// Returns the work at the server that stops its streams, with its expected pace while it reads
+    /// that and `own`.
+    fn reading(&self, now: Duration, running: Workload, own: Duration) -> Reading {
+        let unread = Duration::from_micros(running.reading_us);
         Reading {
-            unread: Duration::from_micros(running.reading_us),
+            unread,
             step: self.pace.event_interval().unwrap_or(INITIAL_STEP),
-            pace: self.pace(now),
+            pace: self.pace.during(now, unread + own),
             requests: running.requests,
         }
     }
@@ -63,10 +65,11 @@
         let Some(generation) = &need.generation else {
             return PauseCost::default();
         };
-        let reading = view.reading(now);
+        let running = view.running(now);
         let own = prefill_time(&self.speeds, view, generation);
+        let reading = view.reading(now, running, own);
         let excess = reading.excess(target, own);
-        let memory = self.cache_wait_seconds(need, view.running(now), generation);
+        let memory = self.cache_wait_seconds(need, running, generation);
         let is_above = !excess.is_zero();
         PauseCost {
             cost: reading.cost(excess),
@@ -81,7 +84,7 @@
         let views = self.views.iter().filter(|(_, view)| view.pace.is_stated());
         let states = views.filter_map(|(worker, view)| {
             let target = *self.pause_targets.get(&view.backend.service)?;
-            let reading = view.reading(now);
+            let reading = view.reading(now, view.running(now), Duration::ZERO);
             let state = PauseState {
                 pace: reading.pace,
                 requests: reading.requests,
--- a/src/decide/balance/view.rs
+++ b/src/decide/balance/view.rs
@@ -135,6 +135,11 @@
         self.pace.effective(now)
     }
 
+    /// Returns the factor by which work of this many seconds that starts now takes longer than usual.
+    pub(super) fn pace_during(&self, now: Duration, seconds: f64) -> f64 {
+        self.pace.during(now, Duration::from_secs_f64(seconds))
+    }
+
     pub(super) fn on_peer(&mut self, now: Duration, peer: &id::Instance, running: Workload) {
         match self.peers.get_mut(peer) {
             Some(known) => *known = (now, running),
--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -101,6 +101,23 @@
         average + weight.min(1.0) * (pace - average)
     }
 
+    /// Returns the expected mean pace of work that starts now and takes `usual` at the usual pace.
+    /// The longer the work, the less the newest value says about it.
+    #[must_use]
+    pub fn during(&self, now: Duration, usual: Duration) -> f64 {
+        let average = 1.0 + self.average_excess;
+        let Some((at, pace)) = self.newest else {
+            return average;
+        };
+        let work = usual.mul_f64(average).as_secs_f64();
+        if work <= 0.0 {
+            return self.effective(now);
+        }
+        let age = now.saturating_sub(at).as_secs_f64();
+        let weight = (remaining_weight(age) - remaining_weight(age + work)) / work;
+        average + weight * (pace - average)
+    }
+
     /// Returns the newest value; 1 for a server that never stated one.
     #[must_use]
     pub fn newest(&self) -> f64 {
@@ -121,3 +138,10 @@
         self.average_excess += weight * (pace - 1.0 - self.average_excess);
     }
 }
+
+/// Returns the integral of the newest value's weight from an age on, in seconds.
+fn remaining_weight(age: f64) -> f64 {
+    let (fresh, stale) = (FRESH.as_secs_f64(), STALE.as_secs_f64());
+    let fading = (stale - age.max(fresh)).max(0.0);
+    (fresh - age).max(0.0) + fading * fading / (2.0 * (stale - fresh))
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod orders;
 mod origin;
 mod pace;
+mod pause_simulation;
 mod pauses;
 mod planner;
 mod platform;
--- a/tests/gateway/pace.rs
+++ b/tests/gateway/pace.rs
@@ -278,3 +278,26 @@
         "{to_fast} of {REQUESTS}"
     );
 }
+
+/// Load pattern: long prompts at a server that was fast a moment ago. Guards against the pace of this
+/// moment being expected for work that lasts longer than a pace does.
+#[test]
+fn the_newest_pace_counts_less_for_long_work() {
+    let mut pace = Pace::default();
+    for period in 0..40 {
+        pace.on_stated(ms(period * 500), 1.0);
+        pace.on_stated(ms(period * 500 + 250), SLOW);
+    }
+    let now = ms(39 * 500 + 250);
+    let average = pace.effective(now + ms(1_000));
+    assert!((pace.during(now, ms(10)) - SLOW).abs() < 1e-9);
+    let long = pace.during(now, ms(1_000));
+    assert!(average < long && long < average + 0.15, "{long}");
+    // The mean over the work equals the mean of the values at each moment.
+    let usual = 200.0 / average;
+    let work = std::time::Duration::from_secs_f64(usual / 1e3);
+    let moments = (0..2_000).map(|tenth| pace.effective(now + ms(tenth) / 10));
+    let mean = moments.sum::<f64>() / 2_000.0;
+    assert!((pace.during(now, work) - mean).abs() < 1e-3);
+    assert!((pace.during(now + ms(300), work) - average).abs() < 1e-9);
+}
