Test with processes that requests wait for unread prompts

A server that holds back one answer has its prompt unread; the next request must wait at the gateway until the first byte, and must not be sent after its caller has left.

--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -13,6 +13,7 @@
 mod operations;
 mod operators;
 mod parts;
+mod pauses;
 mod raw_server;
 mod reports;
 mod rules;
