Learn the usual interval of events as a median

The first interval was taken as it came. If it contained the reading of a prompt, later intervals made the server look up to five times as fast as it is; if events had arrived together, the usual interval was too short and stayed so. It is now a median that is known after 30 intervals, and intervals below a quarter of it are ignored. An expected time that is not finite no longer panics in the wait.

--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -21,9 +21,16 @@
 /// also contains delays of the network and of this process.
 const EVENT_WEIGHT: f64 = 0.3;
 /// Intervals beyond this multiple of the usual one contain the reading of a prompt, or the server
-/// had no event to send. They say nothing about the pace.
+/// had no event to send; those below its inverse were held up on the way and arrived together. They
+/// say nothing about the pace.
 const MAX_INTERVAL_RATIO: f64 = 4.0;
 
+/// Relative step by which the usual interval follows a new one. Fixed steps up or down find the
+/// median, which single intervals that contain the reading of a prompt don't move.
+const USUAL_STEP: f64 = 0.05;
+/// Intervals after which the usual one is known: enough steps to come from four times its value.
+const MIN_INTERVALS: u32 = 30;
+
 /// Estimate of one server's pace.
 #[derive(Debug, Clone, Default)]
 pub struct Pace {
@@ -33,8 +40,11 @@
     newest: Option<(Duration, f64)>,
     /// Difference of the learned average from the usual pace of 1.
     average_excess: f64,
-    /// Learned seconds between two events of a stream at the usual pace.
+    /// Median of the seconds between two events of a stream at the usual pace; `None` before the
+    /// first interval.
     event_seconds: Option<f64>,
+    /// Intervals from which it was learned.
+    intervals: u32,
 }
 
 impl Pace {
@@ -63,20 +73,20 @@
         // value would confirm itself.
         if now < stated_at + FRESH {
             let usual = seconds / stated;
-            match &mut self.event_seconds {
-                Some(known) if usual <= *known * MAX_INTERVAL_RATIO => {
-                    *known += MAX_WEIGHT * (usual - *known);
-                }
-                Some(_) => {}
-                None => self.event_seconds = Some(usual),
+            let known = self.event_seconds.get_or_insert(usual);
+            if usual > *known {
+                *known *= 1.0 + USUAL_STEP;
+            } else if usual < *known {
+                *known /= 1.0 + USUAL_STEP;
             }
+            self.intervals = self.intervals.saturating_add(1);
             return;
         }
-        let Some(usual) = self.event_seconds.filter(|usual| *usual > 0.0) else {
+        let Some(usual) = self.event_interval() else {
             return;
         };
-        let ratio = seconds / usual;
-        if ratio > MAX_INTERVAL_RATIO {
+        let ratio = seconds / usual.as_secs_f64();
+        if !(1.0 / MAX_INTERVAL_RATIO..=MAX_INTERVAL_RATIO).contains(&ratio) {
             return;
         }
         let derived = match self.newest {
@@ -124,10 +134,14 @@
         self.newest.map_or(1.0, |(_, pace)| pace)
     }
 
-    /// Returns the learned time between two events of a stream at the usual pace.
+    /// Returns the learned time between two events of a stream at the usual pace; `None` while it
+    /// is unknown.
     #[must_use]
     pub fn event_interval(&self) -> Option<Duration> {
-        self.event_seconds.map(Duration::from_secs_f64)
+        let learned = self
+            .event_seconds
+            .filter(|_| self.intervals >= MIN_INTERVALS);
+        learned.map(Duration::from_secs_f64)
     }
 
     fn add_to_average(&mut self, now: Duration, pace: f64) {
--- a/src/gateway/waiting.rs
+++ b/src/gateway/waiting.rs
@@ -124,7 +124,7 @@
     }
 
     fn may_wait_until(&self, expected: f64) -> Duration {
-        let expected = Duration::from_secs_f64(expected);
+        let expected = Duration::try_from_secs_f64(expected).unwrap_or(Duration::MAX);
         let until = waiting::wait_until(self.arrived, self.route.target, expected);
         until.min(self.deadline.saturating_sub(DEADLINE_MARGIN))
     }
--- a/tests/gateway/pace.rs
+++ b/tests/gateway/pace.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// Pace of a server whose machine is busy with other work.
 const SLOW: f64 = 2.5;
@@ -157,7 +158,7 @@
         let now = at * 20;
         balance.on_load(ms(now), &worker("w0"), stated(SLOW));
         let expected = expected(&balance, now, &need(at), "w0");
-        let measured = std::time::Duration::from_secs_f64(expected);
+        let measured = Duration::from_secs_f64(expected);
         balance.on_served(&worker("w0"), Some(&model("m1")), expected, measured);
     }
     let slowness = balance.view(&worker("w0")).unwrap().slowness;
@@ -196,15 +197,22 @@
     assert!((usual - 0.04).abs() < 0.004, "{usual}");
 }
 
+/// Returns the estimate for a server with an event every 20 ms at the usual pace, and the time of
+/// the last event.
+fn with_usual_interval() -> (Pace, u64) {
+    let mut pace = Pace::default();
+    for step in 0..40 {
+        pace.on_stated(ms(step * 20), 1.0);
+        pace.on_interval(ms(step * 20), ms(20));
+    }
+    (pace, 39 * 20)
+}
+
 /// Load pattern: a server that serves long streams and few new requests, so that it rarely states
 /// its pace, which changes meanwhile.
 #[test]
 fn the_events_of_a_stream_show_the_pace_between_answers() {
-    let mut pace = Pace::default();
-    pace.on_stated(ms(0), 1.0);
-    pace.on_interval(ms(20), ms(20));
-    pace.on_interval(ms(40), ms(20));
-    let mut now = 40;
+    let (mut pace, mut now) = with_usual_interval();
     for _ in 0..10 {
         now += 50;
         pace.on_interval(ms(now), ms(50));
@@ -217,20 +225,38 @@
     assert!((pace.effective(ms(now)) - 1.0).abs() < 0.1);
 }
 
-/// Guards against taking the pause in which a server reads a prompt for a slow pace.
+/// Guards against taking the pause in which a server reads a prompt, or events that were held up on
+/// the way and arrive together, for its pace.
 #[test]
-fn a_pause_for_a_prompt_does_not_change_the_pace() {
-    let mut pace = Pace::default();
-    pace.on_stated(ms(0), 1.0);
-    for step in 1..20 {
-        pace.on_interval(ms(step * 20), ms(20));
-    }
-    let before = pace.effective(ms(380));
-    pace.on_interval(ms(780), ms(400));
-    assert!((pace.effective(ms(780)) - before).abs() < 0.05);
+fn odd_intervals_do_not_change_the_pace() {
+    let (mut pace, last) = with_usual_interval();
+    let later = ms(last + 300);
+    let before = pace.effective(later);
+    pace.on_interval(later, ms(400));
+    pace.on_interval(later, Duration::from_micros(50));
+    pace.on_interval(later, Duration::ZERO);
+    assert!((pace.effective(later) - before).abs() < 1e-9);
     assert_eq!(pace.event_interval(), Some(ms(20)));
 }
 
+/// Guards against a server that looks five times as fast as it is, or never fast again, because the
+/// first interval contained the reading of a prompt or was far too short.
+#[test]
+fn an_odd_first_interval_does_not_spoil_the_usual_one() {
+    for first in [ms(75), ms(6)] {
+        let mut pace = Pace::default();
+        pace.on_stated(ms(0), 1.0);
+        pace.on_interval(ms(0), first);
+        assert_eq!(pace.event_interval(), None);
+        for step in 1..60 {
+            pace.on_stated(ms(step * 20), 1.0);
+            pace.on_interval(ms(step * 20), ms(20));
+        }
+        let usual = pace.event_interval().unwrap().as_secs_f64();
+        assert!((usual - 0.02).abs() < 0.002, "{usual}");
+    }
+}
+
 /// Load pattern: a herd. Many instances know that one of twelve servers was fast a moment ago, and
 /// their reports of the workloads are 100 to 400 ms old, so none sees what the others just sent.
 #[test]
@@ -295,7 +321,7 @@
     assert!(average < long && long < average + 0.15, "{long}");
     // The mean over the work equals the mean of the values at each moment.
     let usual = 200.0 / average;
-    let work = std::time::Duration::from_secs_f64(usual / 1e3);
+    let work = Duration::from_secs_f64(usual / 1e3);
     let moments = (0..2_000).map(|tenth| pace.effective(now + ms(tenth) / 10));
     let mean = moments.sum::<f64>() / 2_000.0;
     assert!((pace.during(now, work) - mean).abs() < 1e-3);
