--- a/tests/gateway_processes/pauses.rs
+++ b/tests/gateway_processes/pauses.rs
@@ -7,7 +7,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Version of the configuration, which is also the time-out of its routes.
 const TIMEOUT_MS: u64 = 20_000;
@@ -91,3 +91,22 @@
     assert_eq!(status(&site.ask("/draft/x", "third", "m1")), 200);
     assert_eq!(server.ids(), ["first", "long", "third"]);
 }
+
+/// Guards against requests that wait on at an instance that is about to end.
+#[test]
+fn a_waiting_request_is_sent_when_its_instance_is_stopped() {
+    let (site, server, _is_released) = site_with_unread_prompt();
+    let callers = site.callers(0);
+    let answer = std::thread::spawn(move || exchange(callers, &prompt("second", 4_000)));
+    wait_for("a waiting request", || {
+        site.state(0)["waiting"] == json!({"llm": 1})
+    });
+    let began = Instant::now();
+    site.instances[0].1.signal("TERM");
+    wait_for("the second request", || {
+        server.ids().contains(&"second".to_owned())
+    });
+    assert!(began.elapsed() < Duration::from_secs(1));
+    let answer = answer.join().unwrap().unwrap();
+    assert_eq!(status(&answer), 200, "{answer}");
+}
