--- a/src/lib.rs
+++ b/src/lib.rs
@@ -62,6 +62,8 @@
     pub mod notice;
     pub mod orders;
     pub mod origin;
+    pub mod pace;
+    pub mod pause;
     pub mod place;
     pub mod planner;
     pub mod pool;
@@ -84,6 +86,7 @@
     pub mod tally;
     pub mod throttle;
     pub mod topology;
+    pub mod waiting;
     pub mod water_filling;
 }
 
@@ -156,6 +159,7 @@
     mod retry_budget;
     mod store;
     mod traffic;
+    mod waiting;
     mod write_limit;
 }
 
