--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -115,8 +115,6 @@
         "paths": *traffic.reach.borrow(),
         "streams": traffic.origins.borrow().stream_count(),
         "limits": balance.limits().active().collect::<BTreeMap<_, _>>(),
-        "waiting": traffic.waiting.state(),
-        "paces": balance.pause_states(traffic.clock.now()),
         "servers": balance.views().collect::<Vec<_>>(),
     })
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -12,7 +12,6 @@
 use super::relay::Relay;
 use super::reply;
 use super::traffic::Traffic;
-use super::waiting::Waiter;
 use crate::common::*;
 use crate::decide::attempts::Attempts;
 use crate::decide::balance::{Choice, Need};
@@ -315,9 +314,7 @@
             .balance
             .borrow_mut()
             .on_request(started_at, &self.need);
-        let mut waiter: Option<Waiter> = None;
         loop {
-            self.wait_for_turn(waiter.as_ref()).await;
             let now = self.now();
             self.clearance().map_err(Outcome::Denied)?;
             if self.crashes_servers() {
@@ -332,11 +329,7 @@
             if !self.has_fitting_server() {
                 return Err(refused(VERSION_GONE));
             }
-            let choice = self.choose(now);
-            if self.wait_for_room(&choice, &mut waiter).await {
-                continue;
-            }
-            let (max_wait, cause, retry_after) = match choice {
+            let (max_wait, cause, retry_after) = match self.choose(now) {
                 Choice::Send(worker, expected) | Choice::AboveBound(worker, expected) => {
                     return Ok((worker, expected));
                 }
--- a/src/gateway/in_flight.rs
+++ b/src/gateway/in_flight.rs
@@ -68,10 +68,6 @@
         let mut balance = self.traffic.balance.borrow_mut();
         balance.on_first_byte(&self.worker, &mut self.added);
         balance.on_served(&self.worker, self.model.as_ref(), self.expected, latency);
-        drop(balance);
-        if !self.traffic.waiting.is_empty() {
-            self.traffic.capacity_changed.notify_waiters();
-        }
     }
 
     /// Records the interval between two events of the response body, which shows the server's pace.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -33,7 +33,6 @@
     detours: Family<Labels, Counter>,
     connection_limits: Family<Labels, Counter>,
     quotas: QuotaMetrics,
-    pub pauses: Pauses,
     /// Requests whose callers left before their answers began.
     pub callers_left: Counter,
     /// How late the timer of the traffic thread fires.
@@ -48,37 +47,6 @@
     pub configuration_age_ms: Gauge,
 }
 
-/// Counters of requests whose prompts stop the streams of servers.
-#[derive(Debug)]
-pub struct Pauses {
-    waits: Family<Labels, Counter>,
-    /// Requests sent to a server whose streams they may stop for longer than the pause target.
-    pub sends_above_bound: Counter,
-}
-
-impl Pauses {
-    fn new(registry: &mut Registry) -> Self {
-        Self {
-            waits: family(
-                registry,
-                "pause_waits",
-                "Requests that waited for a server whose streams can bear their prompts, by outcome",
-            ),
-            sends_above_bound: counter(
-                registry,
-                "sends_above_pause_bound",
-                "Requests sent although they may stop streams for longer than the pause target",
-            ),
-        }
-    }
-
-    /// Counts a request that waited for a server whose streams can bear its prompt.
-    pub fn on_wait(&self, outcome: &'static str) {
-        let labels = vec![("outcome", outcome.into())];
-        self.waits.get_or_create(&labels).inc();
-    }
-}
-
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("poplarseam");
@@ -147,7 +115,6 @@
             detours: detours(&mut registry),
             connection_limits: connection_limits(&mut registry),
             quotas: QuotaMetrics::new(&mut registry),
-            pauses: Pauses::new(&mut registry),
             callers_left: counter(
                 &mut registry,
                 "callers_left",
@@ -158,7 +125,12 @@
                 "timer_delay_seconds",
                 "Delay with which the periodic timer of the traffic thread fires",
             ),
-            quarantined: quarantined(&mut registry),
+            quarantined: register(
+                &mut registry,
+                "quarantined",
+                "Sets of prompt parts in quarantine",
+                Gauge::default(),
+            ),
             first_byte: histogram(
                 &mut registry,
                 "first_byte_seconds",
@@ -198,7 +170,6 @@
             refusals: family(
                 registry,
                 "quota_refusals",
-                "Requests refused for lack of units, by workspace and cause",
             ),
         }
     }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -10,7 +10,6 @@
 use super::origins::Binding;
 use super::pool::Pool;
 use super::quota::Quotas;
-use super::waiting::Waiting;
 use crate::common::*;
 use crate::decide::balance::{Balancer, Need};
 use crate::decide::carrier::Carriers;
@@ -99,7 +98,6 @@
     pub(super) carriers: RefCell<Carriers>,
     pub(super) origins: RefCell<Origins>,
     pub(super) proofs: Proofs,
-    pub(super) waiting: Waiting,
     /// Wakes requests that wait for the origin of a stream.
     pub(super) origins_changed: Notify,
     /// Whether peers must be told of new streams now.
@@ -266,7 +264,6 @@
             carriers: RefCell::default(),
             origins: RefCell::new(Origins::new(seed)),
             proofs,
-            waiting: Waiting::default(),
             origins_changed: Notify::new(),
             has_new_streams: Cell::new(false),
             quarantine_sent_at: Cell::default(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -159,7 +159,6 @@
     mod retry_budget;
     mod store;
     mod traffic;
-    mod waiting;
     mod write_limit;
 }
 
