--- a/src/decide/balance.rs
+++ b/src/decide/balance.rs
@@ -8,11 +8,9 @@
 mod choose;
 mod cost;
 mod gossip;
-mod pauses;
 mod prompt;
 mod view;
 
-pub use pauses::PauseState;
 pub use view::{View, Workload};
 
 use super::brittle;
@@ -45,9 +43,6 @@
 pub enum Choice {
     /// The server to send to, with the expected seconds to its first byte.
     Send(id::Worker, f64),
-    /// As `Send`, but each server that could serve the request has as much unread prompt as its
-    /// streams can bear. A request that may wait should wait until a server has read some of it.
-    AboveBound(id::Worker, f64),
     /// The service has usable servers, but none holds the model.
     NoModel,
     /// Some servers hold the model, but none of them the adapter.
@@ -66,8 +61,6 @@
     regions: BTreeMap<id::DataCentre, id::Region>,
     views: BTreeMap<id::Worker, View>,
     services: BTreeMap<id::Service, Service>,
-    /// Smallest pause target of the routes to each service.
-    pause_targets: BTreeMap<id::Service, Duration>,
     speeds: Speeds,
     notices: Notices,
     limits: Limits,
@@ -96,7 +89,6 @@
     /// Applies the services of the operator's settings.
     pub fn on_site(&mut self, site: &Site) {
         self.services = site.services.clone();
-        self.pause_targets = pauses::pause_targets(site);
         let engines = site.services.values();
         for engine in engines.filter_map(|service| service.engine.as_ref()) {
             self.speeds.on_engine(engine);
--- a/src/decide/balance/choose.rs
+++ b/src/decide/balance/choose.rs
@@ -1,7 +1,6 @@
 //! The choice of a server for a request.
 
 use super::cost;
-use super::pauses::PauseCost;
 use super::{Balancer, Choice, Need, View, to_unit_interval};
 use crate::common::*;
 use crate::decide::water_filling;
@@ -34,12 +33,8 @@
         if throttled.is_empty() || !is_missing {
             return choice;
         }
-        let would_serve = |view| {
-            matches!(
-                self.choose_among(now, need, vec![view]),
-                Choice::Send(..) | Choice::AboveBound(..)
-            )
-        };
+        let would_serve =
+            |view| matches!(self.choose_among(now, need, vec![view]), Choice::Send(..));
         let resume_times = throttled.iter().filter(|(_, view)| would_serve(*view));
         match resume_times.map(|(at, _)| *at).min() {
             Some(first) => Choice::Throttled(first),
@@ -142,47 +137,25 @@
         } else {
             reachable
         };
-        let pause_target = self.pause_target(need, views);
-        let options = candidates.into_iter().map(|view| {
+        let costs = candidates.into_iter().map(|view| {
             let expected_seconds = self.expected_seconds(now, need, view);
-            let pause = pause_target.map(|target| self.pause_cost(now, need, view, target));
-            let pause = pause.unwrap_or_default();
-            Candidate {
-                view,
-                cost: expected_seconds + self.surcharge(need, view) + pause.cost,
+            (
+                expected_seconds + self.surcharge(need, view),
                 expected_seconds,
-                pause,
-            }
+                *view,
+            )
         });
-        let mut options: Vec<Candidate<'_>> = options.collect();
-        let utilization = options
+        let costs: Vec<(f64, f64, &View)> = costs.collect();
+        let totals: Vec<f64> = costs.iter().map(|(cost, ..)| *cost).collect();
+        let utilization = costs
             .iter()
-            .map(|option| cost::utilization(now, need, option.view));
+            .map(|(.., view)| cost::utilization(now, need, view));
         let arriving = utilization.sum::<f64>() * self.gossip_age(now).as_secs_f64();
-        let views = options.iter().map(|option| option.view);
-        let arriving = (arriving - self.request_work(need, views)).max(0.0);
-        if options.iter().any(|option| option.pause.is_free) {
-            // The work that arrives at all servers is spread over those that are left.
-            options.retain(|option| option.pause.is_free);
-        }
-        let totals: Vec<f64> = options.iter().map(|option| option.cost).collect();
+        let arriving = (arriving - self.request_work(need, &costs)).max(0.0);
         let drawn = water_filling::draw(&totals, arriving, to_unit_interval(need.draw));
         drawn.map_or(Choice::NoServer, |index| {
-            let option = &options[index];
-            let (worker, expected) = (option.view.backend.id.clone(), option.expected_seconds);
-            if option.pause.may_improve {
-                Choice::AboveBound(worker, expected)
-            } else {
-                Choice::Send(worker, expected)
-            }
+            let (_, expected_seconds, view) = costs[index];
+            Choice::Send(view.backend.id.clone(), expected_seconds)
         })
     }
 }
-
-/// A server that could serve a request.
-struct Candidate<'a> {
-    view: &'a View,
-    cost: f64,
-    expected_seconds: f64,
-    pause: PauseCost,
-}
--- a/src/decide/balance/cost.rs
+++ b/src/decide/balance/cost.rs
@@ -21,7 +21,7 @@
 /// Expected wait of a request at an engine whose cache or batch is full.
 const CACHE_WAIT_SECONDS: f64 = 1.0;
 /// Failure rate beyond which a server is avoided, and the cost per unit of rate beyond it.
-pub(super) const FAILURE_RATE_THRESHOLD: f64 = 0.3;
+const FAILURE_RATE_THRESHOLD: f64 = 0.3;
 const FAILURE_COST_SECONDS: f64 = 1.0;
 /// Time that a request must save to use a rate-limited server, whose capacity is left to requests
 /// that have no other server.
@@ -31,20 +31,15 @@
     /// Returns the seconds of work of the request itself, which are subtracted from the work that
     /// arrives before the next gossip: if no more than this request arrives, no other one competes
     /// with it, and the least busy server is the right choice.
-    pub(super) fn request_work<'a>(
-        &self,
-        need: &Need,
-        views: impl Iterator<Item = &'a View>,
-    ) -> f64 {
+    pub(super) fn request_work(&self, need: &Need, costs: &[(f64, f64, &View)]) -> f64 {
         if let Some(generation) = &need.generation {
             let prefill_time = self
                 .speeds
                 .prefill_time(&generation.target.model, generation.prompt);
             return prefill_time.as_secs_f64();
         }
-        let times = views.map(|view| view.service_time);
-        let (sum, count) = times.fold((0.0, 0.0), |(sum, count), time| (sum + time, count + 1.0));
-        sum / f64::max(count, 1.0)
+        let times = costs.iter().map(|(.., view)| view.service_time);
+        times.sum::<f64>() / float(costs.len().max(1) as u64)
     }
 
     /// Returns the expected seconds to first byte.
@@ -67,12 +62,7 @@
     }
 
     /// Returns the expected seconds of waiting for memory or for a place in the engine's batch.
-    pub(super) fn cache_wait_seconds(
-        &self,
-        need: &Need,
-        running: Workload,
-        generation: &Generation,
-    ) -> f64 {
+    fn cache_wait_seconds(&self, need: &Need, running: Workload, generation: &Generation) -> f64 {
         let service = self.services.get(&need.service);
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
             return 0.0;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -330,9 +330,7 @@
                 return Err(refused(VERSION_GONE));
             }
             let (max_wait, cause, retry_after) = match self.choose(now) {
-                Choice::Send(worker, expected) | Choice::AboveBound(worker, expected) => {
-                    return Ok((worker, expected));
-                }
+                Choice::Send(worker, expected) => return Ok((worker, expected)),
                 Choice::Throttled(until) => {
                     let retry_after = until.saturating_sub(now);
                     let cause = "servers rest";
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -125,12 +125,7 @@
                 "timer_delay_seconds",
                 "Delay with which the periodic timer of the traffic thread fires",
             ),
-            quarantined: register(
-                &mut registry,
-                "quarantined",
-                "Sets of prompt parts in quarantine",
-                Gauge::default(),
-            ),
+            quarantined: quarantined(&mut registry),
             first_byte: histogram(
                 &mut registry,
                 "first_byte_seconds",
@@ -170,6 +165,7 @@
             refusals: family(
                 registry,
                 "quota_refusals",
+                "Requests refused for lack of units, by workspace and cause",
             ),
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,7 +63,6 @@
     pub mod orders;
     pub mod origin;
     pub mod pace;
-    pub mod pause;
     pub mod place;
     pub mod planner;
     pub mod pool;
@@ -86,7 +85,6 @@
     pub mod tally;
     pub mod throttle;
     pub mod topology;
-    pub mod waiting;
     pub mod water_filling;
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -29,8 +29,6 @@
 mod orders;
 mod origin;
 mod pace;
-mod pause_simulation;
-mod pauses;
 mod planner;
 mod platform;
 mod progress;
