--- a/src/decide/roster.rs
+++ b/src/decide/roster.rs
@@ -187,7 +187,11 @@
 
     /// Whether a batch has the servers that changed within its span, as far as this instance knows.
     /// Otherwise its sender saw a server only before and after the change, and found it equal.
-    fn covers_known_changes(&self, batch: &Batch) -> bool {
+    #[must_use]
+    pub fn covers_known_changes(&self, batch: &Batch) -> bool {
+        if batch.is_whole() {
+            return true;
+        }
         let workers = batch.workers();
         let known = self.entries.iter();
         let mut changed = known
@@ -199,7 +203,7 @@
     pub fn on_batch(&mut self, now: Duration, batch: Batch) -> Vec<Change> {
         let mut changes = Vec::new();
         let is_whole = batch.is_whole();
-        let is_complete = is_whole || self.covers_known_changes(&batch);
+        let is_complete = self.covers_known_changes(&batch);
         if is_whole {
             self.remove_missing(now, &batch, &mut changes);
         }
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -461,6 +461,10 @@
             partial: true,
         };
         let now = self.clock.now();
+        if !roster.covers_known_changes(&read) {
+            let values = json!({"from": read.from, "to": read.to});
+            self.journal.note("span_incomplete", &values);
+        }
         let changes = roster.on_batch(now, read);
         drop(roster);
         self.on_changes(changes);
