--- a/tests/gateway_processes/quotas.rs
+++ b/tests/gateway_processes/quotas.rs
@@ -121,16 +121,23 @@
     counted.count()
 }
 
+/// Loads a site with a workspace at several times its quota and one below it; returns the responses to
+/// each.
+fn load_both(site: &Site) -> (Vec<String>, Vec<String>) {
+    let mut calm = Vec::new();
+    let hot = load(site, "hot", REQUEST_INTERVAL, || {
+        let slowly = Duration::from_secs(3);
+        calm = load(site, "calm", slowly, || std::thread::sleep(WINDOW * 2));
+    });
+    (hot, calm)
+}
+
 /// Guards against a workspace that gets its quota at each instance, and one below its quota that is
 /// refused.
 #[test]
 fn all_instances_together_keep_to_a_quota() {
     let site = start_site();
-    let mut calm = Vec::new();
-    let hot = load(&site, "hot", REQUEST_INTERVAL, || {
-        let slowly = Duration::from_secs(3);
-        calm = load(&site, "calm", slowly, || std::thread::sleep(WINDOW * 2));
-    });
+    let (hot, calm) = load_both(&site);
     assert_bound_kept(&site, "hot");
     let used = f64::from(u32::try_from(runs(&site, "hot").len()).unwrap()) * UNITS;
     let least = 0.8 * RATE * 2.0 * WINDOW.as_secs_f64();
@@ -142,7 +149,7 @@
         assert!(answer.contains("retry-after: "), "{answer}");
     }
     assert_eq!(count(&calm, 429), 0);
-    // A process that waits for a processor for longer than requests wait for units is not heard.
+    // The strict check is `no_request_lacks_the_answer_of_a_running_grantor`.
     for (answers, most) in [(&hot, hot.len() / 50), (&calm, 1)] {
         let unheard = count(answers, 503);
         assert!(unheard <= most, "{unheard} of {}", answers.len());
@@ -151,6 +158,16 @@
     }
 }
 
+/// Guards against requests that are refused for want of a grantor's answer although the grantor runs and
+/// is connected.
+#[test]
+fn no_request_lacks_the_answer_of_a_running_grantor() {
+    let site = start_site();
+    let (hot, calm) = load_both(&site);
+    assert_eq!(count(&hot, 200) + count(&hot, 429), hot.len());
+    assert_eq!(count(&calm, 200), calm.len());
+}
+
 /// Guards against use beyond the quota, and against a lasting refusal, when the grantor is killed.
 #[test]
 fn another_instance_grants_after_the_grantor_was_killed() {
