Review case 8: an order of an earlier start arrives after orders with a higher token

ONE: an instance takes its lease back after a restart and orders at once with a higher token, while an order of its earlier start is held up by a cut link.

--- a/review/rig2/limit.rs
+++ b/review/rig2/limit.rs
@@ -11,15 +11,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-const INSTANCES: u8 = 3;
+pub const INSTANCES: u8 = 3;
 /// Places for adapters, as at `tuulelend-quotes`.
-const PLACES: usize = 5;
+pub const PLACES: usize = 5;
 /// Time after which the unanswered order is carried out: the bench's orders come 2 to 12 s late.
 const LATE_AFTER: Duration = Duration::from_secs(10);
 /// Time for which the crashed worker is away.
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
 
-const CONFIG: &str = r#"{"Version": 1, "Routes": [
+pub const CONFIG: &str = r#"{"Version": 1, "Routes": [
  {"Name": "brief", "Hostname": "h.example", "PathPrefix": "/brief/", "Type": "streaming", "TimeoutMs": 5000,
   "TargetLatencyMs": 1000, "GapTargetMs": 400, "Priority": 2, "Service": "llm", "MaxAttempts": 1, "Resumable": false}],
  "Services": [{"Name": "llm", "MaxConnections": 500, "HealthPath": "/healthz", "Engine": {"Slots": 96,
@@ -28,7 +28,7 @@
  "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 10000, "IdleTimeoutMs": 15000}}"#;
 
 /// Asks for an adapter until it is served; returns whether it was.
-fn ask(gateways: &[Gateway], adapter: usize, number: &mut usize) -> bool {
+pub fn ask(gateways: &[Gateway], adapter: usize, number: &mut usize) -> bool {
     let until = Instant::now() + Duration::from_secs(12);
     while Instant::now() < until {
         *number += 1;
@@ -48,7 +48,7 @@
 }
 
 /// Sends one request; returns the status, or 0 if no complete answer came.
-fn send(address: SocketAddr, id: &str, adapter: usize, number: usize, tokens: u32) -> u16 {
+pub fn send(address: SocketAddr, id: &str, adapter: usize, number: usize, tokens: u32) -> u16 {
     let model = format!("m1/a{adapter}");
     let parts = format!("5c1e07a2:568,{number:x}:400");
     let usage = format!("968,{tokens}");
@@ -65,22 +65,26 @@
     answer.map_or(0, |answer| answer.status())
 }
 
-fn ask_all(gateways: &[Gateway], number: &mut usize) -> bool {
+pub fn ask_all(gateways: &[Gateway], number: &mut usize) -> bool {
     (1..=PLACES).all(|adapter| ask(gateways, adapter, number))
 }
 
-pub fn run(run: &Run) -> Verdict {
-    let store_ip = gateway::address(250);
-    let (store, store_address) = Store::start(&format!("{store_ip}:0"));
-    store.write("op", "config", Some(CONFIG));
-    let capacity = Capacity {
+pub fn capacity() -> Capacity {
+    Capacity {
         weights_mb: 83_000,
         adapters: PLACES,
         model_mb: 16_100,
         adapter_mb: 40,
         load: Duration::from_millis(2_600),
         disk_load: Duration::from_millis(520),
-    };
+    }
+}
+
+pub fn run(run: &Run) -> Verdict {
+    let store_ip = gateway::address(250);
+    let (store, store_address) = Store::start(&format!("{store_ip}:0"));
+    store.write("op", "config", Some(CONFIG));
+    let capacity = capacity();
     let worker_ip = gateway::address(200);
     let worker = Worker::start("i-7f3a91c2", "llm", worker_ip, &store, capacity, &["m1"]);
     let mut ports = None;
--- a/review/rig2/main.rs
+++ b/review/rig2/main.rs
@@ -7,7 +7,9 @@
 mod http;
 mod json;
 mod limit;
+mod link;
 mod record;
+mod stale;
 mod store;
 mod worker;
 
@@ -44,6 +46,7 @@
     record::line(&format!("case {case}, trouble {}", run.has_trouble));
     let verdict = match case.as_str() {
         "limit" => limit::run(&run),
+        "stale" => stale::run(&run),
         _ => Verdict::NotRun("no such case".into()),
     };
     let (text, code) = match verdict {
--- a/review/rig2/worker.rs
+++ b/review/rig2/worker.rs
@@ -42,12 +42,15 @@
     late_at: Option<Instant>,
     /// Orders to load more than there is room for.
     excesses: Vec<String>,
+    fences: Vec<(Instant, String, u64)>,
 }
 
 pub struct Worker {
     pub id: String,
     service: String,
     address: SocketAddr,
+    /// The address in its entry, if it is reached by a link.
+    told: Mutex<Option<SocketAddr>>,
     capacity: Capacity,
     store: Arc<Store>,
     state: Mutex<State>,
@@ -74,6 +77,7 @@
             id: id.into(),
             service: service.into(),
             address,
+            told: Mutex::new(None),
             capacity,
             store: Arc::clone(store),
             state: Mutex::default(),
@@ -128,6 +132,7 @@
 
     /// Writes the entry of this worker.
     fn beat(&self) {
+        let address = self.told.lock().unwrap().unwrap_or(self.address);
         let entry = {
             let mut state = self.state.lock().unwrap();
             if !state.is_up {
@@ -138,7 +143,7 @@
             format!(
                 r#"{{"Service":"{}","Address":"{}","Zone":"north-1","Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":0,"Sequence":{},"Phase":"unified","Models":{},"Available":{},"born":{}}}"#,
                 self.service,
-                self.address,
+                address,
                 state.beats,
                 models(&state),
                 available(&state),
@@ -148,6 +153,21 @@
         self.store.write("servers", &self.id, Some(&entry));
     }
 
+    /// Tells another address at which it is reached.
+    pub fn tell(&self, address: SocketAddr) {
+        *self.told.lock().unwrap() = Some(address);
+        self.beat();
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Orders that came, with their times, holders and fencing tokens.
+    pub fn fences(&self) -> Vec<(Instant, String, u64)> {
+        self.state.lock().unwrap().fences.clone()
+    }
+
     /// Ends as a process that crashes: all connections break, nothing is said, and memory is lost.
     pub fn crash(&self) {
         let mut state = self.state.lock().unwrap();
@@ -327,6 +347,10 @@
     fn order(self: &Arc<Self>, body: &str, note: &str) -> Option<u16> {
         let order = Json::parse(body).unwrap_or(Json::Null);
         let mut state = self.state.lock().unwrap();
+        if let Some(fence) = order.get("FencingToken").number() {
+            let holder = order.get("Holder").text().to_owned();
+            state.fences.push((Instant::now(), holder, fence));
+        }
         let before = state.sequence;
         let held = adapters(&state);
         let result = carry_out(&mut state, &order, &self.capacity);
