--- a/review/rig2/http.rs
+++ b/review/rig2/http.rs
@@ -161,3 +161,50 @@
     stream.write_all(text.as_bytes()).ok()?;
     read(&mut BufReader::new(stream))
 }
+
+/// What came of a streamed answer until its channel ended.
+#[derive(Debug)]
+pub struct Streamed {
+    pub status: u16,
+    pub events: usize,
+    /// Whether the answer ended as a whole.
+    pub is_complete: bool,
+    pub took: Duration,
+}
+
+/// Sends a request and reads its answer until it ends, or its channel does.
+pub fn stream(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    time_limit: Duration,
+) -> Option<Streamed> {
+    let began = std::time::Instant::now();
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(time_limit)).ok()?;
+    let mut text = format!("POST {path} HTTP/1.1\r\n");
+    for (name, value) in headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    text += "Content-Length: 2\r\n\r\n{}";
+    stream.write_all(text.as_bytes()).ok()?;
+    let mut reader = BufReader::new(stream);
+    let head = read_head(&mut reader)?;
+    let is_chunked = head.header("transfer-encoding").contains("chunked");
+    let mut line = String::new();
+    let (mut events, mut is_complete) = (0, false);
+    while is_chunked && reader.read_line(&mut line).is_ok_and(|count| count > 0) {
+        events += usize::from(line.starts_with("data:"));
+        is_complete = line.trim_end() == "0";
+        if is_complete {
+            break;
+        }
+        line.clear();
+    }
+    Some(Streamed {
+        status: head.status(),
+        events,
+        is_complete: is_complete || !is_chunked,
+        took: began.elapsed(),
+    })
+}
