--- a/review/rig2/main.rs
+++ b/review/rig2/main.rs
@@ -9,7 +9,6 @@
 mod limit;
 mod link;
 mod record;
-mod silence;
 mod stale;
 mod store;
 mod worker;
@@ -47,7 +46,6 @@
     record::line(&format!("case {case}, trouble {}", run.has_trouble));
     let verdict = match case.as_str() {
         "limit" => limit::run(&run),
-        "silence" => silence::run(&run),
         "stale" => stale::run(&run),
         _ => Verdict::NotRun("no such case".into()),
     };
--- a/review/rig2/worker.rs
+++ b/review/rig2/worker.rs
@@ -41,8 +41,6 @@
     late: Option<(String, Duration)>,
     late_at: Option<Instant>,
     /// Orders to load more than there is room for.
-    /// How long a stream is preempted after its second event.
-    preemption: Duration,
     excesses: Vec<String>,
     fences: Vec<(Instant, String, u64)>,
 }
@@ -155,11 +153,6 @@
         self.store.write("servers", &self.id, Some(&entry));
     }
 
-    /// Preempts streams from now on after their second event, for this time.
-    pub fn preempt(&self, time: Duration) {
-        self.state.lock().unwrap().preemption = time;
-    }
-
     /// Tells another address at which it is reached.
     pub fn tell(&self, address: SocketAddr) {
         *self.told.lock().unwrap() = Some(address);
@@ -288,21 +281,15 @@
         }
         for number in 1..=events {
             thread::sleep(Duration::from_millis(15));
-            if number == 3 {
-                let preemption = self.state.lock().unwrap().preemption;
-                thread::sleep(preemption);
-            }
             if !self.is_up(start) {
                 return false;
             }
             let event = format!("id: {number}\ndata: piece {number} of {id}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             if stream.write_all(chunk.as_bytes()).is_err() {
-                record::line(&format!("{}: the channel of {id} is closed", self.id));
                 return false;
             }
         }
-        record::line(&format!("{} has made all events of {id}", self.id));
         stream.write_all(b"0\r\n\r\n").is_ok()
     }
 
