--- a/review/rig2/main.rs
+++ b/review/rig2/main.rs
@@ -44,11 +44,12 @@
         has_trouble: std::env::var("TROUBLE").map_or(true, |text| text != "0"),
     };
     record::line(&format!("case {case}, trouble {}", run.has_trouble));
-    let verdict = match case.as_str() {
+    let verdict = std::panic::catch_unwind(|| match case.as_str() {
         "limit" => limit::run(&run),
         "stale" => stale::run(&run),
         _ => Verdict::NotRun("no such case".into()),
-    };
+    })
+    .unwrap_or_else(|_| Verdict::NotRun("the stand-in has panicked".into()));
     let (text, code) = match verdict {
         Verdict::Broken(text) => (format!("broken: {text}"), 1),
         Verdict::Held => ("held".into(), 0),
