--- /dev/null
+++ b/src/gateway/configuration.rs
@@ -0,0 +1,63 @@
+//! What operators see of the configuration's way to this instance: who reads it, and how long it
+//! takes.
+
+use super::event::milliseconds;
+use super::traffic::Traffic;
+use crate::common::*;
+use crate::decide::arrival::Arrival;
+use std::cell::{Cell, RefCell};
+
+/// Fraction of the bound on configurations after which one that is awaited is logged.
+const OVERDUE_FRACTION: f64 = 0.5;
+
+/// State of these measurements.
+#[derive(Debug, Default)]
+pub struct Rollout {
+    arrival: RefCell<Arrival>,
+    /// Number of readers, and whether this instance is one, as last logged.
+    readers: Cell<Option<(usize, bool)>>,
+}
+
+impl Traffic {
+    /// Records the newest configuration that peers have.
+    pub(super) fn on_configuration_heard(&self, now: Duration, version: u64) {
+        let mut arrival = self.rollout.arrival.borrow_mut();
+        arrival.on_heard(now, version, self.configuration_version());
+    }
+
+    /// Records that a configuration is in force.
+    pub(super) fn on_configuration_in_force(&self, now: Duration, version: u64) {
+        let delays = self.rollout.arrival.borrow_mut().on_in_force(now, version);
+        for delay in delays {
+            self.metrics
+                .configuration_delay
+                .observe(delay.as_secs_f64());
+        }
+    }
+
+    /// Logs a change of the readers, and a configuration that is awaited for long.
+    pub(super) fn check_rollout(&self, now: Duration) {
+        let topology = self.topology.borrow();
+        let is_reader = topology.is_reader(now);
+        let count = topology.readers(now).len() + usize::from(is_reader);
+        self.metrics
+            .readers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+        let readers = Some((count, is_reader));
+        if self.rollout.readers.replace(readers) != readers {
+            let instances = topology.heard_local_count(now);
+            let values = json!({"count": count, "instances": instances, "is_reader": is_reader});
+            self.journal.note("readers", &values);
+        }
+        drop(topology);
+        let Some(bound) = self.deployment.bounds.configuration else {
+            return;
+        };
+        let limit = bound.mul_f64(OVERDUE_FRACTION);
+        if let Some(overdue) = self.rollout.arrival.borrow_mut().take_overdue(now, limit) {
+            let values = json!({"version": overdue.version, "in_force": self.configuration_version(),
+                "waited_ms": milliseconds(overdue.waited)});
+            self.journal.note("configuration_overdue", &values);
+        }
+    }
+}
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -77,8 +77,8 @@
     pub whole: bool,
     pub rows: usize,
     pub bytes: usize,
-    /// Duration of the read; none for changes, which are awaited.
-    pub took_ms: Option<u64>,
+    /// Duration of the read; for changes, which are awaited, from the head of the answer on.
+    pub took_ms: u64,
 }
 
 /// A call for the changes of a table that ended without an answer.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -163,8 +163,7 @@
         let began_at = self.store.now();
         let page = self.store.read(self.table, "").await?;
         self.confirm(began_at, page.version, true);
-        let took = self.store.now().saturating_sub(began_at);
-        self.log_fetch(&page, Some(took)).await;
+        self.log_fetch(&page, true, began_at).await;
         Ok(page)
     }
 
@@ -179,15 +178,15 @@
         self.store.send_update(update).await;
     }
 
-    /// Logs a page: the whole table if reading it `took` some time, or changes.
-    async fn log_fetch(&self, page: &Page, took: Option<Duration>) {
+    /// Logs a page of the whole table, or of changes, that was read since `began_at`.
+    async fn log_fetch(&self, page: &Page, whole: bool, began_at: Duration) {
         let fetch = Fetch {
             table: self.table,
             peer: None,
-            whole: took.is_some(),
+            whole,
             rows: page.rows.len(),
             bytes: page.size,
-            took_ms: took.map(milliseconds),
+            took_ms: milliseconds(self.store.now().saturating_sub(began_at)),
         };
         self.store.log_fetch(fetch).await;
     }
@@ -233,6 +232,7 @@
             return Ok(Some(Change::Empty));
         };
         let reply = begun.map_err(|error| failed(&error))??;
+        let answered_at = self.store.now();
         let reply = reply.read(CALL_TIMEOUT).await?;
         if reply.status == StatusCode::GONE {
             log::info!(
@@ -260,7 +260,7 @@
         if page.rows.is_empty() {
             return Ok(None);
         }
-        self.log_fetch(&page, None).await;
+        self.log_fetch(&page, false, answered_at).await;
         Ok(Some(Change::Some(page.rows)))
     }
 
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -197,7 +197,7 @@
         whole: true,
         rows: usize::from(body.is_ok()),
         bytes: body.as_ref().map_or(0, Bytes::len),
-        took_ms: Some(milliseconds(store.now().saturating_sub(began_at))),
+        took_ms: milliseconds(store.now().saturating_sub(began_at)),
     };
     store.log_fetch(fetch).await;
     body.ok()
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -45,6 +45,11 @@
     pub era_changes: Counter,
     /// Age of the proof that the configuration is current; `NO_AGE` if there is none.
     pub configuration_age_ms: Gauge,
+    /// Instances of this data centre that read the configuration from the store, as this one counts
+    /// them.
+    pub readers: Gauge,
+    /// Time from hearing of a configuration until it is in force.
+    pub configuration_delay: Histogram,
 }
 
 impl Default for Metrics {
@@ -142,6 +147,12 @@
                 "Times that the store came back from an old copy",
             ),
             configuration_age_ms: age_gauge(&mut registry),
+            readers: readers(&mut registry),
+            configuration_delay: histogram(
+                &mut registry,
+                "configuration_delay_seconds",
+                "Time from hearing of a configuration until it or a newer one is in force",
+            ),
             registry,
         }
     }
@@ -226,6 +237,15 @@
     age
 }
 
+/// Registers the gauge of the readers and returns it.
+fn readers(registry: &mut Registry) -> Gauge {
+    gauge(
+        registry,
+        "configuration_readers",
+        "Instances of this data centre that read the configuration from the store",
+    )
+}
+
 /// Registers a metric and returns it.
 fn register<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
     registry.register(name, help, metric.clone());
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -74,6 +74,7 @@
             .max(gossip.configuration);
         let is_news = newest_version > self.peer_configuration_version.replace(newest_version)
             || observation.has_reach_changed;
+        self.on_configuration_heard(now, newest_version);
         let has_newer = !is_far && gossip.configuration > self.configuration_version();
         if is_news || has_newer {
             self.update_subscription(now);
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -3,6 +3,7 @@
 
 use super::callers::Callers;
 use super::channel::Channel;
+use super::configuration::Rollout;
 use super::event::{self, CHANNEL_CAPACITY, Call, PlacerEvent, Poll, StoreUpdate, Subscription};
 use super::freshness::Proofs;
 use super::journal::Journal;
@@ -116,6 +117,7 @@
     /// Newest configuration in force at a peer.
     pub(super) peer_configuration_version: Cell<u64>,
     pub(super) lags: RefCell<Lags>,
+    pub(super) rollout: Rollout,
     /// A number from 0 to 1 that differs between instances, so that they don't act at the same moment.
     pub(super) spread: f64,
     /// Whether the store answered the last call.
@@ -275,6 +277,7 @@
             peer_servers_version: Cell::default(),
             peer_configuration_version: Cell::new(0),
             lags: RefCell::default(),
+            rollout: Rollout::default(),
             spread,
             subscription,
             demands: RefCell::default(),
@@ -616,6 +619,7 @@
         self.balance.borrow_mut().on_site(&site);
         self.on_quota_site(&site);
         self.notify_placer(PlacerEvent::Site(Arc::clone(&site)));
+        self.on_configuration_in_force(self.clock.now(), site.version.0);
         *self.site.borrow_mut() = Some(site);
         *self.raw_site.borrow_mut() = written;
         if peer.is_none() {
@@ -686,6 +690,7 @@
         }
         self.update_subscription(now);
         self.check_proofs(now);
+        self.check_rollout(now);
         self.update_versions(now);
         self.pool.tick(now);
         if !self.quarantine.borrow().is_empty() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 /// own.
 pub mod decide {
     pub mod access;
+    pub mod arrival;
     pub mod attempts;
     pub mod balance;
     pub mod brittle;
@@ -127,6 +128,7 @@
     mod callers;
     mod channel;
     pub mod command;
+    mod configuration;
     mod detour;
     mod discard;
     mod event;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -43,6 +43,7 @@
     budget_extra: f64,
     budget_window_s: f64,
     ceiling_window_s: f64,
+    config_apply_ms: Option<u64>,
     #[serde(default)]
     revoke_strict: bool,
     revoke_ms: Option<u64>,
@@ -117,6 +118,7 @@
                 window: Duration::from_secs_f64(self.budget_window_s.max(0.0)),
             },
             load_window: Duration::from_secs_f64(self.ceiling_window_s.max(0.0)),
+            configuration: self.config_apply_ms.map(Duration::from_millis),
             revocation: self
                 .revoke_ms
                 .filter(|_| self.revoke_strict)
--- a/src/world/deployment.rs
+++ b/src/world/deployment.rs
@@ -55,6 +55,8 @@
     pub retries: Allowance,
     /// Window over which loads from the weight store are counted against its allowed rate.
     pub load_window: Duration,
+    /// Time after which a configuration must be in force everywhere; `None` if it is not stated.
+    pub configuration: Option<Duration>,
     /// Time after which a key that was taken away must not be served by any instance; `None` if there
     /// is no such bound.
     pub revocation: Option<Duration>,
--- a/tests/gateway/build.rs
+++ b/tests/gateway/build.rs
@@ -115,6 +115,7 @@
                 window: ms(10_000),
             },
             load_window: ms(5_000),
+            configuration: None,
             revocation: None,
             quotas: None,
         },
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions and formats, without processes or a network.
 
 mod access;
+mod arrival;
 mod attempts;
 mod balance;
 mod brittle;
