--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -14,7 +14,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -27,6 +27,8 @@
 pub const STORE_LINK: &str = "store";
 /// Number of addresses of the store, one for each of the first instances of a network.
 const STORE_ADDRESSES: usize = 64;
+/// Number of changes that the store remembers.
+const MAX_HISTORY: usize = 4_096;
 /// How long a feed is kept waiting at most.
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 
@@ -34,6 +36,7 @@
 #[derive(Debug, Clone)]
 pub struct Copy {
     rows: BTreeMap<(String, String), Row>,
+    history: VecDeque<Row>,
     version: u64,
 }
 
@@ -49,6 +52,9 @@
 #[derive(Debug, Default)]
 struct Store {
     rows: BTreeMap<(String, String), Row>,
+    /// All changes of rows in order, and the version of the last one that was forgotten.
+    history: VecDeque<Row>,
+    forgotten: u64,
     version: u64,
     is_down: bool,
     /// Calls hang for good, also after this is cleared.
@@ -60,6 +66,15 @@
     /// Reads of whole tables, and polls for changes, by table.
     reads: BTreeMap<String, usize>,
     polls: BTreeMap<String, usize>,
+    /// Bytes of the answers to both, by table.
+    bytes: BTreeMap<String, usize>,
+}
+
+impl Row {
+    fn encode(&self) -> Value {
+        json!({"Table": self.table, "part": "", "Key": self.key, "Value": self.value,
+            "Ver": self.version, "Tombstone": self.value.is_none()})
+    }
 }
 
 impl Store {
@@ -70,7 +85,13 @@
             value,
             version: self.version,
         };
-        self.rows.insert((table.into(), key.into()), row);
+        self.rows.insert((table.into(), key.into()), row.clone());
+        self.history.push_back(row);
+        if self.history.len() > MAX_HISTORY
+            && let Some(oldest) = self.history.pop_front()
+        {
+            self.forgotten = oldest.version;
+        }
     }
 
     fn current(&self, table: &str, key: &str) -> u64 {
@@ -108,11 +129,14 @@
     fn rows(&self, table: &str, is_wanted: impl Fn(&Row) -> bool) -> Vec<Value> {
         let rows = self.rows.values().filter(|row| row.table == table);
         let rows = rows.filter(|row| is_wanted(row));
-        let rows = rows.map(|row| {
-            json!({"Table": row.table, "part": "", "Key": row.key, "Value": row.value,
-                "Ver": row.version, "Tombstone": row.value.is_none()})
-        });
-        rows.collect()
+        rows.map(Row::encode).collect()
+    }
+
+    /// All changes of a table after a version.
+    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
+        let rows = self.history.iter().filter(|row| row.table == table);
+        let rows = rows.filter(|row| row.version > after);
+        rows.map(Row::encode).collect()
     }
 }
 
@@ -267,6 +291,12 @@
         self.store().polls.get(table).copied().unwrap_or_default()
     }
 
+    /// Bytes of all answers about a table.
+    #[must_use]
+    pub fn bytes(&self, table: &str) -> usize {
+        self.store().bytes.get(table).copied().unwrap_or_default()
+    }
+
     /// Changes what the link to a worker or to the store does.
     pub fn disturb(&self, name: &str, mode: Mode) {
         self.links[name].set(mode);
@@ -315,6 +345,7 @@
         let store = self.store();
         Copy {
             rows: store.rows.clone(),
+            history: store.history.clone(),
             version: store.version,
         }
     }
@@ -324,6 +355,7 @@
     pub fn return_from(&self, copy: &Copy) {
         let mut store = self.store();
         store.rows.clone_from(&copy.rows);
+        store.history.clone_from(&copy.history);
         store.version = copy.version;
         store.era += 1;
         drop(store);
@@ -456,11 +488,15 @@
                 let woken = changed.notified();
                 let (rows, version) = {
                     let store = lock();
-                    (store.rows(&table, |row| row.version > after), store.version)
+                    let is_known = (store.forgotten..=store.version).contains(&after);
+                    (
+                        is_known.then(|| store.changes(&table, after)),
+                        store.version,
+                    )
                 };
-                if after > version {
+                let Some(rows) = rows else {
                     break (410, json!({"Ver": version}));
-                }
+                };
                 if !rows.is_empty() || longest.is_elapsed() {
                     break (200, json!({"Rows": rows, "HasMore": false, "Ver": version}));
                 }
@@ -472,7 +508,10 @@
         }
         _ => (404, json!({})),
     };
-    let body = worker::Body::Whole(Full::new(Bytes::from(body.to_string())));
+    let body = body.to_string();
+    let table = parameter(&query, "Table");
+    *lock().bytes.entry(table).or_default() += body.len();
+    let body = worker::Body::Whole(Full::new(Bytes::from(body)));
     let era = lock().era;
     Response::builder()
         .status(status)
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -13,6 +13,7 @@
 mod old_copy;
 mod operations;
 mod operators;
+mod outages;
 mod parts;
 mod quotas;
 mod raw_server;
--- /dev/null
+++ b/tests/gateway_processes/outages.rs
@@ -0,0 +1,84 @@
+//! What instances read from the store when it returns after an outage.
+
+use super::site::{Site, config, wait_for};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// More than report to each other directly, so that the data centre has hubs.
+const INSTANCES: u8 = 16;
+/// Instances of a data centre that may read a configuration while it is not known whom the store
+/// answers.
+const MAX_READERS: usize = 6;
+/// Instances that follow it otherwise.
+const READERS: usize = 2;
+const ROUTES: usize = 200;
+/// Time in which every instance has found the store down.
+const OUTAGE: Duration = Duration::from_secs(5);
+const FIRST_VERSION: u64 = 30_000;
+const VERSIONS: u64 = 12;
+
+/// A configuration with many routes.
+fn large_config(version: u64) -> Value {
+    let mut config = config(version);
+    let routes = config["Routes"].as_array_mut().unwrap();
+    let first = routes[0].clone();
+    routes.extend((0..ROUTES).map(|number| {
+        let mut route = first.clone();
+        route["Name"] = json!(format!("route-{number}"));
+        route["PathPrefix"] = json!(format!("/route-{number}/"));
+        route
+    }));
+    config
+}
+
+fn wait_for_version(site: &Site, version: u64) {
+    wait_for("the configuration at all instances", || {
+        (0..usize::from(INSTANCES))
+            .all(|instance| site.state(instance)["version"] == json!(version))
+    });
+}
+
+/// Guards against a herd at the store's return: every instance of a data centre read all versions of a
+/// large configuration at once, the link between the regions was full for seconds, and an old
+/// configuration stayed in force.
+#[test]
+fn few_instances_read_one_version_each_when_the_store_returns() {
+    let site = Site::start(INSTANCES);
+    site.wait_until_ready();
+    site.platform.configure(&large_config(FIRST_VERSION));
+    wait_for_version(&site, FIRST_VERSION);
+    let size = large_config(FIRST_VERSION).to_string().len() * 4 / 3;
+    site.platform.set_down(true);
+    std::thread::sleep(OUTAGE);
+    for version in 1..=VERSIONS {
+        site.platform
+            .configure(&large_config(FIRST_VERSION + version));
+    }
+    let before = site.platform.bytes("op");
+    site.platform.set_down(false);
+    wait_for_version(&site, FIRST_VERSION + VERSIONS);
+    let read = (site.platform.bytes("op") - before) / size;
+    assert!(read <= MAX_READERS, "{read} copies were read");
+}
+
+/// Guards against a herd at the store by instances that start together, although their peers have the
+/// configuration.
+#[test]
+fn instances_that_restart_get_the_configuration_from_their_peers() {
+    let mut site = Site::start(INSTANCES);
+    site.wait_until_ready();
+    site.platform.configure(&large_config(FIRST_VERSION));
+    wait_for_version(&site, FIRST_VERSION);
+    let size = large_config(FIRST_VERSION).to_string().len() * 4 / 3;
+    let before = site.platform.bytes("op");
+    let restarted = usize::from(INSTANCES) / 2..usize::from(INSTANCES);
+    for instance in restarted.clone() {
+        site.instances[instance].1.kill();
+    }
+    for instance in restarted {
+        site.relaunch(instance);
+    }
+    wait_for_version(&site, FIRST_VERSION);
+    let read = (site.platform.bytes("op") - before) / size;
+    assert!(read <= READERS, "{read} copies were read");
+}
