--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -28,9 +28,14 @@
 const BROADCASTER_COUNT: usize = 6;
 
 /// Number of instances of a data centre that read the configuration from the store; the others get
-/// it from them. As many more read it for each one that the store does not answer, since it may not
-/// answer the next ones either.
+/// it from them.
 const READER_COUNT: usize = 2;
+/// Largest number of readers. Until the store has answered the first ones, as many more read for each
+/// instance that it does not answer, since it may not answer the next ones either.
+const MAX_READER_COUNT: usize = 6;
+/// Time that an instance sends heartbeats before it counts itself among the readers of a data centre
+/// with hubs: the others in the same situation, which sent none either, are heard by then.
+const INTRODUCTION_TIME: Duration = Duration::from_millis(500);
 
 /// State of another instance, as last heard or listed.
 #[derive(Debug, Clone)]
@@ -42,10 +47,21 @@
     /// Number of its incarnations that were heard.
     start_count: u64,
     heard_at: Option<Duration>,
-    reaches_store: bool,
+    access: Access,
     configuration: u64,
 }
 
+/// Whether the store answers an instance, as that instance last told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Access {
+    /// It has answered a call within the last seconds.
+    Confirmed,
+    /// No call has failed since its last answer.
+    Assumed,
+    /// It did not answer the last call.
+    Refused,
+}
+
 /// A datagram's sender, as it describes itself.
 #[derive(Debug, Clone)]
 pub struct Sender {
@@ -54,8 +70,7 @@
     pub data_centre: id::DataCentre,
     pub incarnation: u64,
     pub sequence: u64,
-    /// Whether the store answers the sender's calls.
-    pub reaches_store: bool,
+    pub access: Access,
     /// Version of the configuration that the sender has in force.
     pub configuration: u64,
 }
@@ -78,8 +93,8 @@
     pub was_silent: bool,
     /// Whether this is the first datagram of this incarnation of the sender.
     pub is_new_start: bool,
-    /// Whether the store began or ceased to answer the sender.
-    pub has_reach_changed: bool,
+    /// Whether the store began or ceased to answer the sender, or is known to answer it.
+    pub has_access_changed: bool,
     /// Number of the sender's incarnations heard so far. Unlike the incarnation itself it never
     /// decreases, even if the sender's system clock was set back.
     pub start: u64,
@@ -108,6 +123,12 @@
     is_list_read: bool,
     /// Largest number of instances ever counted.
     max_count: u32,
+    /// Whether the store answers this instance.
+    local_access: Access,
+    /// Since when this instance sends heartbeats to its whole data centre.
+    broadcasting_since: Option<Duration>,
+    /// Since when the store is known to answer a peer of this data centre.
+    confirmed_since: Option<Duration>,
 }
 
 impl Topology {
@@ -123,9 +144,34 @@
             rotation: 0,
             is_list_read: false,
             max_count: 1,
+            local_access: Access::Assumed,
+            broadcasting_since: None,
+            confirmed_since: None,
         }
     }
 
+    /// Records whether the store answers this instance; returns whether that has changed.
+    pub fn on_access(&mut self, access: Access) -> bool {
+        std::mem::replace(&mut self.local_access, access) != access
+    }
+
+    /// Updates since when this instance sends heartbeats, and since when a peer reaches the store.
+    pub fn tick(&mut self, now: Duration) {
+        let is_broadcaster = self.is_broadcaster(now);
+        let is_confirmed = self
+            .live_locals(now)
+            .any(|(_, member)| member.access == Access::Confirmed);
+        update_since(&mut self.broadcasting_since, now, is_broadcaster);
+        update_since(&mut self.confirmed_since, now, is_confirmed);
+    }
+
+    /// Whether the store is known to answer a peer of this data centre for at least `time`.
+    #[must_use]
+    pub fn has_confirmed_peer(&self, now: Duration, time: Duration) -> bool {
+        self.confirmed_since
+            .is_some_and(|since| now >= since + time)
+    }
+
     /// Adds an instance from the list in the store.
     pub fn on_listed(
         &mut self,
@@ -143,7 +189,7 @@
             sequence: 0,
             start_count: 0,
             heard_at: None,
-            reaches_store: true,
+            access: Access::Assumed,
             configuration: 0,
         });
         if member.heard_at.is_none() {
@@ -167,7 +213,7 @@
             sequence: 0,
             start_count: 0,
             heard_at: None,
-            reaches_store: true,
+            access: Access::Assumed,
             configuration: 0,
         });
         let was_silent = !is_recent(now, member.heard_at, SILENCE_TIMEOUT);
@@ -175,7 +221,7 @@
             freshness,
             was_silent: was_silent && freshness != Freshness::OlderIncarnation,
             is_new_start: false,
-            has_reach_changed: false,
+            has_access_changed: false,
             start: member.start_count,
         };
         if sender.incarnation < member.incarnation && !was_silent {
@@ -191,12 +237,12 @@
         member.start_count += u64::from(is_new_start);
         member.incarnation = sender.incarnation;
         member.sequence = sender.sequence;
-        let has_reach_changed = member.reaches_store != sender.reaches_store;
-        member.reaches_store = sender.reaches_store;
+        let has_access_changed = member.access != sender.access;
+        member.access = sender.access;
         member.configuration = sender.configuration;
         Receipt {
             is_new_start,
-            has_reach_changed,
+            has_access_changed,
             ..receipt(Freshness::Newest, member)
         }
     }
@@ -216,14 +262,39 @@
         self.count_by_hub = Some((now, instances));
     }
 
-    /// Whether this instance sends heartbeats to its whole data centre: it is among the first by
-    /// name of the live instances that the store answers.
+    /// Whether this instance sends heartbeats to its whole data centre: it is among the first live
+    /// instances in the order of [`Self::rank`].
     #[must_use]
     pub fn is_broadcaster(&self, now: Duration) -> bool {
+        self.rank(now) < BROADCASTER_COUNT
+    }
+
+    /// Number of live peers of this data centre before this instance: by name, and those that the store
+    /// does not answer after all others.
+    fn rank(&self, now: Duration) -> usize {
+        let key = (self.local_access == Access::Refused, &self.local_instance);
         let preceding = self
             .live_locals(now)
-            .filter(|(peer, _)| **peer < self.local_instance);
-        preceding.filter(|(_, member)| member.reaches_store).count() < BROADCASTER_COUNT
+            .filter(|(peer, member)| (member.access == Access::Refused, *peer) < key);
+        preceding.count()
+    }
+
+    /// Number of instances of this data centre that should read the configuration.
+    fn wanted_readers(&self, now: Duration) -> usize {
+        let locals = self.live_locals(now);
+        let locals = locals.map(|(peer, member)| (peer, member.access));
+        let mut locals: Vec<_> = locals
+            .chain([(&self.local_instance, self.local_access)])
+            .collect();
+        locals.sort_unstable_by_key(|(peer, access)| (*access == Access::Refused, *peer));
+        let refused = locals.iter().filter(|(_, it)| *it == Access::Refused);
+        let refused = refused.count();
+        let mut first = locals.iter().take(READER_COUNT);
+        if refused == 0 || first.all(|(_, access)| *access == Access::Confirmed) {
+            READER_COUNT
+        } else {
+            (READER_COUNT * (1 + refused)).min(MAX_READER_COUNT)
+        }
     }
 
     /// Whether this instance is its data centre's speaker: the first by name of the live instances.
@@ -273,7 +344,7 @@
         let mut members = self.members.values();
         members
             .find(|member| member.address == address)
-            .is_none_or(|member| member.reaches_store)
+            .is_none_or(|member| member.access != Access::Refused)
     }
 
     /// Returns the peers of this data centre with their addresses.
@@ -294,27 +365,40 @@
         members.map(|member| (member.address, &member.data_centre))
     }
 
-    /// Whether this instance reads the configuration from the store: it is among the first by name
-    /// of the live instances that the store answers.
+    /// Whether this instance reads the configuration from the store. While the store answers nobody, the
+    /// number of readers stays small, so that few read at its return.
     #[must_use]
     pub fn is_reader(&self, now: Duration) -> bool {
-        let (reaching, cut_off): (Vec<_>, Vec<_>) = self
-            .live_locals(now)
-            .partition(|(_, member)| member.reaches_store);
-        let preceding = reaching
-            .iter()
-            .filter(|(peer, _)| **peer < self.local_instance);
-        preceding.count() < READER_COUNT * (1 + cut_off.len())
+        let is_known = || {
+            let since = self.broadcasting_since;
+            since.is_some_and(|since| now >= since + INTRODUCTION_TIME)
+        };
+        self.rank(now) < self.wanted_readers(now) && (!self.has_hubs(now) || is_known())
+    }
+
+    /// Number of live instances of this data centre that read the configuration.
+    #[must_use]
+    pub fn reader_count(&self, now: Duration) -> usize {
+        let instances = self.live_locals(now).count() + 1;
+        self.wanted_readers(now).min(instances)
+    }
+
+    /// Whether the store does not answer a live instance of this data centre.
+    #[must_use]
+    pub fn has_refused(&self, now: Duration) -> bool {
+        let mut locals = self.live_locals(now);
+        self.local_access == Access::Refused
+            || locals.any(|(_, member)| member.access == Access::Refused)
     }
 
     /// Returns the live peers of this data centre that read the configuration and that the store
     /// answers, as far as they have told.
     #[must_use]
     pub fn readers(&self, now: Duration) -> Vec<SocketAddr> {
-        let (reaching, cut_off): (Vec<_>, Vec<_>) = self
+        let reaching = self
             .live_locals(now)
-            .partition(|(_, member)| member.reaches_store);
-        let readers = reaching.iter().take(READER_COUNT * (1 + cut_off.len()));
+            .filter(|(_, member)| member.access != Access::Refused);
+        let readers = reaching.take(self.wanted_readers(now));
         readers.map(|(_, member)| member.address).collect()
     }
 
@@ -424,6 +508,10 @@
     heard_at.is_some_and(|at| now < at + timeout)
 }
 
+fn update_since(since: &mut Option<Duration>, now: Duration, holds: bool) {
+    *since = holds.then(|| since.unwrap_or(now));
+}
+
 /// Returns this instance's share of a total: at least 1, and exactly 1 while the number of sharers
 /// is unknown.
 #[must_use]
--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -20,6 +20,9 @@
 
 /// Path at which peers read the configuration.
 pub const CONFIGURATION_PATH: &str = "/configuration";
+/// Header with the version of the configuration's row at the store, so that a peer that reads the store
+/// later asks for what is newer.
+pub const POSITION_HEADER: &str = "row-version";
 /// Time-out for the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -85,6 +88,11 @@
 fn configuration_response(traffic: &Traffic) -> Response<Full<Bytes>> {
     let raw = traffic.raw_site.borrow().clone();
     let mut response = Response::new(Full::new(raw));
+    if let Some(position) = traffic.site_position.get()
+        && let Ok(position) = position.to_string().parse()
+    {
+        response.headers_mut().insert(POSITION_HEADER, position);
+    }
     if traffic.site.borrow().is_none() {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -259,6 +259,35 @@
     request
 }
 
+/// Opens a connection, makes one call and closes it. `pause_limit` is for the answer to begin, and
+/// for pauses in it.
+///
+/// # Errors
+/// If no complete response arrived within `time_limit`; the call may have been executed.
+pub async fn fetch_once(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    pause_limit: Duration,
+    time_limit: Duration,
+) -> Result<Reply> {
+    let url = request.uri().to_string();
+    let late = |limit| call_error(&url, &format!("no response within {limit:?}"));
+    let opening = async {
+        let mut channel = connect(address)
+            .await
+            .map_err(|error| call_error(&url, &error))?;
+        let begun = channel.begin(request).await?;
+        Ok((channel, begun))
+    };
+    let call = async {
+        let opened = timeout(pause_limit, opening).await;
+        let (_channel, begun) = opened.unwrap_or_else(|_| Err(late(pause_limit)))?;
+        begun.read(pause_limit).await
+    };
+    let reply = timeout(time_limit, call).await;
+    reply.unwrap_or_else(|_| Err(late(time_limit)))
+}
+
 /// Opens a connection, makes one call and closes it, all within `time_limit`.
 ///
 /// # Errors
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -5,11 +5,16 @@
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::arrival::Arrival;
+use crate::decide::topology::Access;
 use std::cell::{Cell, RefCell};
 
 /// Fraction of the bound on configurations after which one that is awaited is logged.
 const OVERDUE_FRACTION: f64 = 0.5;
 
+/// Time after an answer of the store for which it is known to answer. Brief polls are answered more
+/// often.
+const CONFIRMED_TIME: Duration = Duration::from_millis(2_500);
+
 /// State of these measurements.
 #[derive(Debug, Default)]
 pub struct Rollout {
@@ -19,6 +24,42 @@
 }
 
 impl Traffic {
+    /// Records that the store has answered a call.
+    pub(super) fn on_store_answered(&self) {
+        let now = self.clock.now();
+        self.store_answered_at.set(Some(now));
+        if self.update_access(now) && self.topology.borrow().has_refused(now) {
+            self.has_new_access.set(true);
+            self.gossip_pending.notify_one();
+            self.update_subscription(now);
+        }
+    }
+
+    /// Returns whether the store answers this instance.
+    pub(super) fn store_access(&self, now: Duration) -> Access {
+        let answered_at = self.store_answered_at.get();
+        if !self.reaches_store.get() {
+            Access::Refused
+        } else if answered_at.is_some_and(|at| now < at + CONFIRMED_TIME) {
+            Access::Confirmed
+        } else {
+            Access::Assumed
+        }
+    }
+
+    /// Updates whether the store answers this instance; returns whether that has changed.
+    pub(super) fn update_access(&self, now: Duration) -> bool {
+        let access = self.store_access(now);
+        self.topology.borrow_mut().on_access(access)
+    }
+
+    /// Whether the store must be called to see if it answers again; at most now and then.
+    pub(super) fn is_recheck_due(&self, now: Duration) -> bool {
+        let is_refused = !self.reaches_store.get() && !self.topology.borrow().is_reader(now);
+        let mut recheck = self.recheck.borrow_mut();
+        recheck.is_due(now, is_refused, self.spread)
+    }
+
     /// Records the newest configuration that peers have.
     pub(super) fn on_configuration_heard(&self, now: Duration, version: u64) {
         let mut arrival = self.rollout.arrival.borrow_mut();
@@ -39,7 +80,7 @@
     pub(super) fn check_rollout(&self, now: Duration) {
         let topology = self.topology.borrow();
         let is_reader = topology.is_reader(now);
-        let count = topology.readers(now).len() + usize::from(is_reader);
+        let count = topology.reader_count(now);
         self.metrics
             .readers
             .set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -38,6 +38,8 @@
         site: Arc<Site>,
         written: Bytes,
         peer: Option<SocketAddr>,
+        /// Version of its row; none from a peer that does not state it.
+        position: Option<Version>,
     },
     /// The store's answer to a call that began at this time, on this process's clock, shows that no
     /// newer configuration than this version was acknowledged before then.
@@ -61,6 +63,8 @@
     Era(Era),
     /// The store became reachable or unreachable.
     Store { up: bool },
+    /// The store has answered a call; sent now and then.
+    StoreAnswered,
     /// Rows or a configuration were fetched; only for the logs.
     Fetched(Fetch),
     /// A call for the changes of a table ended without an answer; only for the logs.
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -4,6 +4,9 @@
 //! full. A response older than the last version seen is discarded, because the store may return
 //! stale data.
 //!
+//! Of a table of which only the newest row counts, changes are read only while each answer holds one of
+//! them. Otherwise the table is read, which costs one row however many changes were missed.
+//!
 //! A response that is not older shows what the table held when the call began.
 
 use super::channel::{self, Channel};
@@ -45,8 +48,14 @@
     stall_count_of: fn(&Subscription) -> u64,
     is_wanted: fn(&Subscription) -> bool,
     poll_of: fn(&Subscription) -> Poll,
-    /// Consecutive failed calls.
+    /// Whether earlier changes of a row are of no use once there are later ones.
+    pub reads_newest_only: bool,
+    /// Whether an answer may hold several changes: the table changes faster than it is read, or a call
+    /// has failed.
+    is_outrun: bool,
+    /// Consecutive failed calls, and when the next call may be made.
     failures: u32,
+    retry_at: Duration,
 }
 
 /// Result of reading the feed.
@@ -82,10 +91,25 @@
             stall_count_of,
             is_wanted,
             poll_of,
+            reads_newest_only: false,
+            is_outrun: false,
             failures: 0,
+            retry_at: Duration::ZERO,
         }
     }
 
+    /// Returns how long no call may be made since the last one failed; zero if one may be made.
+    pub fn rest(&self) -> Duration {
+        self.retry_at.saturating_sub(self.store.now())
+    }
+
+    /// Sets the version up to which another instance has read the table; none if it is not known.
+    pub fn resume_at(&mut self, version: Option<Version>) {
+        self.last_version =
+            version.map(|version| self.last_version.max(Some(version)).unwrap_or(version));
+        self.is_outrun = false;
+    }
+
     /// Waits for the next change or failure, or until a call is dropped, so that the follower can turn to
     /// another source.
     pub async fn next(&mut self) -> Change {
@@ -113,6 +137,7 @@
         let began_at = self.store.now();
         let change = match self.last_version {
             None => self.read_all().await,
+            Some(version) if self.is_outrun => self.reread_after_gap(version).await,
             Some(version) => self.poll_changes(version, poll).await,
         };
         match change {
@@ -130,7 +155,10 @@
                 self.log_failure(began_at, error.to_string()).await;
                 self.channel = None;
                 self.store.record_call(false).await;
-                sleep(backoff(RETRY_DELAY, self.failures, MAX_RETRY_DELAY, 1.0)).await;
+                // How many changes have been missed when a call succeeds again is not known.
+                self.is_outrun |= self.reads_newest_only;
+                let delay = backoff(RETRY_DELAY, self.failures, MAX_RETRY_DELAY, 1.0);
+                self.retry_at = self.store.now() + delay;
                 self.failures += 1;
                 Some(Change::Empty)
             }
@@ -147,7 +175,7 @@
         self.confirmed_at = (is_newest && is_current).then_some(began_at);
     }
 
-    /// Reads the complete table now, or waits for the retry delay if that fails.
+    /// Reads the complete table now.
     pub async fn reread(&mut self) -> Change {
         self.last_version = None;
         self.next().await
@@ -156,6 +184,7 @@
     async fn read_all(&mut self) -> Result<Option<Change>> {
         let page = self.read_table().await?;
         self.last_version = Some(page.version);
+        self.is_outrun = false;
         Ok(Some(Change::Snapshot(page.rows)))
     }
 
@@ -229,6 +258,7 @@
             let reason = "dropped: it may hang, or is no longer wanted";
             self.log_failure(began_at, reason.into()).await;
             self.channel = None;
+            self.is_outrun |= self.reads_newest_only;
             return Ok(Some(Change::Empty));
         };
         let reply = begun.map_err(|error| failed(&error))??;
@@ -260,10 +290,17 @@
         if page.rows.is_empty() {
             return Ok(None);
         }
+        self.is_outrun = self.reads_newest_only && page.rows.len() > 1;
         self.log_fetch(&page, false, answered_at).await;
         Ok(Some(Change::Some(page.rows)))
     }
 
+    /// Whether a page holds changes after a version.
+    fn has_changes(page: &Page, after: Version) -> bool {
+        let mut rows = page.rows.iter();
+        page.version.era > after.era || rows.any(|row| row.version > after.number)
+    }
+
     /// Reads the complete table, and discards a response older than the last version seen.
     async fn reread_after_gap(&mut self, after: Version) -> Result<Option<Change>> {
         let page = self.read_table().await?;
@@ -273,6 +310,7 @@
             return Ok(None);
         }
         self.last_version = Some(page.version);
+        self.is_outrun &= Self::has_changes(&page, after);
         Ok(Some(Change::Snapshot(page.rows)))
     }
 }
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -1,7 +1,7 @@
 //! Follows the operator's configuration and the server list at the store; the configuration may
 //! also be fetched from a peer that has it.
 
-use super::admin::CONFIGURATION_PATH;
+use super::admin::{CONFIGURATION_PATH, POSITION_HEADER};
 use super::channel;
 use super::event::{Fetch, StoreUpdate, Subscription, milliseconds};
 use super::feed::{Change, Feed};
@@ -10,6 +10,7 @@
 use crate::decide::config_source::{Progress, Situation, Source};
 use crate::platform::{config, worker};
 use crate::wire::generated_gossip::{Batch, Entry};
+use crate::world::deployment::Deployment;
 use crate::world::site::Version;
 use crate::world::table;
 use bytes::Bytes;
@@ -20,15 +21,19 @@
 
 /// Changes within this time are fetched together.
 const BATCHING_DELAY: Duration = Duration::from_millis(300);
-/// Time-out for fetching the configuration from a peer.
+/// Time-out for a peer's answer to begin, and for pauses in it; and for all of it, since several
+/// instances may fetch a large configuration over the peer's link at once.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+const MAX_PEER_READ_TIME: Duration = Duration::from_millis(1_500);
+/// After its start, an instance waits this long for a peer that has the configuration before it reads
+/// the store; its spread adds up to as much again.
+const START_LISTEN_TIME: Duration = Duration::from_millis(400);
 
 /// Follows the configuration at the store, or fetches a newer one from a peer.
 pub async fn follow_site(
     store: Rc<Store>,
     mut subscription: watch::Receiver<Subscription>,
-    metrics_port: u16,
-    wants_proofs: bool,
+    deployment: Arc<Deployment>,
 ) {
     let mut feed = Feed::new(
         Rc::clone(&store),
@@ -38,7 +43,9 @@
         |subscription| subscription.is_following_site,
         |subscription| subscription.site_poll,
     );
-    feed.returns_unchanged = wants_proofs;
+    feed.returns_unchanged = deployment.bounds.revocation.is_some();
+    feed.reads_newest_only = true;
+    let listens_until = store.now() + START_LISTEN_TIME.mul_f64(1.0 + deployment.spread());
     let mut known = Known::default();
     let mut seen_stalls = 0;
     let mut seen_checks = 0;
@@ -56,8 +63,11 @@
         } else {
             Progress::Current
         };
+        let has_none = newest == Version::default();
+        let listens_for = listens_until.saturating_sub(store.now());
+        let is_listening = has_none && !listens_for.is_zero();
         let situation = Situation {
-            follows_store: now.is_following_site || feed.last_version.is_none(),
+            follows_store: now.is_following_site || (has_none && !is_listening),
             reaches_store: store.is_up.get(),
             progress,
             peer: now
@@ -68,12 +78,14 @@
         has_peer_failed = false;
         match situation.source() {
             Source::Peer(peer) => {
-                let raw = fetch_from_peer(&store, peer, metrics_port).await;
-                let is_newer = match raw {
-                    Some(raw) => known.apply(&store, &raw, Some(peer)).await == Applied::Newer,
+                let fetched = fetch_from_peer(&store, peer, deployment.metrics.port()).await;
+                let is_newer = match &fetched {
+                    Some(copy) => known.apply_copy(&store, copy, peer).await == Applied::Newer,
                     None => false,
                 };
-                if !is_newer {
+                if let Some(copy) = fetched.filter(|_| is_newer) {
+                    feed.resume_at(copy.position);
+                } else {
                     has_peer_failed = !store.is_up.get();
                     let _changed = timeout(RETRY_DELAY, subscription.changed()).await;
                 }
@@ -82,21 +94,27 @@
                 seen_stalls = now.site_stalls;
                 seen_checks = now.site_checks;
                 let change = feed.reread().await;
-                known.apply_change(&store, change, feed.confirmed_at).await;
+                known.apply_change(&store, change, &feed).await;
             }
             Source::Store | Source::Await if now.site_checks > seen_checks => {
                 seen_checks = now.site_checks;
                 let change = feed.check().await;
-                known.apply_change(&store, change, feed.confirmed_at).await;
+                known.apply_change(&store, change, &feed).await;
+            }
+            Source::Store if !feed.rest().is_zero() => {
+                let _changed = timeout(feed.rest(), subscription.changed()).await;
             }
             Source::Store => {
                 let change = feed.next().await;
                 let has_rows = matches!(change, Change::Snapshot(_) | Change::Some(_));
-                known.apply_change(&store, change, feed.confirmed_at).await;
+                known.apply_change(&store, change, &feed).await;
                 if has_rows {
                     sleep(BATCHING_DELAY).await;
                 }
             }
+            Source::Await if is_listening => {
+                let _changed = timeout(listens_for, subscription.changed()).await;
+            }
             Source::Await => {
                 if subscription.changed().await.is_err() {
                     return;
@@ -128,19 +146,19 @@
 impl Known {
     /// Applies an answer of the store. If it shows what the store held when the call began, passes this
     /// on after the configuration itself.
-    async fn apply_change(
-        &mut self,
-        store: &Store,
-        change: Change,
-        confirmed_at: Option<Duration>,
-    ) {
+    async fn apply_change(&mut self, store: &Store, change: Change, feed: &Feed) {
+        let (confirmed_at, at) = (feed.confirmed_at, feed.last_version);
         match change {
             Change::Empty => return,
             Change::Unchanged => {}
             Change::Snapshot(rows) | Change::Some(rows) => {
                 let rows = rows.into_iter().filter(|row| row.key == config::KEY);
-                for value in rows.filter_map(|row| row.value) {
-                    let applied = self.apply(store, &Bytes::from(value), None).await;
+                let newest = rows.max_by_key(|row| row.version);
+                if let Some((value, position)) =
+                    newest.and_then(|row| row.value.zip(Some(row.version)))
+                {
+                    let position = at.map(|version| version.at(position));
+                    let applied = self.apply(store, &Bytes::from(value), None, position).await;
                     self.is_row_readable = applied != Applied::Unreadable;
                 }
             }
@@ -152,9 +170,26 @@
         }
     }
 
+    /// Applies what a peer has.
+    async fn apply_copy(&mut self, store: &Store, copy: &Copy, peer: SocketAddr) -> Applied {
+        let applied = self
+            .apply(store, &copy.raw, Some(peer), copy.position)
+            .await;
+        if applied == Applied::Newer && copy.position.is_some() {
+            self.is_row_readable = true;
+        }
+        applied
+    }
+
     /// Puts a configuration in force if it is newer than the current one; `peer` names its source
-    /// unless that is the store.
-    async fn apply(&mut self, store: &Store, raw: &Bytes, peer: Option<SocketAddr>) -> Applied {
+    /// unless that is the store, and `position` is the version of its row.
+    async fn apply(
+        &mut self,
+        store: &Store,
+        raw: &Bytes,
+        peer: Option<SocketAddr>,
+        position: Option<table::Version>,
+    ) -> Applied {
         match config::decode(raw) {
             Ok(site) if site.version > self.newest => {
                 self.newest = site.version;
@@ -163,6 +198,7 @@
                         site: Arc::new(site),
                         written: raw.clone(),
                         peer,
+                        position,
                     })
                     .await;
                 Applied::Newer
@@ -182,12 +218,28 @@
     }
 }
 
+/// A peer's configuration, and the version of its row if the peer states it.
+#[derive(Debug)]
+struct Copy {
+    raw: Bytes,
+    position: Option<table::Version>,
+}
+
 /// Fetches the configuration from a peer.
-async fn fetch_from_peer(store: &Store, peer: SocketAddr, port: u16) -> Option<Bytes> {
+async fn fetch_from_peer(store: &Store, peer: SocketAddr, port: u16) -> Option<Copy> {
     let address = SocketAddr::new(peer.ip(), port);
     let call = channel::build_request(Method::GET, address, CONFIGURATION_PATH, Vec::new());
     let began_at = store.now();
-    let reply = channel::call_once(address, call, PEER_TIMEOUT).await;
+    let reply = channel::fetch_once(address, call, PEER_TIMEOUT, MAX_PEER_READ_TIME).await;
+    let position = reply.as_ref().ok().and_then(|reply| {
+        reply
+            .headers
+            .get(POSITION_HEADER)?
+            .to_str()
+            .ok()?
+            .parse()
+            .ok()
+    });
     let body = reply.and_then(|reply| reply.require_ok("a peer's configuration"));
     let body = body
         .inspect_err(|error| log::info!("fetching the configuration from a peer failed: {error}"));
@@ -200,7 +252,7 @@
         took_ms: milliseconds(store.now().saturating_sub(began_at)),
     };
     store.log_fetch(fetch).await;
-    body.ok()
+    body.ok().map(|raw| Copy { raw, position })
 }
 
 /// Follows the server list while subscribed; otherwise only catches up when peers have a newer
@@ -249,7 +301,10 @@
                 newest.number = versions.max().unwrap_or(newest.number);
                 (from, rows)
             }
-            Change::Empty | Change::Unchanged => continue,
+            Change::Empty | Change::Unchanged => {
+                sleep(feed.rest()).await;
+                continue;
+            }
         };
         let to = feed.last_version.unwrap_or_default();
         let entries = rows.into_iter().map(|row| Entry {
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -31,6 +31,10 @@
     is_late: Cell<bool>,
 }
 
+/// Shortest time for which peers that the store answers are asked for a proof after an outage, before an
+/// instance calls the store itself.
+const MIN_ASKING_TIME: Duration = Duration::from_millis(500);
+
 impl Proofs {
     /// Creates the state of a process that has no proof yet.
     #[must_use]
@@ -201,20 +205,31 @@
             let reach = self.store_reach(now);
             freshness.borrow_mut().should_call(now, in_force, reach)
         });
-        old.site_checks + u64::from(is_due)
+        old.site_checks + u64::from(is_due || self.is_recheck_due(now))
     }
 
     /// Whether this instance's polls for the configuration are brief, if it reads it: to prove that it
     /// is current, or to notice soon that the store does not answer.
     pub(super) fn polls_site_briefly(&self, now: Duration) -> bool {
-        let is_first = self.topology.borrow().is_first_data_centre(now);
-        self.proofs.are_wanted() || (!self.is_holder() && is_first)
+        let topology = self.topology.borrow();
+        let is_relied_on = topology.is_first_data_centre(now) || topology.has_refused(now);
+        self.proofs.are_wanted() || (!self.is_holder() && is_relied_on)
+    }
+
+    /// Returns for how long a peer must have had answers of the store before this instance calls it.
+    fn asking_time(&self) -> Duration {
+        MIN_ASKING_TIME.mul_f64(1.0 + self.spread)
     }
 
     /// Returns whom the store may answer; a reader's own polls show whether it answers this instance.
     fn store_reach(&self, now: Duration) -> Reach {
         let topology = self.topology.borrow();
-        if topology.is_reader(now) || self.reaches_store.get() && !topology.readers(now).is_empty()
+        let has_refused = topology.has_refused(now);
+        if has_refused && !topology.has_confirmed_peer(now, self.asking_time()) {
+            // At the store's return, peers are asked before all call it at the same moment.
+            Reach::Nobody
+        } else if topology.is_reader(now)
+            || self.reaches_store.get() && !topology.readers(now).is_empty()
         {
             Reach::This
         } else if topology.readers(now).is_empty() {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -169,12 +169,13 @@
             send(&traffic, &socket, "proof", &gossip, &[peer]).await;
         }
         let has_reach_changed = traffic.has_reach_changed.take();
+        let has_new_access = traffic.has_new_access.take();
         let has_new_site = traffic.has_new_site.take();
         if has_reach_changed && traffic.is_holder() {
             broadcast(&traffic, &socket, "reach", traffic.envelope()).await;
         } else if has_new_site && traffic.checks_store() {
             broadcast(&traffic, &socket, "news", traffic.envelope()).await;
-        } else if has_reach_changed || has_new_site {
+        } else if has_reach_changed || has_new_access || has_new_site {
             let peers = traffic.data_centre_peers();
             send(&traffic, &socket, "news", &traffic.envelope(), &peers).await;
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -148,11 +148,7 @@
             ),
             configuration_age_ms: age_gauge(&mut registry),
             readers: readers(&mut registry),
-            configuration_delay: histogram(
-                &mut registry,
-                "configuration_delay_seconds",
-                "Time from hearing of a configuration until it or a newer one is in force",
-            ),
+            configuration_delay: configuration_delay(&mut registry),
             registry,
         }
     }
@@ -246,6 +242,15 @@
     )
 }
 
+/// Registers the histogram of the times that configurations take and returns it.
+fn configuration_delay(registry: &mut Registry) -> Histogram {
+    histogram(
+        registry,
+        "configuration_delay_seconds",
+        "Time from hearing of a configuration until it or a newer one is in force",
+    )
+}
+
 /// Registers a metric and returns it.
 fn register<M: Metric + Clone>(registry: &mut Registry, name: &str, help: &str, metric: M) -> M {
     registry.register(name, help, metric.clone());
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -7,7 +7,7 @@
 use crate::decide::balance::{AGGREGATE_PREFIX, Balancer, Workload};
 use crate::decide::follower::{self, Audience};
 use crate::decide::tally::Source;
-use crate::decide::topology::{Freshness, Sender};
+use crate::decide::topology::{Access, Freshness, Sender};
 use crate::wire::generated_gossip::{Batch, Demand, Gossip, Holding, Lead, Load, Loads, Want};
 use crate::world::backend;
 use crate::world::id;
@@ -73,7 +73,7 @@
             .get()
             .max(gossip.configuration);
         let is_news = newest_version > self.peer_configuration_version.replace(newest_version)
-            || observation.has_reach_changed;
+            || observation.has_access_changed;
         self.on_configuration_heard(now, newest_version);
         let has_newer = !is_far && gossip.configuration > self.configuration_version();
         if is_news || has_newer {
@@ -243,6 +243,7 @@
             era: newest_change.era.map(|era| era.0),
             configuration: self.configuration_version(),
             reaches_store: self.reaches_store.get() && !self.is_stopping(),
+            store_answered: self.store_access(self.clock.now()) == Access::Confirmed,
             quarantine_digest: self.quarantine.borrow().digest(),
             sent_at_ms: self.stated_time_ms(),
             ..Gossip::default()
@@ -459,7 +460,11 @@
         data_centre: gossip.data_centre.parse().ok()?,
         incarnation: gossip.incarnation,
         sequence: gossip.sequence,
-        reaches_store: gossip.reaches_store,
+        access: match (gossip.reaches_store, gossip.store_answered) {
+            (false, _) => Access::Refused,
+            (true, true) => Access::Confirmed,
+            (true, false) => Access::Assumed,
+        },
         configuration: gossip.configuration,
     })
 }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -24,6 +24,8 @@
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Time without an answer after which others no longer rely on this instance to read the store.
 pub(super) const SUSPICION_TIME: Duration = Duration::from_millis(700);
+/// Shortest interval at which the traffic thread is told that calls are answered.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay after a failed call; it doubles with each further failure, up to the maximum.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(300);
 pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200);
@@ -37,6 +39,8 @@
     clock: crate::node::clock::Clock,
     updates: flume::Sender<StoreUpdate>,
     failed_at: Cell<Option<Duration>>,
+    /// When the traffic thread was last told that a call was answered.
+    confirmed_at: Cell<Option<Duration>>,
     pub is_up: Cell<bool>,
     /// Eras in which the store answered.
     eras: RefCell<Eras>,
@@ -59,6 +63,7 @@
         clock,
         updates,
         failed_at: Cell::new(None),
+        confirmed_at: Cell::new(None),
         is_up: Cell::new(true),
         eras: RefCell::default(),
         recovered: Notify::new(),
@@ -67,8 +72,7 @@
     let site = follower::follow_site(
         Rc::clone(&store),
         subscription.clone(),
-        deployment.metrics.port(),
-        deployment.bounds.revocation.is_some(),
+        Arc::clone(&deployment),
     );
     tokio::task::spawn_local(site);
     tokio::task::spawn_local(follower::follow_servers(Rc::clone(&store), subscription));
@@ -95,6 +99,13 @@
                 self.recovered.notify_waiters();
             }
             self.send_update(StoreUpdate::Store { up }).await;
+            self.confirmed_at.set(None);
+        }
+        let now = self.clock.now();
+        let is_due = |at| now >= at + CONFIRMATION_INTERVAL;
+        if up && self.confirmed_at.get().is_none_or(is_due) {
+            self.confirmed_at.set(Some(now));
+            self.send_update(StoreUpdate::StoreAnswered).await;
         }
     }
 
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -22,6 +22,7 @@
 use crate::decide::origin::Origins;
 use crate::decide::quarantine::Quarantine;
 use crate::decide::reach::Reach;
+use crate::decide::recheck::Recheck;
 use crate::decide::retry::Budget;
 use crate::decide::roster::{self, Change, Roster};
 use crate::decide::shutdown::Shutdown;
@@ -73,6 +74,8 @@
     pub site: RefCell<Option<Arc<Site>>>,
     /// The configuration as the operator wrote it, for peers that request it.
     pub raw_site: RefCell<Bytes>,
+    /// Version of its row at the store, if it is known.
+    pub site_position: Cell<Option<Version>>,
     pub balance: RefCell<Balancer>,
     pub pool: Pool,
     pub metrics: Metrics,
@@ -122,6 +125,12 @@
     pub(super) spread: f64,
     /// Whether the store answered the last call.
     pub(super) reaches_store: Cell<bool>,
+    /// When the store last answered a call, as far as the store thread has told.
+    pub(super) store_answered_at: Cell<Option<Duration>>,
+    /// When the store is called again by an instance that is no reader.
+    pub(super) recheck: RefCell<Recheck>,
+    /// Whether the data centre must be told that the store is known to answer.
+    pub(super) has_new_access: Cell<bool>,
     /// Whether peers must be told that the store began or ceased to answer.
     pub(super) has_reach_changed: Cell<bool>,
     /// Whether a configuration was read from the store that has not been announced to peers yet.
@@ -242,7 +251,11 @@
             incarnation,
             site: RefCell::new(None),
             raw_site: RefCell::default(),
+            site_position: Cell::new(None),
             reaches_store: Cell::new(true),
+            store_answered_at: Cell::new(None),
+            recheck: RefCell::default(),
+            has_new_access: Cell::new(false),
             has_reach_changed: Cell::new(false),
             has_new_site: Cell::new(false),
             has_newly_leaving: Cell::new(false),
@@ -372,7 +385,11 @@
                 site,
                 written,
                 peer,
-            } => self.on_site(site, written, peer),
+                position,
+            } => {
+                self.site_position.set(position);
+                self.on_site(site, written, peer);
+            }
             StoreUpdate::Servers(batch) => {
                 let Some(Applied { reduced, .. }) = self.on_batch(&batch) else {
                     return;
@@ -403,10 +420,12 @@
             StoreUpdate::FetchFailed(failed) => self.journal.note("fetch_failed", &json!(failed)),
             StoreUpdate::Store { up } => {
                 self.reaches_store.set(up);
+                self.update_access(self.clock.now());
                 self.has_reach_changed.set(true);
                 self.gossip_pending.notify_one();
                 self.journal.note("store", &json!({"up": up}));
             }
+            StoreUpdate::StoreAnswered => self.on_store_answered(),
         }
     }
 
@@ -586,8 +605,11 @@
         drop(lags);
         let old = *self.subscription.borrow();
         let topology = self.topology.borrow();
+        let is_following_site = now >= STARTUP_LISTEN_TIME && topology.is_reader(now);
+        // Shows at once whether the store answers the new reader.
+        let must_check = is_following_site && !old.is_following_site && topology.has_refused(now);
         let subscription = Subscription {
-            is_following_site: now >= STARTUP_LISTEN_TIME && topology.is_reader(now),
+            is_following_site,
             newest_site_version: newest,
             site_source: topology.configuration_source(now, in_force),
             is_following_servers: self.should_follow_servers(now)
@@ -601,7 +623,7 @@
             },
             site_stalls: old.site_stalls + u64::from(misses_site),
             server_stalls: old.server_stalls + u64::from(misses_servers),
-            site_checks: self.site_checks(now, &old),
+            site_checks: self.site_checks(now, &old) + u64::from(must_check),
             site_poll: Poll::brief_if(self.polls_site_briefly(now)),
             server_poll: Poll::brief_if(self.polls_servers_briefly(now)),
         };
@@ -688,6 +710,8 @@
         if !changes.is_empty() {
             self.on_changes(changes);
         }
+        self.update_access(now);
+        self.topology.borrow_mut().tick(now);
         self.update_subscription(now);
         self.check_proofs(now);
         self.check_rollout(now);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
     pub mod queue;
     pub mod quota;
     pub mod reach;
+    pub mod recheck;
     pub mod retry;
     pub mod rollout;
     pub mod roster;
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -93,6 +93,9 @@
     /// Granted units that the sender does not need.
     #[prost(message, repeated, tag = "32")]
     pub quota_returns: ::prost::alloc::vec::Vec<QuotaReturn>,
+    /// Whether the store has answered the sender within the last seconds.
+    #[prost(bool, tag = "33")]
+    pub store_answered: bool,
 }
 /// The version was the newest at most `age_ms` before the receiver's datagram of `echoed_ms` arrived
 /// at the sender. Each proof is complete in itself, however late it is read.
--- a/src/world/table.rs
+++ b/src/world/table.rs
@@ -5,6 +5,7 @@
 
 use super::unit::Era;
 use crate::common::*;
+use std::num::ParseIntError;
 
 /// Version of a row or of the whole store. The store gives numbers out again after it came back from
 /// an old copy of its data, so a version of a later era is newer whatever its number. An unknown
@@ -23,6 +24,30 @@
     }
 }
 
+impl Display for Version {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self.era {
+            Some(Era(era)) => write!(formatter, "{era}.{}", self.number),
+            None => write!(formatter, "{}", self.number),
+        }
+    }
+}
+
+impl FromStr for Version {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> std::result::Result<Self, ParseIntError> {
+        let (era, number) = match text.split_once('.') {
+            Some((era, number)) => (Some(Era(era.parse()?)), number),
+            None => (None, text),
+        };
+        Ok(Self {
+            era,
+            number: number.parse()?,
+        })
+    }
+}
+
 /// A stored row.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Row {
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -1,7 +1,7 @@
 //! Readers of the configuration, its sources, shares of site-wide limits, hubs and broadcasters.
 
 use super::build::{deployment, ms};
-use poplarseam::decide::topology::{Freshness, Sender, Topology, fair_share};
+use poplarseam::decide::topology::{Access, Freshness, Sender, Topology, fair_share};
 use rstest::rstest;
 use std::net::SocketAddr;
 
@@ -16,7 +16,7 @@
         data_centre: "north-1".parse().unwrap(),
         incarnation: 1,
         sequence: 1,
-        reaches_store: true,
+        access: Access::Assumed,
         configuration: 5,
     }
 }
@@ -40,7 +40,7 @@
 #[test]
 fn each_instance_that_the_store_does_not_answer_is_replaced_by_two_readers() {
     let refused = |name: &str, number| Sender {
-        reaches_store: false,
+        access: Access::Refused,
         ..sender(name, number)
     };
     let one = [
@@ -60,7 +60,7 @@
 #[test]
 fn readers_are_the_first_live_peers_that_the_store_answers() {
     let refused = Sender {
-        reaches_store: false,
+        access: Access::Refused,
         ..sender("a", 1)
     };
     let others = ["b", "c", "d", "e", "f"];
@@ -95,7 +95,7 @@
 #[test]
 fn reader_that_cannot_reach_the_store_is_replaced() {
     let refused = Sender {
-        reaches_store: false,
+        access: Access::Refused,
         ..sender("b", 2)
     };
     assert!(topology_with(&[sender("a", 1), refused]).is_reader(ms(0)));
@@ -260,7 +260,7 @@
         "the instances before this one fell silent"
     );
     let mut refused = peers_before(6);
-    refused[0].reaches_store = false;
+    refused[0].access = Access::Refused;
     assert!(
         topology_with(&refused).is_broadcaster(ms(0)),
         "readers are chosen among broadcasters, so these must reach the store"
--- a/tests/gateway_processes/outages.rs
+++ b/tests/gateway_processes/outages.rs
@@ -47,7 +47,7 @@
     site.wait_until_ready();
     site.platform.configure(&large_config(FIRST_VERSION));
     wait_for_version(&site, FIRST_VERSION);
-    let size = large_config(FIRST_VERSION).to_string().len() * 4 / 3;
+    let row_bytes = large_config(FIRST_VERSION).to_string().len() * 4 / 3;
     site.platform.set_down(true);
     std::thread::sleep(OUTAGE);
     for version in 1..=VERSIONS {
@@ -57,7 +57,7 @@
     let before = site.platform.bytes("op");
     site.platform.set_down(false);
     wait_for_version(&site, FIRST_VERSION + VERSIONS);
-    let read = (site.platform.bytes("op") - before) / size;
+    let read = (site.platform.bytes("op") - before) / row_bytes;
     assert!(read <= MAX_READERS, "{read} copies were read");
 }
 
@@ -69,7 +69,7 @@
     site.wait_until_ready();
     site.platform.configure(&large_config(FIRST_VERSION));
     wait_for_version(&site, FIRST_VERSION);
-    let size = large_config(FIRST_VERSION).to_string().len() * 4 / 3;
+    let row_bytes = large_config(FIRST_VERSION).to_string().len() * 4 / 3;
     let before = site.platform.bytes("op");
     let restarted = usize::from(INSTANCES) / 2..usize::from(INSTANCES);
     for instance in restarted.clone() {
@@ -79,6 +79,6 @@
         site.relaunch(instance);
     }
     wait_for_version(&site, FIRST_VERSION);
-    let read = (site.platform.bytes("op") - before) / size;
+    let read = (site.platform.bytes("op") - before) / row_bytes;
     assert!(read <= READERS, "{read} copies were read");
 }
