--- a/src/decide/config_source.rs
+++ b/src/decide/config_source.rs
@@ -2,7 +2,9 @@
 //!
 //! Few instances of a data centre follow the configuration at the store. The others may hear of a
 //! version, from another data centre, before any peer of their own has it. They wait for a peer: a
-//! configuration may be large, and many copies of it would fill the link to the store.
+//! configuration may be large, and many copies of it would fill the link to the store. An instance for
+//! which a version is late reads the store only if no peer has it, or if fetching it from one failed:
+//! it may be late because that link is full.
 
 use std::net::SocketAddr;
 
@@ -44,9 +46,8 @@
         let is_current = self.progress == Progress::Current;
         match self.peer {
             _ if self.follows_store && (self.reaches_store || is_current) => Source::Store,
-            Some(peer) if !is_current && !self.reaches_store => Source::Peer(peer),
-            _ if self.progress == Progress::Late => Source::Store,
             Some(peer) if !is_current => Source::Peer(peer),
+            _ if self.progress == Progress::Late => Source::Store,
             None if self.follows_store => Source::Store,
             _ => Source::Await,
         }
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -86,7 +86,7 @@
                 if let Some(copy) = fetched.filter(|_| is_newer) {
                     feed.resume_at(copy.position);
                 } else {
-                    has_peer_failed = !store.is_up.get();
+                    has_peer_failed = progress == Progress::Late || !store.is_up.get();
                     let _changed = timeout(RETRY_DELAY, subscription.changed()).await;
                 }
             }
