--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -34,7 +34,8 @@
 /// instance that it does not answer, since it may not answer the next ones either.
 const MAX_READER_COUNT: usize = 6;
 /// Time that an instance sends heartbeats before it counts itself among the readers of a data centre
-/// with hubs: the others in the same situation, which sent none either, are heard by then.
+/// with hubs, unless the store is known to answer it: the others in the same situation, which sent none
+/// either, are heard by then.
 const INTRODUCTION_TIME: Duration = Duration::from_millis(500);
 
 /// State of another instance, as last heard or listed.
@@ -373,7 +374,9 @@
             let since = self.broadcasting_since;
             since.is_some_and(|since| now >= since + INTRODUCTION_TIME)
         };
-        self.rank(now) < self.wanted_readers(now) && (!self.has_hubs(now) || is_known())
+        let is_confirmed = self.local_access == Access::Confirmed;
+        self.rank(now) < self.wanted_readers(now)
+            && (is_confirmed || !self.has_hubs(now) || is_known())
     }
 
     /// Number of live instances of this data centre that read the configuration.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -38,6 +38,7 @@
 mod quota_sides;
 mod quota_world;
 mod reach;
+mod recheck;
 mod reference;
 mod retry;
 mod roster;
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -4,6 +4,7 @@
 use poplarseam::decide::topology::{Access, Freshness, Sender, Topology, fair_share};
 use rstest::rstest;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 fn address(number: u16) -> SocketAddr {
     ([127, 0, 0, 1], number).into()
@@ -56,6 +57,127 @@
     assert!(topology_with(&later).is_reader(ms(0)));
 }
 
+/// Instances of a data centre by name, all of which hear each other.
+struct DataCentre {
+    topologies: Vec<Topology>,
+    access: Vec<Access>,
+    now: Duration,
+    sequence: u64,
+}
+
+impl DataCentre {
+    fn new(instances: usize) -> Self {
+        let topologies = (0..instances).map(|instance| {
+            let mut deployment = deployment("north-1");
+            deployment.instance = name(instance).parse().unwrap();
+            Topology::new(&deployment)
+        });
+        let mut data_centre = Self {
+            topologies: topologies.collect(),
+            access: vec![Access::Assumed; instances],
+            now: Duration::ZERO,
+            sequence: 0,
+        };
+        // Long enough for instances to count themselves among the readers.
+        (0..8).for_each(|_| data_centre.exchange());
+        data_centre
+    }
+
+    /// Lets all instances hear each other, as often as a few times a second.
+    fn exchange(&mut self) {
+        self.now += ms(250);
+        self.sequence += 1;
+        let senders = self
+            .access
+            .iter()
+            .enumerate()
+            .map(|(instance, access)| Sender {
+                access: *access,
+                sequence: self.sequence,
+                ..sender(&name(instance), u16::try_from(instance).unwrap())
+            });
+        let senders: Vec<Sender> = senders.collect();
+        for (instance, topology) in self.topologies.iter_mut().enumerate() {
+            topology.on_access(self.access[instance]);
+            let others = senders.iter().enumerate();
+            for (_, sender) in others.filter(|(other, _)| *other != instance) {
+                topology.on_datagram(self.now, sender);
+            }
+            topology.tick(self.now);
+        }
+    }
+
+    fn readers(&self) -> Vec<usize> {
+        let readers = self.topologies.iter().enumerate();
+        let readers = readers.filter(|(_, topology)| topology.is_reader(self.now));
+        readers.map(|(instance, _)| instance).collect()
+    }
+
+    /// Has the store answer these instances and no others, until each reader has called it.
+    fn call(&mut self, answers: impl Fn(usize) -> bool) {
+        for reader in self.readers() {
+            self.access[reader] = if answers(reader) {
+                Access::Confirmed
+            } else {
+                Access::Refused
+            };
+        }
+        self.exchange();
+    }
+}
+
+fn name(instance: usize) -> String {
+    format!("i{instance:03}")
+}
+
+/// Guards against a herd at the store's return: while it answered nobody, every instance of a data centre
+/// became a reader, and all read the configuration at once.
+#[rstest]
+#[case::small(8)]
+#[case::medium(16)]
+#[case::large(49)]
+fn few_instances_read_while_the_store_answers_nobody_and_at_its_return(#[case] instances: usize) {
+    let mut data_centre = DataCentre::new(instances);
+    for _ in 0..instances {
+        assert!(
+            data_centre.readers().len() <= 6,
+            "{:?}",
+            data_centre.readers()
+        );
+        data_centre.call(|_| false);
+    }
+    data_centre.call(|_| true);
+    data_centre.call(|_| true);
+    assert_eq!(data_centre.readers(), [0, 1]);
+}
+
+/// Guards against a data centre in which nobody reads, since the store answers few instances after an
+/// outage, and none of those that call it.
+#[test]
+fn instances_that_find_the_store_again_read_it_although_others_come_before_them() {
+    let mut data_centre = DataCentre::new(16);
+    (0..16).for_each(|_| data_centre.call(|_| false));
+    data_centre.access[11] = Access::Confirmed;
+    data_centre.access[13] = Access::Confirmed;
+    data_centre.exchange();
+    assert_eq!(data_centre.readers(), [11, 13]);
+}
+
+/// Guards against instances that wait for one reader after another if the store answers a part of them.
+#[test]
+fn readers_that_the_store_does_not_answer_are_replaced_within_two_seconds() {
+    let mut data_centre = DataCentre::new(49);
+    let begin = data_centre.now;
+    while data_centre.readers() != [8, 9] {
+        data_centre.call(|instance| instance >= 8);
+    }
+    assert!(
+        data_centre.now <= begin + ms(2_000),
+        "{:?}",
+        data_centre.now
+    );
+}
+
 /// Guards against requests for proofs to instances that have none.
 #[test]
 fn readers_are_the_first_live_peers_that_the_store_answers() {
