--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -125,6 +125,8 @@
     pub server_stalls: u64,
     /// Increased each time the store must be asked at once whether the configuration is current.
     pub site_checks: u64,
+    /// Increased each time the store must be called to see whether it answers.
+    pub probes: u64,
     pub site_poll: Poll,
     pub server_poll: Poll,
 }
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -48,7 +48,7 @@
     let listens_until = store.now() + START_LISTEN_TIME.mul_f64(1.0 + deployment.spread());
     let mut known = Known::default();
     let mut seen_stalls = 0;
-    let mut seen_checks = 0;
+    let (mut seen_checks, mut seen_probes) = (0, 0);
     let mut has_peer_failed = false;
     loop {
         let now = *subscription.borrow_and_update();
@@ -77,6 +77,11 @@
         };
         has_peer_failed = false;
         match situation.source() {
+            _ if now.probes > seen_probes => {
+                seen_probes = now.probes;
+                let store = Rc::clone(&store);
+                tokio::task::spawn_local(async move { store.probe(config::TABLE).await });
+            }
             Source::Peer(peer) => {
                 let fetched = fetch_from_peer(&store, peer, deployment.metrics.port()).await;
                 let is_newer = match &fetched {
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -205,7 +205,7 @@
             let reach = self.store_reach(now);
             freshness.borrow_mut().should_call(now, in_force, reach)
         });
-        old.site_checks + u64::from(is_due || self.is_recheck_due(now))
+        old.site_checks + u64::from(is_due)
     }
 
     /// Whether this instance's polls for the configuration are brief, if it reads it: to prove that it
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -189,6 +189,14 @@
         reply
     }
 
+    /// Makes a call that reads nothing, to see whether the store answers.
+    pub async fn probe(&self, table: &str) {
+        let request = self.get(&rows::read_path(table, rows::LAST_KEY));
+        if let Err(error) = self.call_once(request).await {
+            log::info!("the store does not answer: {error}");
+        }
+    }
+
     /// Reads all rows of a table from a key on, page by page.
     pub async fn read(&self, table: &str, from: &str) -> Result<Page> {
         let mut complete = Page {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -607,7 +607,7 @@
         let topology = self.topology.borrow();
         let is_following_site = now >= STARTUP_LISTEN_TIME && topology.is_reader(now);
         // Shows at once whether the store answers the new reader.
-        let must_check = is_following_site && !old.is_following_site && topology.has_refused(now);
+        let must_probe = is_following_site && !old.is_following_site && topology.has_refused(now);
         let subscription = Subscription {
             is_following_site,
             newest_site_version: newest,
@@ -623,7 +623,8 @@
             },
             site_stalls: old.site_stalls + u64::from(misses_site),
             server_stalls: old.server_stalls + u64::from(misses_servers),
-            site_checks: self.site_checks(now, &old) + u64::from(must_check),
+            site_checks: self.site_checks(now, &old),
+            probes: old.probes + u64::from(must_probe || self.is_recheck_due(now)),
             site_poll: Poll::brief_if(self.polls_site_briefly(now)),
             server_poll: Poll::brief_if(self.polls_servers_briefly(now)),
         };
--- a/src/platform/rows.rs
+++ b/src/platform/rows.rs
@@ -15,6 +15,9 @@
 /// Path that takes transactions.
 pub const COMMIT_PATH: &str = "/v1/rows-tx";
 
+/// A key after those of all rows.
+pub const LAST_KEY: &str = "~";
+
 /// Characters of a key that are encoded in a query.
 const RESERVED: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
