--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -424,12 +424,42 @@
                 && member.configuration > known
                 && is_recent(now, member.heard_at, LIVENESS_TIMEOUT)
         });
-        let rank =
-            |peer: &id::Instance| xxh3_64(format!("{} {peer}", self.local_instance).as_bytes());
-        let best = candidates.max_by_key(|(peer, member)| (member.configuration, rank(peer)));
+        let best =
+            candidates.max_by_key(|(peer, member)| (member.configuration, self.source_rank(peer)));
         best.map(|(_, member)| (member.address, member.configuration))
     }
 
+    /// Returns the peers of this data centre that an instance without a configuration asks for it, in
+    /// order: those that are known to have one, then those that have not told. `None` until the list of
+    /// instances was read or a peer was heard to have one.
+    #[must_use]
+    pub fn start_sources(&self, now: Duration) -> Option<Vec<SocketAddr>> {
+        let local = self.members.iter();
+        let local = local.filter(|(_, member)| member.data_centre == self.local_data_centre);
+        let mut candidates: Vec<(bool, u64, SocketAddr)> = local
+            .filter_map(|(peer, member)| {
+                let is_live = is_recent(now, member.heard_at, LIVENESS_TIMEOUT);
+                let has_one = is_live && member.configuration > 0;
+                let may_have_one = has_one || member.heard_at.is_none();
+                may_have_one.then(|| (!has_one, self.source_rank(peer), member.address))
+            })
+            .collect();
+        candidates.sort_unstable();
+        let is_known = self.is_list_read || candidates.first().is_some_and(|first| !first.0);
+        is_known.then(|| {
+            candidates
+                .into_iter()
+                .map(|(_, _, address)| address)
+                .collect()
+        })
+    }
+
+    /// Returns a number that orders the peers from which this instance may fetch something, differently
+    /// from other instances.
+    fn source_rank(&self, peer: &id::Instance) -> u64 {
+        xxh3_64(format!("{} {peer}", self.local_instance).as_bytes())
+    }
+
     /// Number of instances of this data centre that this instance hears, including itself.
     #[must_use]
     pub fn heard_local_count(&self, now: Duration) -> u32 {
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -1,7 +1,7 @@
 //! What operators see of the configuration's way to this instance: who reads it, and how long it
 //! takes.
 
-use super::event::milliseconds;
+use super::event::{START_SOURCES, milliseconds};
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::arrival::Arrival;
@@ -60,6 +60,16 @@
         recheck.is_due(now, is_refused, self.spread)
     }
 
+    /// Returns the peers that this instance asks for a configuration at its start, if it knows of any or
+    /// that there are none.
+    pub(super) fn start_sources(
+        &self,
+        now: Duration,
+    ) -> Option<[Option<SocketAddr>; START_SOURCES]> {
+        let known = self.topology.borrow().start_sources(now)?;
+        Some(std::array::from_fn(|index| known.get(index).copied()))
+    }
+
     /// Records the newest configuration that peers have.
     pub(super) fn on_configuration_heard(&self, now: Duration, version: u64) {
         let mut arrival = self.rollout.arrival.borrow_mut();
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -18,6 +18,9 @@
 /// Capacity of each channel between the threads.
 pub const CHANNEL_CAPACITY: usize = 4096;
 
+/// Number of peers that an instance asks for a configuration at its start.
+pub const START_SOURCES: usize = 2;
+
 /// Key prefix of the lease rows, one for each shard.
 pub const LEASE_KEY_PREFIX: &str = "lease.shard.";
 /// Key prefix of the rows of servers that announced their departure in their answers only.
@@ -113,6 +116,9 @@
     /// with its version.
     pub newest_site_version: u64,
     pub site_source: Option<(SocketAddr, u64)>,
+    /// Peers that an instance without a configuration asks for it; `None` until it knows of any, or that
+    /// there are none.
+    pub start_sources: Option<[Option<SocketAddr>; START_SOURCES]>,
     /// Whether to follow the server list, rather than only catch up when behind.
     pub is_following_servers: bool,
     /// Version up to which this instance has the complete server list.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -25,9 +25,9 @@
 /// instances may fetch a large configuration over the peer's link at once.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 const MAX_PEER_READ_TIME: Duration = Duration::from_millis(1_500);
-/// After its start, an instance waits this long for a peer that has the configuration before it reads
-/// the store; its spread adds up to as much again.
-const START_LISTEN_TIME: Duration = Duration::from_millis(400);
+/// After its start, an instance waits this long until it knows of peers that may have the configuration
+/// before it reads the store: the list of instances is two calls away.
+const START_LISTEN_TIME: Duration = Duration::from_millis(200);
 
 /// Follows the configuration at the store, or fetches a newer one from a peer.
 pub async fn follow_site(
@@ -45,11 +45,19 @@
     );
     feed.returns_unchanged = deployment.bounds.revocation.is_some();
     feed.reads_newest_only = true;
-    let listens_until = store.now() + START_LISTEN_TIME.mul_f64(1.0 + deployment.spread());
     let mut known = Known::default();
     let mut seen_stalls = 0;
     let (mut seen_checks, mut seen_probes) = (0, 0);
     let mut has_peer_failed = false;
+    let metrics_port = deployment.metrics.port();
+    start_from_peer(
+        &store,
+        &mut subscription,
+        metrics_port,
+        &mut known,
+        &mut feed,
+    )
+    .await;
     loop {
         let now = *subscription.borrow_and_update();
         let newest = known.newest;
@@ -63,11 +71,8 @@
         } else {
             Progress::Current
         };
-        let has_none = newest == Version::default();
-        let listens_for = listens_until.saturating_sub(store.now());
-        let is_listening = has_none && !listens_for.is_zero();
         let situation = Situation {
-            follows_store: now.is_following_site || (has_none && !is_listening),
+            follows_store: now.is_following_site || newest == Version::default(),
             reaches_store: store.is_up.get(),
             progress,
             peer: now
@@ -83,7 +88,7 @@
                 tokio::task::spawn_local(async move { store.probe(config::TABLE).await });
             }
             Source::Peer(peer) => {
-                let fetched = fetch_from_peer(&store, peer, deployment.metrics.port()).await;
+                let fetched = fetch_from_peer(&store, peer, metrics_port).await;
                 let is_newer = match &fetched {
                     Some(copy) => known.apply_copy(&store, copy, peer).await == Applied::Newer,
                     None => false,
@@ -117,9 +122,6 @@
                     sleep(BATCHING_DELAY).await;
                 }
             }
-            Source::Await if is_listening => {
-                let _changed = timeout(listens_for, subscription.changed()).await;
-            }
             Source::Await => {
                 if subscription.changed().await.is_err() {
                     return;
@@ -129,6 +131,33 @@
     }
 }
 
+/// Gets the configuration from a peer after a start, so that many instances that start together do not
+/// all read it from the store.
+async fn start_from_peer(
+    store: &Rc<Store>,
+    subscription: &mut watch::Receiver<Subscription>,
+    metrics_port: u16,
+    known: &mut Known,
+    feed: &mut Feed,
+) {
+    let sources = subscription.wait_for(|subscription| subscription.start_sources.is_some());
+    let Ok(Ok(sources)) = timeout(START_LISTEN_TIME, sources)
+        .await
+        .map(|known| known.map(|subscription| subscription.start_sources))
+    else {
+        return;
+    };
+    for peer in sources.iter().flatten().flatten() {
+        let Some(copy) = fetch_from_peer(store, *peer, metrics_port).await else {
+            continue;
+        };
+        if known.apply_copy(store, &copy, *peer).await == Applied::Newer {
+            feed.resume_at(copy.position);
+            return;
+        }
+    }
+}
+
 /// What became of a configuration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Applied {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -612,6 +612,11 @@
             is_following_site,
             newest_site_version: newest,
             site_source: topology.configuration_source(now, in_force),
+            start_sources: if in_force == 0 {
+                self.start_sources(now)
+            } else {
+                None
+            },
             is_following_servers: self.should_follow_servers(now)
                 || (reads_list
                     && now >= holder_heard_at.max(STARTUP_LISTEN_TIME) + MAX_HOLDER_SILENCE),
@@ -658,6 +663,7 @@
         }
         topology.on_list_read();
         drop(topology);
+        self.update_subscription(self.clock.now());
         self.demand_sent_at.set([Duration::ZERO; TIERS]);
         self.gossip_pending.notify_one();
     }
