Take no answer with an invalid status for a server's (MIXED)

An answer that another instance passes on with such a status is unknown; a report counts with 200 only; the client of src/node treats it as a lost answer. The way over another instance and reports have no test of their own.

--- a/src/gateway/detour.rs
+++ b/src/gateway/detour.rs
@@ -28,6 +28,7 @@
 
 /// Cause of an unknown outcome: the connection to another instance ended before its answer did.
 const BROKE_OFF: &str = "another instance broke off";
+const INVALID_STATUS: &str = "another instance passed on an invalid status";
 
 /// Result of passing a request to one peer.
 enum Passed {
@@ -186,6 +187,10 @@
             Verdict::Unknown => Passed::Ended(Outcome::Unknown {
                 cause: "failed at another instance",
             }),
+            // Carriers of earlier releases pass on any status.
+            Verdict::Answer if !request::is_final(head.status) => Passed::Ended(Outcome::Unknown {
+                cause: INVALID_STATUS,
+            }),
             Verdict::Answer if head.status.is_success() && self.route.repeat.is_stream() => {
                 Passed::Ended(Outcome::Stream(Box::new(Stream {
                     head,
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -720,7 +720,8 @@
         record_notice(&placer, &id, boot, reply);
     }
     let report: Option<Report> = reply
-        .and_then(|reply| worker::decode_report(&reply.body))
+        .and_then(|reply| reply.require_ok("a worker's report"))
+        .and_then(|body| worker::decode_report(&body))
         .inspect_err(|error| log::info!("fetching a worker's report failed: {error}"))
         .ok();
     let mut this = placer.borrow_mut();
--- a/src/node/client.rs
+++ b/src/node/client.rs
@@ -7,6 +7,8 @@
 
 /// Longest answer that is read whole, in bytes.
 pub const MAX_ANSWER: u64 = 16 << 20;
+/// Statuses that may end a call; others that can be parsed belong to no class.
+const FINAL_STATUSES: std::ops::Range<u16> = 200..600;
 /// Time to open a connection.
 const CONNECT: Duration = Duration::from_secs(1);
 
@@ -103,7 +105,13 @@
         let request = request.text(self.body);
         let response = request.send().map_err(|error| failure(&error))?;
         let (status, _, reader) = response.split();
-        Ok((status.as_u16(), reader))
+        let status = status.as_u16();
+        if !FINAL_STATUSES.contains(&status) {
+            return Err(Failure::Lost(format!(
+                "the answer has the invalid status {status}: check the server"
+            )));
+        }
+        Ok((status, reader))
     }
 
     /// Makes the call and reads the whole answer.
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -299,11 +299,21 @@
     }
 }
 
-/// Decodes what an answer says about the backend server itself.
+/// Whether a status may end a request. Others that can be parsed, such as 700, belong to no class, so that
+/// an answer with one says nothing, not even that the request has not run.
+#[must_use]
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
+/// Decodes what an answer says about the backend server itself; nothing if its status is invalid.
 ///
 /// Of several `retry-after` headers the longest counts, of several rate limits or bounds the lowest.
 #[must_use]
 pub fn decode_notice(status: StatusCode, headers: &HeaderMap) -> Notice {
+    if !is_final(status) {
+        return Notice::default();
+    }
     let is_full = status == StatusCode::SERVICE_UNAVAILABLE;
     let retry_afters = headers.get_all(RETRY_AFTER).iter().filter(|_| is_full);
     let rests: Vec<Option<Duration>> = retry_afters.map(parse_seconds).collect();
@@ -355,6 +365,7 @@
     let headers = &head.headers;
     let not_run = headers.contains_key(NOT_EXECUTED);
     match (head.status, header_text(headers, REQUEST_ID)) {
+        (status, _) if !is_final(status) => Outcome::Foreign,
         (_, Some(echoed)) if echoed != id => Outcome::Foreign,
         (_, None) if is_reused => Outcome::Foreign,
         (StatusCode::MISDIRECTED_REQUEST, _) => Outcome::Misdirected,
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -1,8 +1,12 @@
 //! A call that may not be repeated runs at most once, and `not_run` means not run.
 
+use attohttpc::Method;
+use poplarseam::node::client::{Call, Failure};
 use rstest::rstest;
 use standins::fault::Fault;
 use standins::site::{Shape, Site};
+use std::io::{Read, Write};
+use std::net::TcpListener;
 use std::time::Duration;
 
 const TEAMS: [(&str, f64); 2] = [("red", 1000.0), ("blue", 1000.0)];
@@ -225,3 +229,23 @@
     assert_eq!((first.status, &first.body), (200, &again.body));
     assert!(first.body.len() > 200_000);
 }
+
+/// Guards against an answer of a server in trouble that callers get although its status says nothing.
+#[rstest]
+fn an_answer_without_a_valid_status_is_lost(
+    #[values("000 Odd", "099 Odd", "1000 Odd", "600 Odd", "700 Odd", "999 Odd")] line: &'static str,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut head = [0; 4_096];
+        assert!(stream.read(&mut head).unwrap() > 0);
+        let answer = format!("HTTP/1.1 {line}\r\nContent-Length: 4\r\n\r\ntext");
+        stream.write_all(answer.as_bytes()).unwrap();
+    });
+    let time_limit = Duration::from_secs(5);
+    let answer = Call::new(Method::POST, address, "/issue", "{}", time_limit).send();
+    assert!(matches!(answer, Err(Failure::Lost(_))), "{answer:?}");
+    server.join().unwrap();
+}
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -1,10 +1,10 @@
 //! Decoding and encoding of the platform's formats.
 
 use super::build::{holdings, model, ms, target, worker};
-use hyper::{HeaderMap, Request, Response};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use poplarseam::platform::{config, request, rows, settings, worker as worker_format};
 use poplarseam::world::deployment::Machine;
-use poplarseam::world::message::{Outcome, PartId};
+use poplarseam::world::message::{Notice, Outcome, PartId};
 use poplarseam::world::order::{Action, Order};
 use poplarseam::world::site::Repeat;
 use poplarseam::world::table::Txn;
@@ -231,6 +231,9 @@
 #[case::failed(500, &[("x-request-id", "r1")], Outcome::Failed)]
 #[case::unavailable_but_may_have_run(503, &[("x-request-id", "r1")], Outcome::Failed)]
 #[case::rejected(400, &[("x-request-id", "r1")], Outcome::Rejected)]
+#[case::of_no_class(700, &[("x-request-id", "r1"), ("x-response-signature", "s")], Outcome::Foreign)]
+#[case::of_no_class_not_run(999, &[("x-request-id", "r1"), ("x-not-executed", "1")], Outcome::Foreign)]
+#[case::informational(199, &[("x-request-id", "r1"), ("x-not-executed", "1")], Outcome::Foreign)]
 fn answers_are_classified_by_outcome(
     #[case] status: u16,
     #[case] headers: &[(&str, &str)],
@@ -244,6 +247,17 @@
     assert_eq!(request::decode_answer("r1", &head, false).outcome, outcome);
 }
 
+/// Guards against rate limits and departures that a server in trouble names in an answer that is none.
+#[test]
+fn an_answer_with_an_invalid_status_says_nothing_about_its_server() {
+    let mut headers = HeaderMap::new();
+    headers.insert("server-leaving", "1".parse().unwrap());
+    headers.insert("server-limit", "0".parse().unwrap());
+    let notice = |status| request::decode_notice(StatusCode::from_u16(status).unwrap(), &headers);
+    assert_eq!(notice(700), Notice::default());
+    assert!(notice(200).leaves);
+}
+
 /// Guards against taking a refusal of an earlier request, written once more, for one of this request.
 /// Only on a new connection can there be no earlier request.
 #[test]
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -22,6 +22,7 @@
 mod site;
 mod slow_callers;
 mod soak;
+mod statuses;
 mod versions;
 mod workspaces;
 
