--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -94,6 +94,8 @@
     eras: Eras,
     /// Whether a row of an earlier incarnation of this instance may be taken over without waiting.
     may_reclaim: bool,
+    /// Whether workers refuse orders with a lower fencing token than one they have seen.
+    is_fencing_enforced: bool,
     resigned: bool,
 }
 
@@ -124,13 +126,24 @@
             advertised: None,
             eras: Eras::default(),
             may_reclaim: false,
+            is_fencing_enforced: false,
             resigned: false,
         }
     }
 
+    /// Sets whether workers refuse orders with a lower fencing token than one they have seen.
+    #[must_use]
+    pub fn with_fencing(mut self, is_enforced: bool) -> Self {
+        self.is_fencing_enforced = is_enforced;
+        self
+    }
+
     /// Handles a row that an earlier incarnation of this instance may hold. That incarnation has
     /// ended, and the orders of both come from the same instance, so the row can be taken over at
     /// once. Returns whether it can.
+    ///
+    /// Orders of the earlier incarnation may arrive later. The token stays the same, so that they do not
+    /// follow orders with a higher one, unless workers refuse such orders.
     pub fn reclaim(&mut self, now: Duration, row: &Row) -> bool {
         self.on_read(now, Some(row));
         let observed = self.observed.as_ref();
@@ -268,8 +281,14 @@
             .holder
             .as_ref()
             .map_or(Fence(0), |holder| holder.fence);
+        let is_reclaimed = self.may_reclaim
+            && observed
+                .holder
+                .as_ref()
+                .is_some_and(|holder| self.is_earlier_incarnation(holder) && !holder.released);
+        let keeps_fence = is_mine || (is_reclaimed && !self.is_fencing_enforced);
         let proposed_entry = Holder {
-            fence: if is_mine && is_proven {
+            fence: if keeps_fence && is_proven {
                 fence
             } else {
                 fence.max(self.own_entry.fence).next(self.eras.newest())
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -200,7 +200,8 @@
             let instance = deployment.instance.clone();
             ShardState {
                 shard,
-                lease: Lease::new(key, instance, incarnation, timing),
+                lease: Lease::new(key, instance, incarnation, timing)
+                    .with_fencing(deployment.bounds.fencing_enforced),
                 orders_from: Duration::ZERO,
                 acts_from: Duration::ZERO,
                 was_holder: false,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -39,6 +39,8 @@
 struct WireBounds {
     grace_s: f64,
     lease_ms: u64,
+    #[serde(default)]
+    fencing_enforced: bool,
     retry_budget_ratio: f64,
     budget_extra: f64,
     budget_window_s: f64,
@@ -112,6 +114,7 @@
         Bounds {
             grace: Duration::from_secs_f64(self.grace_s.max(0.0)),
             lease: Duration::from_millis(self.lease_ms),
+            fencing_enforced: self.fencing_enforced,
             retries: Allowance {
                 ratio: self.retry_budget_ratio,
                 extra: self.budget_extra,
--- a/src/world/deployment.rs
+++ b/src/world/deployment.rs
@@ -51,6 +51,8 @@
     pub grace: Duration,
     /// Minimum time between orders of two successive lease holders.
     pub lease: Duration,
+    /// Whether workers refuse orders with a lower fencing token than one they have seen.
+    pub fencing_enforced: bool,
     /// Retry budget of each service, over all instances.
     pub retries: Allowance,
     /// Window over which loads from the weight store are counted against its allowed rate.
--- a/tests/gateway/build.rs
+++ b/tests/gateway/build.rs
@@ -109,6 +109,7 @@
         bounds: Bounds {
             grace: ms(8_000),
             lease: ms(3_000),
+            fencing_enforced: false,
             retries: Allowance {
                 ratio: 0.2,
                 extra: 56.0,
--- a/tests/gateway/lease.rs
+++ b/tests/gateway/lease.rs
@@ -114,6 +114,42 @@
     assert_eq!(restarted.previous_holder(), None);
 }
 
+/// Guards against an order of the earlier start that arrives, held up by its link, after orders with a
+/// higher fencing token. Where workers refuse such an order, the token rises.
+#[rstest]
+#[case::unchecked(false, true)]
+#[case::checked(true, false)]
+fn reclaimed_lease_keeps_its_fencing_token_unless_workers_check_it(
+    #[case] is_enforced: bool,
+    #[case] is_kept: bool,
+) {
+    let (one, row) = held_by_one();
+    let mut restarted = incarnation_of("one", 2).with_fencing(is_enforced);
+    assert!(restarted.reclaim(ms(100), &row));
+    commit(&mut restarted, 110, 2);
+    let tokens = [one.fence(ms(110)), restarted.fence(ms(110))];
+    assert_eq!(tokens[0] == tokens[1], is_kept, "{tokens:?}");
+}
+
+/// Guards against two holders with one token: another instance that takes the lease over after a
+/// reclaim, or this one after another, has a higher one.
+#[test]
+fn lease_that_is_taken_over_after_a_reclaim_has_a_higher_token() {
+    let (_, row) = held_by_one();
+    let mut restarted = incarnation_of("one", 2);
+    assert!(restarted.reclaim(ms(100), &row));
+    let row = commit(&mut restarted, 110, 2);
+    let mut two = lease("two");
+    two.on_read(ms(200), Some(&row));
+    let row = commit(&mut two, 2_200, 3);
+    assert!(two.fence(ms(2_200)) > restarted.fence(ms(200)));
+    let mut again = incarnation_of("one", 3);
+    assert!(!again.reclaim(ms(2_300), &row));
+    again.on_read(ms(2_300), Some(&row));
+    commit(&mut again, 4_300, 4);
+    assert!(again.fence(ms(4_300)) > two.fence(ms(2_200)));
+}
+
 #[test]
 fn lease_of_another_instance_is_not_reclaimed() {
     let (_, row) = held_by_one();
