--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -90,8 +90,11 @@
     adapters: VecDeque<Action>,
     /// Adapters being loaded, with the time at which they are expected to be ready.
     arriving: Vec<(Target, Duration)>,
-    /// Unanswered loads sent to an earlier incarnation of this worker, with the time until which
-    /// they may still arrive.
+    /// Loads that were once left unanswered by this incarnation, with the time until which a copy may
+    /// still arrive. Its count keeps them out, also once the load was sent again and accepted, but the
+    /// next incarnation may come to the same count.
+    copies: Vec<(Target, Duration)>,
+    /// The same loads of earlier incarnations of this worker.
     late: Vec<(Target, Duration)>,
     /// Increases with every change that other instances need to know.
     pub revision: u64,
@@ -112,6 +115,7 @@
             from_store: false,
             adapters: VecDeque::new(),
             arriving: Vec::new(),
+            copies: Vec::new(),
             late: Vec::new(),
             revision: 1,
         }
@@ -166,12 +170,11 @@
     }
 
     fn on_restart(&mut self, now: Duration, backend: Backend) {
-        let mut late = std::mem::take(&mut self.late);
-        if let State::Sent { action } | State::Unanswered { action, .. } = &self.state
-            && let Action::Load(target) = action
-        {
-            late.push((target.clone(), now + MAX_ORDER_DELAY));
+        if let State::Sent { action } | State::Unanswered { action, .. } = &self.state {
+            self.expect_copy(now, &action.clone());
         }
+        let mut late = std::mem::take(&mut self.late);
+        late.append(&mut self.copies);
         let revision = self.revision + 1;
         *self = Self::new(now, backend);
         self.late = late;
@@ -180,6 +183,14 @@
         self.state = State::Idle;
     }
 
+    /// Records that a copy of an order may arrive later.
+    fn expect_copy(&mut self, now: Duration, action: &Action) {
+        if let Action::Load(target) = action {
+            self.copies.retain(|(copied, _)| copied != target);
+            self.copies.push((target.clone(), now + MAX_ORDER_DELAY));
+        }
+    }
+
     /// Whether the worker can be assigned a job.
     #[must_use]
     pub fn accepts_job(&self) -> bool {
@@ -351,6 +362,7 @@
 
     fn apply_elapsed(&mut self, now: Duration) {
         self.late.retain(|(_, until)| now < *until);
+        self.copies.retain(|(_, until)| now < *until);
         let (arrived, arriving) = std::mem::take(&mut self.arriving)
             .into_iter()
             .partition(|(_, at)| now >= *at);
@@ -440,6 +452,9 @@
             return;
         }
         let action = action.clone();
+        if reply == Reply::Unknown {
+            self.expect_copy(now, &action);
+        }
         self.revision += 1;
         self.state = match reply {
             Reply::Accepted => self.on_accepted(now, action, engine),
--- a/tests/gateway/orders.rs
+++ b/tests/gateway/orders.rs
@@ -109,6 +109,24 @@
     assert_eq!(ledger.reserved(&engine()).0, 10);
 }
 
+/// Guards against a worker that ends because it was ordered to load more than it holds: it had restarted
+/// under its id, and a late copy of a load that was sent again and accepted fitted its new count.
+#[test]
+fn place_for_a_late_copy_of_an_accepted_load_stays_reserved_after_a_worker_restart() {
+    let mut ledger = ledger("m1", 0);
+    ledger.enqueue_adapter(Action::Load(target("m1/a1")));
+    exchange(&mut ledger, 20, 700, Reply::Unknown);
+    exchange(&mut ledger, 1_200, 1_250, Reply::Accepted);
+    let mut restarted = backend("a", "north-1", "m1/a2");
+    restarted.boot.0 += 1;
+    ledger.on_listed(ms(2_000), restarted);
+    ledger.enqueue_adapter(Action::Load(target("m1/a3")));
+    assert_eq!(ledger.next(ms(13_600), &engine()), Step::Wait);
+    ledger.enqueue_adapter(Action::Load(target("m1/a3")));
+    let sent = ledger.next(ms(13_800), &engine());
+    assert_eq!(sent, Step::Send(Action::Load(target("m1/a3")), 0));
+}
+
 #[test]
 fn report_from_before_an_order_is_ignored() {
     let mut ledger = ledger("m1", 3);
