--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -128,8 +128,8 @@
     local_access: Access,
     /// Since when this instance sends heartbeats to its whole data centre.
     broadcasting_since: Option<Duration>,
-    /// Since when the store is known to answer a peer of this data centre.
-    confirmed_since: Option<Duration>,
+    /// Since when a peer of this data centre is not refused by the store, as far as it has told.
+    reaching_since: Option<Duration>,
 }
 
 impl Topology {
@@ -147,7 +147,7 @@
             max_count: 1,
             local_access: Access::Assumed,
             broadcasting_since: None,
-            confirmed_since: None,
+            reaching_since: None,
         }
     }
 
@@ -156,21 +156,20 @@
         std::mem::replace(&mut self.local_access, access) != access
     }
 
-    /// Updates since when this instance sends heartbeats, and since when a peer reaches the store.
+    /// Updates since when this instance sends heartbeats, and since when the store answers a peer.
     pub fn tick(&mut self, now: Duration) {
         let is_broadcaster = self.is_broadcaster(now);
-        let is_confirmed = self
+        let is_reaching = self
             .live_locals(now)
-            .any(|(_, member)| member.access == Access::Confirmed);
+            .any(|(_, member)| member.access != Access::Refused);
         update_since(&mut self.broadcasting_since, now, is_broadcaster);
-        update_since(&mut self.confirmed_since, now, is_confirmed);
+        update_since(&mut self.reaching_since, now, is_reaching);
     }
 
-    /// Whether the store is known to answer a peer of this data centre for at least `time`.
+    /// Whether the store has not refused a peer of this data centre for at least `time`.
     #[must_use]
-    pub fn has_confirmed_peer(&self, now: Duration, time: Duration) -> bool {
-        self.confirmed_since
-            .is_some_and(|since| now >= since + time)
+    pub fn has_reaching_peer(&self, now: Duration, time: Duration) -> bool {
+        self.reaching_since.is_some_and(|since| now >= since + time)
     }
 
     /// Adds an instance from the list in the store.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -64,13 +64,7 @@
         if now.newest_site_version <= newest.0 {
             seen_stalls = now.site_stalls;
         }
-        let progress = if now.site_stalls > seen_stalls {
-            Progress::Late
-        } else if now.newest_site_version > newest.0 {
-            Progress::Behind
-        } else {
-            Progress::Current
-        };
+        let progress = progress(&now, newest, seen_stalls);
         let situation = Situation {
             follows_store: now.is_following_site || newest == Version::default(),
             reaches_store: store.is_up.get(),
@@ -90,7 +84,12 @@
             Source::Peer(peer) => {
                 let fetched = fetch_from_peer(&store, peer, metrics_port).await;
                 let is_newer = match &fetched {
-                    Some(copy) => known.apply_copy(&store, copy, peer).await == Applied::Newer,
+                    Some(copy) => {
+                        known
+                            .apply_copy(&store, copy, peer, feed.last_version)
+                            .await
+                            == Applied::Newer
+                    }
                     None => false,
                 };
                 if let Some(copy) = fetched.filter(|_| is_newer) {
@@ -131,6 +130,16 @@
     }
 }
 
+fn progress(now: &Subscription, newest: Version, seen_stalls: u64) -> Progress {
+    if now.site_stalls > seen_stalls {
+        Progress::Late
+    } else if now.newest_site_version > newest.0 {
+        Progress::Behind
+    } else {
+        Progress::Current
+    }
+}
+
 /// Gets the configuration from a peer after a start, so that many instances that start together do not
 /// all read it from the store.
 async fn start_from_peer(
@@ -151,7 +160,11 @@
         let Some(copy) = fetch_from_peer(store, *peer, metrics_port).await else {
             continue;
         };
-        if known.apply_copy(store, &copy, *peer).await == Applied::Newer {
+        if known
+            .apply_copy(store, &copy, *peer, feed.last_version)
+            .await
+            == Applied::Newer
+        {
             feed.resume_at(copy.position);
             return;
         }
@@ -204,14 +217,20 @@
         }
     }
 
-    /// Applies what a peer has.
-    async fn apply_copy(&mut self, store: &Store, copy: &Copy, peer: SocketAddr) -> Applied {
+    /// Applies what a peer has; `read_up_to` is the version up to which this instance has read the table.
+    async fn apply_copy(
+        &mut self,
+        store: &Store,
+        copy: &Copy,
+        peer: SocketAddr,
+        read_up_to: Option<table::Version>,
+    ) -> Applied {
         let applied = self
             .apply(store, &copy.raw, Some(peer), copy.position)
             .await;
-        if applied == Applied::Newer && copy.position.is_some() {
-            self.is_row_readable = true;
-        }
+        // A later row may have been seen that could not be read.
+        let is_newest_row = copy.position.is_some() && copy.position >= read_up_to;
+        self.is_row_readable |= applied == Applied::Newer && is_newest_row;
         applied
     }
 
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -225,7 +225,7 @@
     fn store_reach(&self, now: Duration) -> Reach {
         let topology = self.topology.borrow();
         let has_refused = topology.has_refused(now);
-        if has_refused && !topology.has_confirmed_peer(now, self.asking_time()) {
+        if has_refused && !topology.has_reaching_peer(now, self.asking_time()) {
             // At the store's return, peers are asked before all call it at the same moment.
             Reach::Nobody
         } else if topology.is_reader(now)
