Keep the ports of dead servers bound in tests

A dead server of the stand-ins closed its listener, and so gave its port back, which any listener of a test that runs at the same time could get. The request then reaches a server of another test: an answer without the headers of a server is none, it may have run, and the caller gets 502.

Dead servers now hold a socket that is bound but doesn't listen, so that connections to them are refused. The assertion is unchanged.

--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -7,6 +7,7 @@
 use hyper::header::HeaderName;
 use hyper::{HeaderMap, Request, Response};
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
@@ -67,6 +68,8 @@
     pub service: String,
     pub(crate) address: SocketAddr,
     listener: Mutex<Option<TcpListener>>,
+    /// Socket of a dead worker; it is never listened on.
+    bound: Option<Socket>,
     state: Mutex<State>,
     /// Version of its software; the entry has none where this is empty.
     software: String,
@@ -92,6 +95,7 @@
             service: service.into(),
             address: listener.local_addr().expect("an address"),
             listener: Mutex::new(Some(listener)),
+            bound: None,
             state: Mutex::new(state),
             software: "v1".into(),
             events,
@@ -106,12 +110,19 @@
         self
     }
 
-    /// Closes its port for good: connections are refused.
+    /// Refuses connections. Its port stays bound, so that no server of another test gets it.
     #[must_use]
     pub fn dead(self) -> Self {
-        let listener = self.listener.lock();
-        drop(listener.unwrap_or_else(PoisonError::into_inner).take());
-        self
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let address = SocketAddr::new(self.address.ip(), 0);
+        socket.bind(&address.into()).expect("a free port");
+        let address = socket.local_addr().ok().and_then(|it| it.as_socket());
+        Self {
+            address: address.expect("an address"),
+            listener: Mutex::new(None),
+            bound: Some(socket),
+            ..self
+        }
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -165,9 +165,10 @@
 #[test]
 fn unreachable_servers_use_up_no_retries() {
     let site = Site::ready();
-    for number in 0..10 {
-        let dead = Worker::new(&format!("dead-{number}"), "app", &[], 0, POLL_INTERVAL).dead();
-        site.platform.list(&dead, "ready");
+    let worker = |number| Worker::new(&format!("dead-{number}"), "app", &[], 0, POLL_INTERVAL);
+    let dead: Vec<_> = (0..10).map(|number| worker(number).dead()).collect();
+    for worker in &dead {
+        site.platform.list(worker, "ready");
     }
     wait_for("the news", || {
         let state = site.state(0);
