--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -69,7 +69,7 @@
     pub(crate) address: SocketAddr,
     listener: Mutex<Option<TcpListener>>,
     /// Socket of a dead worker; it is never listened on.
-    bound: Option<Socket>,
+    _bound: Option<Socket>,
     state: Mutex<State>,
     /// Version of its software; the entry has none where this is empty.
     software: String,
@@ -95,7 +95,7 @@
             service: service.into(),
             address: listener.local_addr().expect("an address"),
             listener: Mutex::new(Some(listener)),
-            bound: None,
+            _bound: None,
             state: Mutex::new(state),
             software: "v1".into(),
             events,
@@ -120,7 +120,7 @@
         Self {
             address: address.expect("an address"),
             listener: Mutex::new(None),
-            bound: Some(socket),
+            _bound: Some(socket),
             ..self
         }
     }
