Ignore failures of store calls that began before an answered one

After a silent outage the calls made during it time out for up to 1.2 s after the store's return, although later calls were answered. Each such time-out made its instance tell that the store does not answer it, so that it left the readers, others took its place and read the configuration, and peers that asked it for a proof turned to others.

decide/health decides: a failed call counts only if it did not begin before the newest answered one. The list of servers goes on to distrust removals after any failed call.

The unit test can't fail on the old code, which had no such decision.

Ruled out: a shorter time-out, as a full link between the regions needs it.

--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -154,7 +154,7 @@
             Err(error) => {
                 self.log_failure(began_at, error.to_string()).await;
                 self.channel = None;
-                self.store.record_call(false).await;
+                self.store.record_failure(began_at).await;
                 // How many changes have been missed when a call succeeds again is not known.
                 self.is_outrun |= self.reads_newest_only;
                 let delay = backoff(RETRY_DELAY, self.failures, MAX_RETRY_DELAY, 1.0);
@@ -272,7 +272,7 @@
             return self.reread_after_gap(after).await;
         }
         let page = self.store.decode(reply)?;
-        self.store.record_call(true).await;
+        self.store.record_answer(began_at).await;
         self.store.record_era(page.version.era).await;
         if after.era.is_some() && page.version.era > after.era {
             log::info!(
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -67,7 +67,7 @@
         let progress = progress(&now, newest, seen_stalls);
         let situation = Situation {
             follows_store: now.is_following_site || newest == Version::default(),
-            reaches_store: store.is_up.get(),
+            reaches_store: store.is_up(),
             progress,
             peer: now
                 .site_source
@@ -95,7 +95,7 @@
                 if let Some(copy) = fetched.filter(|_| is_newer) {
                     feed.resume_at(copy.position);
                 } else {
-                    has_peer_failed = progress == Progress::Late || !store.is_up.get();
+                    has_peer_failed = progress == Progress::Late || !store.is_up();
                     let _changed = timeout(RETRY_DELAY, subscription.changed()).await;
                 }
             }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -6,6 +6,7 @@
 use super::{follower, registration};
 use crate::common::*;
 use crate::decide::era::Eras;
+use crate::decide::health::Health;
 use crate::platform::rows;
 use crate::world::deployment::Deployment;
 use crate::world::table::{Commit, Failure, Row, Txn, Version};
@@ -41,7 +42,7 @@
     failed_at: Cell<Option<Duration>>,
     /// When the traffic thread was last told that a call was answered.
     confirmed_at: Cell<Option<Duration>>,
-    pub is_up: Cell<bool>,
+    health: RefCell<Health>,
     /// Eras in which the store answered.
     eras: RefCell<Eras>,
     /// Wakes feeds after an outage, since their long polls may hang.
@@ -64,7 +65,7 @@
         updates,
         failed_at: Cell::new(None),
         confirmed_at: Cell::new(None),
-        is_up: Cell::new(true),
+        health: RefCell::default(),
         eras: RefCell::default(),
         recovered: Notify::new(),
         returned: Notify::new(),
@@ -89,26 +90,40 @@
         }
     }
 
-    /// Records whether a call was answered.
-    pub async fn record_call(&self, up: bool) {
-        if !up {
-            self.failed_at.set(Some(self.clock.now()));
-        }
-        if self.is_up.replace(up) != up {
-            if up {
-                self.recovered.notify_waiters();
-            }
-            self.send_update(StoreUpdate::Store { up }).await;
+    /// Whether the store answers this instance.
+    pub fn is_up(&self) -> bool {
+        self.health.borrow().is_up()
+    }
+
+    /// Records the answer to a call that began at this time.
+    pub async fn record_answer(&self, began_at: Duration) {
+        let was_up = self.is_up();
+        self.health.borrow_mut().on_answered(began_at);
+        if !was_up {
+            self.recovered.notify_waiters();
+            self.send_update(StoreUpdate::Store { up: true }).await;
             self.confirmed_at.set(None);
         }
         let now = self.clock.now();
         let is_due = |at| now >= at + CONFIRMATION_INTERVAL;
-        if up && self.confirmed_at.get().is_none_or(is_due) {
+        if self.confirmed_at.get().is_none_or(is_due) {
             self.confirmed_at.set(Some(now));
             self.send_update(StoreUpdate::StoreAnswered).await;
         }
     }
 
+    /// Records that a call that began at this time has failed, or waits for long.
+    pub async fn record_failure(&self, began_at: Duration) {
+        let now = self.clock.now();
+        self.failed_at.set(Some(now));
+        let was_up = self.is_up();
+        self.health.borrow_mut().on_failed(now, began_at);
+        if was_up && !self.is_up() {
+            self.send_update(StoreUpdate::Store { up: false }).await;
+            self.confirmed_at.set(None);
+        }
+    }
+
     /// Records the era of an answer. A change has feeds call again, since the versions after which
     /// they wait are of the earlier era, and entries that are missing may be written again.
     pub async fn record_era(&self, era: Option<Era>) {
@@ -157,6 +172,7 @@
     /// Makes a call. The time-outs are for the answer to begin, and then for pauses in it.
     async fn call_once(&self, request: Request<Full<Bytes>>) -> Result<Reply> {
         let url = request.uri().to_string();
+        let began_at = self.now();
         let failed = |reason: String| Error::Call {
             url: url.clone(),
             reason,
@@ -171,7 +187,7 @@
         let opened = if let Ok(opened) = timeout(SUSPICION_TIME, &mut opening).await {
             opened
         } else {
-            self.record_call(false).await;
+            self.record_failure(began_at).await;
             opening.await
         };
         let late = |_| Err(failed(format!("no response within {CALL_TIMEOUT:?}")));
@@ -182,7 +198,11 @@
         let up = reply
             .as_ref()
             .is_ok_and(|reply| reply.status.as_u16() < 429);
-        self.record_call(up).await;
+        if up {
+            self.record_answer(began_at).await;
+        } else {
+            self.record_failure(began_at).await;
+        }
         if let Ok(reply) = &reply {
             self.record_era(rows::decode_era(&reply.headers)).await;
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod freshness;
 mod freshness_calm;
 mod freshness_rules;
+mod health;
 mod herd;
 mod keys;
 mod lag;
