Read the configuration once at the store's return with a bound on revocation

With a bound on revocation every instance calls the store itself when its proof is old.

Cause: a failed call made the next one a whole read, whatever had been learnt since; a poll of an instance whose own feed had not failed gave up to 12 missed versions; calls that hung since the outage kept the readers waiting for up to 1.2 s after the return, so that no peer had a proof to give when the others asked; a reader's first poll was held open.

Changes: - A feed reads the row in place of changes only if its position is over a second old, the store failed or a call was dropped since, and no recent proof shows that little can have been missed. - Reads that wait for an answer as the store begins to answer other calls are made again at once. - An instance that the store has not answered and that holds a proof from peers makes a call that reads nothing. - A reader's first poll is answered at once where proofs are wanted.

channel::open replaces the opening step that two callers had apiece.

--- a/src/decide/freshness.rs
+++ b/src/decide/freshness.rs
@@ -220,11 +220,16 @@
         !self.is_older(now, in_force, SERVED_FRACTION)
     }
 
+    /// Whether the version in force was the newest lately, so that few newer ones can have been missed.
+    #[must_use]
+    pub fn is_recent(&self, now: Duration, in_force: u64) -> bool {
+        !self.is_older(now, in_force, ASKING_FRACTION)
+    }
+
     /// Whether to ask peers for a proof now, since the newest one is old. At most once in
     /// `ASKING_INTERVAL`.
     pub fn should_ask(&mut self, now: Duration, in_force: u64) -> bool {
-        let is_old = self.is_older(now, in_force, ASKING_FRACTION);
-        let is_due = is_old && is_due(now, self.asked_at, ASKING_INTERVAL);
+        let is_due = !self.is_recent(now, in_force) && is_due(now, self.asked_at, ASKING_INTERVAL);
         if is_due {
             self.asked_at = Some(now);
         }
@@ -235,8 +240,7 @@
     /// in another way, or the last call failed and nothing else would show that the store answers
     /// again.
     pub fn should_call(&mut self, now: Duration, in_force: u64, reach: Reach) -> bool {
-        let fraction = CALLING_FRACTION + CALLING_SPREAD_FRACTION * self.spread;
-        let interval = if self.is_older(now, in_force, fraction) {
+        let interval = if self.needs_proof(now, in_force) {
             CALLING_INTERVAL
         } else if reach == Reach::PeersOnly {
             self.bound.max(CALLING_INTERVAL)
@@ -250,6 +254,13 @@
         is_due
     }
 
+    /// Whether the newest proof is so old that a call must give another one.
+    #[must_use]
+    pub fn needs_proof(&self, now: Duration, in_force: u64) -> bool {
+        let fraction = CALLING_FRACTION + CALLING_SPREAD_FRACTION * self.spread;
+        self.is_older(now, in_force, fraction)
+    }
+
     fn is_older(&self, now: Duration, in_force: u64, fraction: f64) -> bool {
         let age = self.age(now, in_force);
         age.is_none_or(|age| age >= self.bound.mul_f64(fraction))
--- a/src/gateway/channel.rs
+++ b/src/gateway/channel.rs
@@ -259,6 +259,23 @@
     request
 }
 
+/// Opens a connection and sends a request; returns once the head of its response has arrived. The
+/// connection must be kept until the response is read.
+///
+/// # Errors
+/// If there is no connection or no response; the call may have been executed.
+pub async fn open(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<(Channel, BegunReply)> {
+    let url = request.uri().to_string();
+    let mut channel = connect(address)
+        .await
+        .map_err(|error| call_error(&url, &error))?;
+    let begun = channel.begin(request).await?;
+    Ok((channel, begun))
+}
+
 /// Opens a connection, makes one call and closes it. `pause_limit` is for the answer to begin, and
 /// for pauses in it.
 ///
@@ -272,15 +289,8 @@
 ) -> Result<Reply> {
     let url = request.uri().to_string();
     let late = |limit| call_error(&url, &format!("no response within {limit:?}"));
-    let opening = async {
-        let mut channel = connect(address)
-            .await
-            .map_err(|error| call_error(&url, &error))?;
-        let begun = channel.begin(request).await?;
-        Ok((channel, begun))
-    };
     let call = async {
-        let opened = timeout(pause_limit, opening).await;
+        let opened = timeout(pause_limit, open(address, request)).await;
         let (_channel, begun) = opened.unwrap_or_else(|_| Err(late(pause_limit)))?;
         begun.read(pause_limit).await
     };
--- a/src/gateway/event.rs
+++ b/src/gateway/event.rs
@@ -133,6 +133,8 @@
     pub site_checks: u64,
     /// Increased each time the store must be called to see whether it answers.
     pub probes: u64,
+    /// Whether the configuration in force was lately proven to be the newest.
+    pub is_site_recent: bool,
     pub site_poll: Poll,
     pub server_poll: Poll,
 }
--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -30,6 +30,9 @@
 /// Time after that within which the answer must begin.
 const POLL_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time without a reading after which many changes may have been missed.
+const MAX_GAP: Duration = Duration::from_secs(1);
+
 /// Change feed of one table.
 pub struct Feed {
     store: Rc<Store>,
@@ -50,9 +53,14 @@
     poll_of: fn(&Subscription) -> Poll,
     /// Whether earlier changes of a row are of no use once there are later ones.
     pub reads_newest_only: bool,
-    /// Whether an answer may hold several changes: the table changes faster than it is read, or a call
-    /// has failed.
+    /// Whether few changes can have been missed, as peers have shown.
+    pub is_recent: fn(&Subscription) -> bool,
+    /// Whether an answer may hold several changes, since the table changes faster than it is read.
     is_outrun: bool,
+    /// When it was learnt that the table held nothing after `last_version`.
+    positioned_at: Duration,
+    /// When a call was last dropped.
+    dropped_at: Duration,
     /// Consecutive failed calls, and when the next call may be made.
     failures: u32,
     retry_at: Duration,
@@ -92,7 +100,10 @@
             is_wanted,
             poll_of,
             reads_newest_only: false,
+            is_recent: |_| false,
             is_outrun: false,
+            positioned_at: Duration::ZERO,
+            dropped_at: Duration::ZERO,
             failures: 0,
             retry_at: Duration::ZERO,
         }
@@ -108,13 +119,20 @@
         self.last_version =
             version.map(|version| self.last_version.max(Some(version)).unwrap_or(version));
         self.is_outrun = false;
+        self.positioned_at = self.store.now();
     }
 
     /// Waits for the next change or failure, or until a call is dropped, so that the follower can turn to
     /// another source.
     pub async fn next(&mut self) -> Change {
         loop {
-            let poll = (self.poll_of)(&self.subscription.borrow());
+            // A new reader soon shows its peers that the table holds nothing newer.
+            let is_first = self.returns_unchanged && self.channel.is_none();
+            let poll = if is_first {
+                Poll::Immediate
+            } else {
+                (self.poll_of)(&self.subscription.borrow())
+            };
             if let Some(change) = self.call(poll).await {
                 return change;
             }
@@ -137,7 +155,9 @@
         let began_at = self.store.now();
         let change = match self.last_version {
             None => self.read_all().await,
-            Some(version) if self.is_outrun => self.reread_after_gap(version).await,
+            Some(version) if self.is_outrun || self.has_gap() => {
+                self.reread_after_gap(version).await
+            }
             Some(version) => self.poll_changes(version, poll).await,
         };
         match change {
@@ -155,8 +175,6 @@
                 self.log_failure(began_at, error.to_string()).await;
                 self.channel = None;
                 self.store.record_failure(began_at).await;
-                // How many changes have been missed when a call succeeds again is not known.
-                self.is_outrun |= self.reads_newest_only;
                 let delay = backoff(RETRY_DELAY, self.failures, MAX_RETRY_DELAY, 1.0);
                 self.retry_at = self.store.now() + delay;
                 self.failures += 1;
@@ -165,6 +183,16 @@
         }
     }
 
+    /// Whether the table may have changed any number of times since the position was learnt: the store was
+    /// down, or seemed to be.
+    fn has_gap(&self) -> bool {
+        let is_old = self.store.now() >= self.positioned_at + MAX_GAP
+            && !(self.is_recent)(&self.subscription.borrow());
+        let was_down =
+            self.dropped_at > self.positioned_at || self.store.has_failed_since(self.positioned_at);
+        self.reads_newest_only && self.channel.is_none() && is_old && was_down
+    }
+
     /// Records the moment for which a response shows what the table held. It shows nothing if it is older
     /// than another one, or than the version after which changes were wanted.
     fn confirm(&mut self, began_at: Duration, version: Version, is_current: bool) {
@@ -173,6 +201,9 @@
             self.newest_response = Some(version);
         }
         self.confirmed_at = (is_newest && is_current).then_some(began_at);
+        if self.confirmed_at.is_some() {
+            self.positioned_at = self.store.now();
+        }
     }
 
     /// Reads the complete table now.
@@ -258,7 +289,7 @@
             let reason = "dropped: it may hang, or is no longer wanted";
             self.log_failure(began_at, reason.into()).await;
             self.channel = None;
-            self.is_outrun |= self.reads_newest_only;
+            self.dropped_at = self.store.now();
             return Ok(Some(Change::Empty));
         };
         let reply = begun.map_err(|error| failed(&error))??;
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -45,6 +45,7 @@
     );
     feed.returns_unchanged = deployment.bounds.revocation.is_some();
     feed.reads_newest_only = true;
+    feed.is_recent = |subscription| subscription.is_site_recent;
     let mut known = Known::default();
     let mut seen_stalls = 0;
     let (mut seen_checks, mut seen_probes) = (0, 0);
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -2,7 +2,6 @@
 //! instances that get none in time. None of it happens unless the settings bound the time after which
 //! a revoked key may be served.
 
-use super::event::Subscription;
 use super::traffic::Traffic;
 use crate::common::*;
 use crate::decide::freshness::{Echo, Freshness, Peer, Reach, hash_name};
@@ -31,6 +30,15 @@
     is_late: Cell<bool>,
 }
 
+/// A call to the store that a proof, or the lack of one, makes due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DueCall {
+    /// Poll for changes, which gives a proof.
+    Check,
+    /// A call that reads nothing.
+    Probe,
+}
+
 /// Shortest time for which peers that the store answers are asked for a proof after an outage, before an
 /// instance calls the store itself.
 const MIN_ASKING_TIME: Duration = Duration::from_millis(500);
@@ -196,16 +204,29 @@
         }
     }
 
-    /// Returns the count of calls that the store thread is to make for a proof, increased if one is due.
-    pub(super) fn site_checks(&self, now: Duration, old: &Subscription) -> u64 {
+    /// Returns the call that the store thread is to make now, for a proof or to see whether the store
+    /// answers.
+    pub(super) fn due_call(&self, now: Duration) -> Option<DueCall> {
         let in_force = self.configuration_version();
         // Without a configuration the store is read anyway.
-        let freshness = self.proofs.freshness.as_ref().filter(|_| in_force > 0);
-        let is_due = freshness.is_some_and(|freshness| {
-            let reach = self.store_reach(now);
-            freshness.borrow_mut().should_call(now, in_force, reach)
-        });
-        old.site_checks + u64::from(is_due)
+        let freshness = self.proofs.freshness.as_ref().filter(|_| in_force > 0)?;
+        let reach = self.store_reach(now);
+        let mut freshness = freshness.borrow_mut();
+        let is_due = freshness.should_call(now, in_force, reach);
+        is_due.then(|| {
+            if freshness.needs_proof(now, in_force) {
+                DueCall::Check
+            } else {
+                DueCall::Probe
+            }
+        })
+    }
+
+    /// Whether it is proven that few configurations can have been missed.
+    pub(super) fn is_site_recent(&self, now: Duration) -> bool {
+        let in_force = self.configuration_version();
+        let freshness = self.proofs.freshness.as_ref();
+        freshness.is_some_and(|freshness| freshness.borrow().is_recent(now, in_force))
     }
 
     /// Whether this instance's polls for the configuration are brief, if it reads it: to prove that it
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -1,7 +1,7 @@
 //! The store thread: follows the operator's configuration and the server list, and makes calls
 //! to the store for other threads.
 
-use super::channel::{self, Reply};
+use super::channel::{self, BegunReply, Channel, Reply};
 use super::event::{Answer, Call, Fetch, StoreUpdate, Subscription};
 use super::{follower, registration};
 use crate::common::*;
@@ -152,6 +152,10 @@
         self.clock.now()
     }
 
+    pub fn has_failed_since(&self, time: Duration) -> bool {
+        self.health.borrow().has_failed_since(time)
+    }
+
     pub fn has_failed_recently(&self) -> bool {
         let failed = self.failed_at.get();
         failed.is_some_and(|at| self.clock.now() < at + OUTAGE_GRACE_PERIOD)
@@ -171,27 +175,52 @@
 
     /// Makes a call. The time-outs are for the answer to begin, and then for pauses in it.
     async fn call_once(&self, request: Request<Full<Bytes>>) -> Result<Reply> {
-        let url = request.uri().to_string();
         let began_at = self.now();
-        let failed = |reason: String| Error::Call {
-            url: url.clone(),
-            reason,
-        };
-        let opening = async {
-            let opened = channel::connect(self.address).await;
-            let mut channel = opened.map_err(|error| failed(error.to_string()))?;
-            let begun = channel.begin(request).await?;
-            Ok((channel, begun))
-        };
-        let mut opening = pin!(timeout(CALL_TIMEOUT, opening));
+        let opened = self.open(request).await;
+        self.finish(began_at, opened).await
+    }
+
+    /// Makes a call that reads, again if the store begins to answer other calls while it waits: it may
+    /// hang since before then.
+    async fn read_once(&self, path: &str) -> Result<Reply> {
+        loop {
+            let recovered = self.recovered.notified();
+            let began_at = self.now();
+            let opened = tokio::select! {
+                biased;
+                opened = self.open(self.get(path)) => opened,
+                () = recovered => continue,
+            };
+            return self.finish(began_at, opened).await;
+        }
+    }
+
+    /// Sends a request, and waits for an answer to begin.
+    async fn open(&self, request: Request<Full<Bytes>>) -> Result<(Channel, BegunReply)> {
+        let began_at = self.now();
+        let url = request.uri().to_string();
+        let mut opening = pin!(timeout(CALL_TIMEOUT, channel::open(self.address, request)));
         let opened = if let Ok(opened) = timeout(SUSPICION_TIME, &mut opening).await {
             opened
         } else {
             self.record_failure(began_at).await;
             opening.await
         };
-        let late = |_| Err(failed(format!("no response within {CALL_TIMEOUT:?}")));
-        let reply = match opened.unwrap_or_else(late) {
+        opened.unwrap_or_else(|_| {
+            Err(Error::Call {
+                url,
+                reason: format!("no response within {CALL_TIMEOUT:?}"),
+            })
+        })
+    }
+
+    /// Reads an answer that has begun, and records the outcome of the call.
+    async fn finish(
+        &self,
+        began_at: Duration,
+        opened: Result<(Channel, BegunReply)>,
+    ) -> Result<Reply> {
+        let reply = match opened {
             Ok((_channel, begun)) => begun.read(CALL_TIMEOUT).await,
             Err(error) => Err(error),
         };
@@ -211,8 +240,8 @@
 
     /// Makes a call that reads nothing, to see whether the store answers.
     pub async fn probe(&self, table: &str) {
-        let request = self.get(&rows::read_path(table, rows::LAST_KEY));
-        if let Err(error) = self.call_once(request).await {
+        let path = rows::read_path(table, rows::LAST_KEY);
+        if let Err(error) = self.call_once(self.get(&path)).await {
             log::info!("the store does not answer: {error}");
         }
     }
@@ -230,9 +259,7 @@
         };
         let mut from = from.to_owned();
         while complete.more {
-            let reply = self
-                .call_once(self.get(&rows::read_path(table, &from)))
-                .await?;
+            let reply = self.read_once(&rows::read_path(table, &from)).await?;
             let page = self.decode(reply)?;
             if !complete.rows.is_empty() && page.version.era != complete.version.era {
                 return Err(Error::Call {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -5,7 +5,7 @@
 use super::channel::Channel;
 use super::configuration::Rollout;
 use super::event::{self, CHANNEL_CAPACITY, Call, PlacerEvent, Poll, StoreUpdate, Subscription};
-use super::freshness::Proofs;
+use super::freshness::{DueCall, Proofs};
 use super::journal::Journal;
 use super::metrics::Metrics;
 use super::origins::Binding;
@@ -607,7 +607,11 @@
         let topology = self.topology.borrow();
         let is_following_site = now >= STARTUP_LISTEN_TIME && topology.is_reader(now);
         // Shows at once whether the store answers the new reader.
-        let must_probe = is_following_site && !old.is_following_site && topology.has_refused(now);
+        let is_new_reader = is_following_site && !old.is_following_site;
+        let due_call = self.due_call(now);
+        let must_probe = (is_new_reader && topology.has_refused(now))
+            || self.is_recheck_due(now)
+            || due_call == Some(DueCall::Probe);
         let subscription = Subscription {
             is_following_site,
             newest_site_version: newest,
@@ -628,8 +632,9 @@
             },
             site_stalls: old.site_stalls + u64::from(misses_site),
             server_stalls: old.server_stalls + u64::from(misses_servers),
-            site_checks: self.site_checks(now, &old),
-            probes: old.probes + u64::from(must_probe || self.is_recheck_due(now)),
+            site_checks: old.site_checks + u64::from(due_call == Some(DueCall::Check)),
+            probes: old.probes + u64::from(must_probe),
+            is_site_recent: self.is_site_recent(now),
             site_poll: Poll::brief_if(self.polls_site_briefly(now)),
             server_poll: Poll::brief_if(self.polls_servers_briefly(now)),
         };
--- a/tests/gateway/freshness_rules.rs
+++ b/tests/gateway/freshness_rules.rs
@@ -150,6 +150,29 @@
     assert!(freshness.should_call(ms(6_500), 5, Reach::PeersOnly));
 }
 
+/// Guards against a read of the configuration by every instance that the store has not answered, at the
+/// store's return: one that gets proofs from peers needs to see only whether it is answered.
+#[test]
+fn a_call_after_a_failure_need_not_give_a_proof() {
+    let mut freshness = freshness();
+    freshness.on_store_answer(ms(1_000), 5);
+    assert!(freshness.should_call(ms(1_500), 5, Reach::PeersOnly));
+    assert!(!freshness.needs_proof(ms(1_500), 5));
+    assert!(!freshness.needs_proof(ms(3_900), 5));
+    assert!(freshness.needs_proof(ms(4_000), 5));
+    assert!(freshness.needs_proof(ms(1_500), 4));
+}
+
+#[test]
+fn a_version_is_recent_below_half_of_the_bound() {
+    let mut freshness = freshness();
+    assert!(!freshness.is_recent(ms(1_000), 5));
+    freshness.on_store_answer(ms(1_000), 5);
+    assert!(freshness.is_recent(ms(3_499), 5));
+    assert!(!freshness.is_recent(ms(3_500), 5));
+    assert!(!freshness.is_recent(ms(1_000), 4));
+}
+
 #[test]
 fn keys_are_allowed_below_nine_tenths_of_the_bound() {
     let mut freshness = freshness();
--- a/tests/gateway_processes/outages.rs
+++ b/tests/gateway_processes/outages.rs
@@ -1,7 +1,9 @@
 //! What instances read from the store when it returns after an outage.
 
 use super::site::{Site, config, wait_for};
+use rstest::rstest;
 use serde_json::{Value, json};
+use standins::platform::Platform;
 use std::time::Duration;
 
 /// More than report to each other directly, so that the data centre has hubs.
@@ -14,6 +16,9 @@
 const ROUTES: usize = 200;
 /// Time in which every instance has found the store down.
 const OUTAGE: Duration = Duration::from_secs(5);
+/// Time after the return in which instances find that the store answers them again.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+const REVOCATION_MS: u64 = 4_000;
 const FIRST_VERSION: u64 = 30_000;
 const VERSIONS: u64 = 12;
 
@@ -38,26 +43,50 @@
     });
 }
 
-/// Guards against a herd at the store's return: every instance of a data centre read all versions of a
-/// large configuration at once, the link between the regions was full for seconds, and an old
-/// configuration stayed in force.
-#[test]
-fn few_instances_read_one_version_each_when_the_store_returns() {
-    let site = Site::start(INSTANCES);
+/// Writes `versions` configurations during an outage of the store that begins and ends by `set_outage`, and
+/// returns how many copies of one are read at its return.
+fn copies_read_at_return(site: &Site, versions: u64, set_outage: impl Fn(bool)) -> usize {
     site.wait_until_ready();
     site.platform.configure(&large_config(FIRST_VERSION));
-    wait_for_version(&site, FIRST_VERSION);
+    wait_for_version(site, FIRST_VERSION);
     let row_bytes = large_config(FIRST_VERSION).to_string().len() * 4 / 3;
-    site.platform.set_down(true);
+    set_outage(true);
     std::thread::sleep(OUTAGE);
-    for version in 1..=VERSIONS {
+    for version in 1..=versions {
         site.platform
             .configure(&large_config(FIRST_VERSION + version));
     }
     let before = site.platform.bytes("op");
-    site.platform.set_down(false);
-    wait_for_version(&site, FIRST_VERSION + VERSIONS);
-    let read = (site.platform.bytes("op") - before) / row_bytes;
+    set_outage(false);
+    wait_for_version(site, FIRST_VERSION + versions);
+    std::thread::sleep(SETTLING_TIME);
+    (site.platform.bytes("op") - before) / row_bytes
+}
+
+/// Guards against a herd at the store's return: every instance of a data centre read all versions of a
+/// large configuration at once, the link between the regions was full for seconds, and an old
+/// configuration stayed in force.
+#[test]
+fn few_instances_read_one_version_each_when_the_store_returns() {
+    let site = Site::start(INSTANCES);
+    let read = copies_read_at_return(&site, VERSIONS, |is_down| site.platform.set_down(is_down));
+    assert!(read <= MAX_READERS, "{read} copies were read");
+}
+
+/// Guards against the same herd where a bound on revocation has every instance call the store: each of
+/// them read the configuration to see whether the store answers it again.
+#[rstest]
+#[case::refusing(Platform::set_down, VERSIONS)]
+#[case::silent(Platform::set_silent, VERSIONS)]
+#[case::silent_without_changes(Platform::set_silent, 0)]
+fn few_instances_that_prove_their_configuration_read_it_when_the_store_returns(
+    #[case] set_outage: fn(&Platform, bool),
+    #[case] versions: u64,
+) {
+    let site = Site::start_with_revocation(INSTANCES, REVOCATION_MS);
+    let read = copies_read_at_return(&site, versions, |is_down| {
+        set_outage(&site.platform, is_down);
+    });
     assert!(read <= MAX_READERS, "{read} copies were read");
 }
 
