--- a/tests/gateway_processes/versions.rs
+++ b/tests/gateway_processes/versions.rs
@@ -5,10 +5,9 @@
 use standins::worker::{Fault, Worker};
 use std::time::Duration;
 
-/// Events of a whole stream, and those of one that breaks off: so few that three resumptions don't
-/// complete it.
+/// Events of a whole stream, and those of one that breaks off.
 const EVENTS: u32 = 10;
-const FIRST_EVENTS: u32 = 2;
+const FIRST_EVENTS: u32 = 3;
 /// Time in which instances tell each other, and the store, which streams they have begun.
 const SHARING_TIME: Duration = Duration::from_secs(3);
 
