--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -393,20 +393,6 @@
             || locals.any(|(_, member)| member.access == Access::Refused)
     }
 
-    /// Returns the live peers of this data centre to ask for a proof. After an outage the first ones that
-    /// the store answers may have none yet.
-    #[must_use]
-    pub fn proof_sources(&self, now: Duration) -> Vec<SocketAddr> {
-        if !self.has_refused(now) {
-            return self.readers(now);
-        }
-        let reaching = self
-            .live_locals(now)
-            .filter(|(_, member)| member.access != Access::Refused);
-        let sources = reaching.take(MAX_READER_COUNT);
-        sources.map(|(_, member)| member.address).collect()
-    }
-
     /// Returns the live peers of this data centre that read the configuration and that the store
     /// answers, as far as they have told.
     #[must_use]
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -154,12 +154,12 @@
         let now = self.clock.now();
         let mut messages = Vec::new();
         if self.proofs.is_asking.take() {
-            for source in self.topology.borrow().proof_sources(now) {
+            for reader in self.topology.borrow().readers(now) {
                 let request = Gossip {
                     asks_proof: true,
                     ..self.envelope()
                 };
-                messages.push((source, request));
+                messages.push((reader, request));
             }
         }
         for (address, instance) in std::mem::take(&mut *self.proofs.askers.borrow_mut()) {
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -197,29 +197,6 @@
     assert!(topology.readers(ms(1_600)).is_empty());
 }
 
-/// Guards against instances that call the store themselves at its return, since the two peers that they ask
-/// have not read it yet.
-#[test]
-fn six_peers_are_asked_for_proofs_while_one_is_refused() {
-    let refused = Sender {
-        access: Access::Refused,
-        ..sender("a", 1)
-    };
-    let others = ["b", "c", "d", "e", "f", "g", "h", "i"].iter().zip(2..);
-    let confirmed = others.map(|(name, number)| Sender {
-        access: Access::Confirmed,
-        ..sender(name, number)
-    });
-    let senders: Vec<Sender> = std::iter::once(refused).chain(confirmed).collect();
-    let topology = topology_with(&senders);
-    assert_eq!(
-        topology.proof_sources(ms(0)),
-        [2, 3, 4, 5, 6, 7].map(address)
-    );
-    let topology = topology_with(&senders[1..]);
-    assert_eq!(topology.proof_sources(ms(0)), topology.readers(ms(0)));
-}
-
 /// Guards against 80 instances that each read every version from the store when the configuration
 /// changes many times in quick succession.
 #[test]
