Test what a data centre reads that was cut off from the store

Instances that the store answers now get time to read before the copies are counted: a reader that was not cut off read 11 versions of one batch within the counted time.

--- a/tests/gateway_processes/outages.rs
+++ b/tests/gateway_processes/outages.rs
@@ -1,6 +1,6 @@
 //! What instances read from the store when it returns after an outage.
 
-use super::site::{Site, config, wait_for};
+use super::site::{GRACE_S, Site, config, wait_for};
 use rstest::rstest;
 use serde_json::{Value, json};
 use standins::platform::Platform;
@@ -16,7 +16,8 @@
 const ROUTES: usize = 200;
 /// Time in which every instance has found the store down.
 const OUTAGE: Duration = Duration::from_secs(5);
-/// Time after the return in which instances find that the store answers them again.
+/// Time in which instances that the store answers have read what it holds, and after its return the others
+/// have found that it answers them again.
 const SETTLING_TIME: Duration = Duration::from_secs(2);
 const REVOCATION_MS: u64 = 4_000;
 const FIRST_VERSION: u64 = 30_000;
@@ -38,8 +39,7 @@
 
 fn wait_for_version(site: &Site, version: u64) {
     wait_for("the configuration at all instances", || {
-        (0..usize::from(INSTANCES))
-            .all(|instance| site.state(instance)["version"] == json!(version))
+        (0..site.instances.len()).all(|instance| site.state(instance)["version"] == json!(version))
     });
 }
 
@@ -56,6 +56,8 @@
         site.platform
             .configure(&large_config(FIRST_VERSION + version));
     }
+    // Instances that are not cut off read the versions meanwhile.
+    std::thread::sleep(SETTLING_TIME);
     let before = site.platform.bytes("op");
     set_outage(false);
     wait_for_version(site, FIRST_VERSION + versions);
@@ -90,6 +92,29 @@
     assert!(read <= MAX_READERS, "{read} copies were read");
 }
 
+/// Guards against the same herd in a data centre that was cut off from the store while another one was not:
+/// all its instances hear of the versions that they lack.
+#[rstest]
+#[case::unbounded(None)]
+#[case::revocation(Some(REVOCATION_MS))]
+fn few_instances_of_a_data_centre_read_when_it_is_no_longer_cut_off(
+    #[case] revocation_ms: Option<u64>,
+) {
+    let mut site = match revocation_ms {
+        Some(bound) => Site::start_with_revocation(1, bound),
+        None => Site::start(1),
+    };
+    for _ in 0..INSTANCES {
+        site.add_instance_in("south-1", GRACE_S);
+    }
+    let read = copies_read_at_return(&site, VERSIONS, |is_cut| {
+        for (address, _) in &site.instances[1..] {
+            site.platform.set_silent_to(*address, is_cut);
+        }
+    });
+    assert!(read <= MAX_READERS, "{read} copies were read");
+}
+
 /// Guards against a herd at the store by instances that start together, although their peers have the
 /// configuration.
 #[test]
