Don't count an instance that stops as one that the store refuses

Cause: an instance that stops states that it does not reach the store, so that it reads no more. Peers took it for refused by the store: their readers polled briefly, and more of them read, for as long as each of the 23 instances of a rolling restart stopped.

Change: one that stops goes on to state whether the store answers it, in the field for that; peers rank it last among readers and don't count it as refused.

The unit test can't be built on the old code, which has no such state.

--- a/src/decide/topology.rs
+++ b/src/decide/topology.rs
@@ -59,10 +59,19 @@
     Confirmed,
     /// No call has failed since its last answer.
     Assumed,
+    /// It answers, but the instance stops and reads no longer.
+    Stopping,
     /// It did not answer the last call.
     Refused,
 }
 
+impl Access {
+    /// Whether an instance may read from the store.
+    fn may_read(self) -> bool {
+        matches!(self, Self::Confirmed | Self::Assumed)
+    }
+}
+
 /// A datagram's sender, as it describes itself.
 #[derive(Debug, Clone)]
 pub struct Sender {
@@ -161,7 +170,7 @@
         let is_broadcaster = self.is_broadcaster(now);
         let is_reaching = self
             .live_locals(now)
-            .any(|(_, member)| member.access != Access::Refused);
+            .any(|(_, member)| member.access.may_read());
         update_since(&mut self.broadcasting_since, now, is_broadcaster);
         update_since(&mut self.reaching_since, now, is_reaching);
     }
@@ -269,13 +278,13 @@
         self.rank(now) < BROADCASTER_COUNT
     }
 
-    /// Number of live peers of this data centre before this instance: by name, and those that the store
-    /// does not answer after all others.
+    /// Number of live peers of this data centre before this instance: by name, and those that can't read
+    /// from the store after all others.
     fn rank(&self, now: Duration) -> usize {
-        let key = (self.local_access == Access::Refused, &self.local_instance);
+        let key = (!self.local_access.may_read(), &self.local_instance);
         let preceding = self
             .live_locals(now)
-            .filter(|(peer, member)| (member.access == Access::Refused, *peer) < key);
+            .filter(|(peer, member)| (!member.access.may_read(), *peer) < key);
         preceding.count()
     }
 
@@ -286,7 +295,7 @@
         let mut locals: Vec<_> = locals
             .chain([(&self.local_instance, self.local_access)])
             .collect();
-        locals.sort_unstable_by_key(|(peer, access)| (*access == Access::Refused, *peer));
+        locals.sort_unstable_by_key(|(peer, access)| (!access.may_read(), *peer));
         let refused = locals.iter().filter(|(_, it)| *it == Access::Refused);
         let refused = refused.count();
         let mut first = locals.iter().take(READER_COUNT);
@@ -344,7 +353,7 @@
         let mut members = self.members.values();
         members
             .find(|member| member.address == address)
-            .is_none_or(|member| member.access != Access::Refused)
+            .is_none_or(|member| member.access.may_read())
     }
 
     /// Returns the peers of this data centre with their addresses.
@@ -399,7 +408,7 @@
     pub fn readers(&self, now: Duration) -> Vec<SocketAddr> {
         let reaching = self
             .live_locals(now)
-            .filter(|(_, member)| member.access != Access::Refused);
+            .filter(|(_, member)| member.access.may_read());
         let readers = reaching.take(self.wanted_readers(now));
         readers.map(|(_, member)| member.address).collect()
     }
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -233,6 +233,7 @@
     pub fn envelope(&self) -> Gossip {
         self.sequence.set(self.sequence.get() + 1);
         let newest_change = self.roster.borrow().newest_change();
+        let (access, is_stopping) = (self.store_access(self.clock.now()), self.is_stopping());
         Gossip {
             instance: self.deployment.instance.to_string(),
             incarnation: self.incarnation.0,
@@ -242,8 +243,9 @@
             servers_version: newest_change.number,
             era: newest_change.era.map(|era| era.0),
             configuration: self.configuration_version(),
-            reaches_store: self.reaches_store.get() && !self.is_stopping(),
-            store_answered: self.store_access(self.clock.now()) == Access::Confirmed,
+            reaches_store: access != Access::Refused && !is_stopping,
+            store_answered: access == Access::Confirmed
+                || (is_stopping && access != Access::Refused),
             quarantine_digest: self.quarantine.borrow().digest(),
             sent_at_ms: self.stated_time_ms(),
             ..Gossip::default()
@@ -461,7 +463,8 @@
         incarnation: gossip.incarnation,
         sequence: gossip.sequence,
         access: match (gossip.reaches_store, gossip.store_answered) {
-            (false, _) => Access::Refused,
+            (false, false) => Access::Refused,
+            (false, true) => Access::Stopping,
             (true, true) => Access::Confirmed,
             (true, false) => Access::Assumed,
         },
--- a/src/wire/generated_gossip.rs
+++ b/src/wire/generated_gossip.rs
@@ -50,7 +50,7 @@
     /// Version of the operator's configuration in force at the sender.
     #[prost(uint64, tag = "17")]
     pub configuration: u64,
-    /// Whether the sender can reach the store.
+    /// Whether the sender can reach the store, and does not stop.
     #[prost(bool, tag = "18")]
     pub reaches_store: bool,
     /// Servers that announced their shutdown in an answer but not yet in their entries.
@@ -93,7 +93,7 @@
     /// Granted units that the sender does not need.
     #[prost(message, repeated, tag = "32")]
     pub quota_returns: ::prost::alloc::vec::Vec<QuotaReturn>,
-    /// Whether the store has answered the sender within the last seconds.
+    /// Whether the store has answered the sender within the last seconds, or answers one that stops.
     #[prost(bool, tag = "33")]
     pub store_answered: bool,
 }
--- a/tests/gateway/topology.rs
+++ b/tests/gateway/topology.rs
@@ -197,6 +197,21 @@
     assert!(topology.readers(ms(1_600)).is_empty());
 }
 
+/// Guards against brief polls by all readers, and more of them, while an instance of their data centre stops.
+#[test]
+fn an_instance_that_stops_does_not_read_and_is_not_refused() {
+    let stopping = Sender {
+        access: Access::Stopping,
+        ..sender("a", 1)
+    };
+    let senders = [stopping, sender("b", 2), sender("c", 3), sender("d", 4)];
+    let topology = topology_with(&senders);
+    assert!(!topology.has_refused(ms(0)));
+    assert_eq!(topology.readers(ms(0)), [2, 3].map(address));
+    assert_eq!(topology.reader_count(ms(0)), 2);
+    assert!(!topology.reaches_store(address(1)));
+}
+
 /// Guards against 80 instances that each read every version from the store when the configuration
 /// changes many times in quick succession.
 #[test]
