--- a/src/gateway/feed.rs
+++ b/src/gateway/feed.rs
@@ -126,25 +126,19 @@
     /// another source.
     pub async fn next(&mut self) -> Change {
         loop {
-            let poll = self.next_poll();
+            // A new reader soon shows its peers that the table holds nothing newer.
+            let is_first = self.returns_unchanged && self.channel.is_none();
+            let poll = if is_first {
+                Poll::Immediate
+            } else {
+                (self.poll_of)(&self.subscription.borrow())
+            };
             if let Some(change) = self.call(poll).await {
                 return change;
             }
         }
     }
 
-    /// Returns how long the next poll may be held open. The first one of a reader is answered at once
-    /// where its peers may lack a proof that it can give.
-    fn next_poll(&self) -> Poll {
-        let subscription = self.subscription.borrow();
-        let is_first = self.returns_unchanged && self.channel.is_none();
-        if is_first && !(self.is_recent)(&subscription) {
-            Poll::Immediate
-        } else {
-            (self.poll_of)(&subscription)
-        }
-    }
-
     /// Makes one call that the store answers at once, also if the feed is not followed.
     pub async fn check(&mut self) -> Change {
         let change = self.call(Poll::Immediate).await;
