--- a/src/decide/arrival.rs
+++ b/src/decide/arrival.rs
@@ -1,7 +1,6 @@
 //! How long configurations take to be in force here after this instance has heard of them.
 
 use crate::common::*;
-use std::collections::VecDeque;
 
 /// Number of awaited versions that are kept; further ones are not measured.
 const MAX_AWAITED: usize = 64;
