--- /dev/null
+++ b/review/rig3/engine.rs
@@ -0,0 +1,241 @@
+//! Stand-in of a model worker: what it holds, the orders that it carries out, and short streams.
+
+use crate::http::{Channel, Message, response};
+use crate::json;
+use crate::site::{self, Record};
+use crate::store::Store;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Models that can be loaded, and the megabytes of each.
+pub const MODELS: usize = 20;
+pub const MODEL_MB: u64 = 34_300;
+const ADAPTER_MB: u64 = 40;
+const MEMORY_MB: u64 = 200_000;
+pub const ADAPTER_PLACES: usize = 8;
+pub const LOAD_S: f64 = 1.2;
+const DISK_LOAD_S: f64 = 0.55;
+const ADAPTER_LOAD: Duration = Duration::from_millis(10);
+
+/// Loads from the weight store: when each began, at which worker, and of which model.
+pub type Loads = Arc<Mutex<Vec<(f64, String, String)>>>;
+
+#[derive(Default)]
+struct State {
+    held: BTreeMap<String, BTreeSet<String>>,
+    copies: BTreeSet<String>,
+    sequence: u64,
+    is_busy: bool,
+    has_crashed: bool,
+}
+
+pub struct Engine {
+    id: String,
+    state: Mutex<State>,
+    store: Store,
+    record: Record,
+    loads: Loads,
+    entry: Mutex<Option<(SocketAddr, u64)>>,
+}
+
+impl Engine {
+    pub fn new(id: &str, store: Store, record: Record, loads: Loads) -> Arc<Self> {
+        let mut state = State::default();
+        state.held.insert("m0".into(), BTreeSet::new());
+        state.copies.insert("m0".into());
+        Arc::new(Self {
+            id: id.into(),
+            state: Mutex::new(state),
+            store,
+            record,
+            loads,
+            entry: Mutex::new(None),
+        })
+    }
+
+    fn models(held: &BTreeMap<String, BTreeSet<String>>) -> String {
+        let models = held.iter().map(|(model, adapters)| {
+            let adapters: Vec<String> = adapters.iter().map(|it| format!("\"{it}\"")).collect();
+            format!(
+                r#"{{"Name":"{model}","Version":1,"Adapters":[{}]}}"#,
+                adapters.join(",")
+            )
+        });
+        models.collect::<Vec<_>>().join(",")
+    }
+
+    fn available(state: &State) -> String {
+        let copies: Vec<String> = state.copies.iter().map(|it| format!("\"{it}\"")).collect();
+        format!(r#"{{"InMemory":[],"OnDisk":[{}]}}"#, copies.join(","))
+    }
+
+    /// Writes the worker's entry in the list.
+    pub fn list(&self, address: SocketAddr, born: u64) {
+        *self.entry.lock().expect("no thread has panicked") = Some((address, born));
+        self.write_entry();
+    }
+
+    fn write_entry(&self) {
+        let Some((address, born)) = *self.entry.lock().expect("no thread has panicked") else {
+            return;
+        };
+        let state = self.state.lock().expect("no thread has panicked");
+        let (models, available) = (Self::models(&state.held), Self::available(&state));
+        drop(state);
+        let entry = format!(
+            r#"{{"Service":"llm","Address":"{address}","Zone":"zone-a","Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":0,"Phase":"unified","Models":[{models}],"Available":{available},"Sequence":1,"born":{born}}}"#
+        );
+        self.store.put("servers", &self.id, &entry);
+    }
+
+    /// Answers a call.
+    pub fn answer(self: &Arc<Self>, call: &Message, channel: &mut Channel) -> bool {
+        let answer = match call.path() {
+            "/v1/report" => self.report(),
+            "/v1/order" => self.order(call),
+            _ => return self.serve(call, channel),
+        };
+        channel.send(&answer).is_ok()
+    }
+
+    fn report(&self) -> Vec<u8> {
+        let state = self.state.lock().expect("no thread has panicked");
+        let body = format!(
+            r#"{{"Phase":"unified","Models":[{}],"Available":{},"Incoming":[],"Busy":{},"Sequence":{},"Queued":0,"Active":0,"KvInUse":0,"KvSize":162655,"Handles":0}}"#,
+            Self::models(&state.held),
+            Self::available(&state),
+            state.is_busy,
+            state.sequence
+        );
+        response(
+            "200 OK",
+            &[("Content-Type", "application/json")],
+            body.as_bytes(),
+        )
+    }
+
+    fn order(self: &Arc<Self>, call: &Message) -> Vec<u8> {
+        let empty = |status| response(status, &[], b"");
+        let Some(order) = json::parse(&String::from_utf8_lossy(&call.body)) else {
+            return empty("400 Bad Request");
+        };
+        let (operation, model) = (order.text("Operation"), order.text("Model"));
+        let (adapter, holder) = (order.text("Adapter"), order.text("Holder"));
+        let (expected, fence) = (order.number("Expected"), order.number("FencingToken"));
+        let mut state = self.state.lock().expect("no thread has panicked");
+        let status = self.carry_out(&mut state, &operation, &model, &adapter, expected);
+        drop(state);
+        self.record.note(&format!(
+            "worker {} gets from {holder} (token {fence}): {operation} {model} {adapter}, expected {expected}: {status}",
+            self.id
+        ));
+        empty(status)
+    }
+
+    fn carry_out(
+        self: &Arc<Self>,
+        state: &mut State,
+        operation: &str,
+        model: &str,
+        adapter: &str,
+        expected: u64,
+    ) -> &'static str {
+        if state.sequence != expected || state.is_busy {
+            return "409 Conflict";
+        }
+        let holds_model = state.held.contains_key(model);
+        if !adapter.is_empty() {
+            let Some(adapters) = state.held.get_mut(model) else {
+                return "421 Misdirected Request";
+            };
+            let is_changed = match operation {
+                "load" => adapters.insert(adapter.to_owned()),
+                _ => adapters.remove(adapter),
+            };
+            let count: usize = state.held.values().map(BTreeSet::len).sum();
+            state.has_crashed |= count > ADAPTER_PLACES;
+            if operation == "load" && !is_changed {
+                return "200 OK";
+            }
+            state.sequence += 1;
+            if operation == "load" {
+                std::thread::sleep(ADAPTER_LOAD);
+                return "202 Accepted";
+            }
+            return "200 OK";
+        }
+        if operation == "load" && holds_model || operation == "unload" && !holds_model {
+            return "200 OK";
+        }
+        state.sequence += 1;
+        if operation == "unload" {
+            state.held.remove(model);
+            let engine = Arc::clone(self);
+            std::thread::spawn(move || engine.write_entry());
+            return "202 Accepted";
+        }
+        let used = (state.held.len() as u64 + 1) * MODEL_MB + ADAPTER_PLACES as u64 * ADAPTER_MB;
+        state.has_crashed |= used > MEMORY_MB;
+        state.is_busy = true;
+        let is_from_store = state.copies.insert(model.to_owned());
+        if is_from_store {
+            let mut loads = self.loads.lock().expect("no thread has panicked");
+            loads.push((self.record.now(), self.id.clone(), model.to_owned()));
+        }
+        let (engine, model) = (Arc::clone(self), model.to_owned());
+        std::thread::spawn(move || {
+            std::thread::sleep(Duration::from_secs_f64(if is_from_store {
+                LOAD_S
+            } else {
+                DISK_LOAD_S
+            }));
+            let mut state = engine.state.lock().expect("no thread has panicked");
+            state.held.insert(model, BTreeSet::new());
+            state.is_busy = false;
+            drop(state);
+            engine.write_entry();
+        });
+        "202 Accepted"
+    }
+
+    fn serve(&self, call: &Message, channel: &mut Channel) -> bool {
+        let target = call.header("x-model-name").unwrap_or("");
+        let (model, adapter) = target.split_once('/').unwrap_or((target, ""));
+        let state = self.state.lock().expect("no thread has panicked");
+        let adapters = state.held.get(model);
+        let is_held = adapters.is_some_and(|it| adapter.is_empty() || it.contains(adapter));
+        drop(state);
+        let id = call.header("x-request-id").unwrap_or("");
+        if !is_held {
+            let headers = [("X-Request-Id", id), ("X-Not-Executed", "1")];
+            return channel
+                .send(&response("421 Misdirected Request", &headers, b""))
+                .is_ok();
+        }
+        stream(channel, id, 3)
+    }
+}
+
+/// Streams this many events.
+fn stream(channel: &mut Channel, id: &str, events: usize) -> bool {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\nX-Response-Signature: {}\r\nX-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        site::SIGNATURE
+    );
+    if channel.send(head.as_bytes()).is_err() {
+        return false;
+    }
+    for number in 1..=events {
+        std::thread::sleep(Duration::from_millis(10));
+        let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(30));
+        if channel
+            .send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())
+            .is_err()
+        {
+            return false;
+        }
+    }
+    channel.send(b"0\r\n\r\n").is_ok()
+}
