--- a/review/rig3/site.rs
+++ b/review/rig3/site.rs
@@ -332,9 +332,3 @@
     );
     text.into_bytes()
 }
-
-/// Returns the headers of a request for a model; its prompt is its own.
-pub fn model_headers() -> String {
-    let part = LAST_ID.fetch_add(1, Ordering::Relaxed);
-    format!("X-Model-Name: m0\r\nX-Token-Usage: 1460,80\r\nX-Prompt-Prefix: {part:x}a1:1460\r\n")
-}
