--- a/review/rig3/keep_alive.rs
+++ b/review/rig3/keep_alive.rs
@@ -9,12 +9,17 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-const CALLERS: usize = 8;
+const CALLERS: usize = 16;
 const REQUESTS: usize = 20;
 
 /// Sends requests one after another, on a channel that is kept while it can be. Returns how many came on
 /// a kept channel, were run, and had no answer.
-fn call(address: SocketAddr, ran: &Mutex<HashSet<String>>, record: &Record) -> Result<usize> {
+fn call(
+    caller: usize,
+    address: SocketAddr,
+    ran: &Mutex<HashSet<String>>,
+    record: &Record,
+) -> Result<usize> {
     let (mut lost, mut channel) = (0, None);
     for number in 0..REQUESTS {
         let kept = channel.take();
@@ -40,7 +45,9 @@
                 lost += usize::from(has_run && is_kept);
             }
         }
-        std::thread::sleep(Duration::from_millis(10));
+        // The callers are to get out of step, so that each meets each server.
+        let pause = 5 + (number * 17 + caller * 23) % 61;
+        std::thread::sleep(Duration::from_millis(pause as u64));
     }
     Ok(lost)
 }
@@ -59,7 +66,7 @@
             all.insert(request.to_owned());
             drop(all);
             record.note(&format!("server {id} runs {request}"));
-            std::thread::sleep(Duration::from_millis(40));
+            std::thread::sleep(Duration::from_millis(100));
             let keep_alive = format!("timeout={idle}");
             let mut headers = site::signed(call, "3e1b.07.5a2.600.0.c9f2a4d1");
             headers.push(("Keep-Alive", &keep_alive));
@@ -77,9 +84,9 @@
     std::thread::sleep(Duration::from_secs(3));
     let address = site.callers(0);
     let callers: Vec<_> = (0..CALLERS)
-        .map(|_| {
+        .map(|caller| {
             let (ran, record) = (Arc::clone(&ran), record.clone());
-            std::thread::spawn(move || call(address, &ran, &record))
+            std::thread::spawn(move || call(caller, address, &ran, &record))
         })
         .collect();
     let mut lost = 0;
