--- a/review/rig3/engine.rs
+++ b/review/rig3/engine.rs
@@ -1,8 +1,8 @@
 //! Stand-in of a model worker: what it holds, the orders that it carries out, and short streams.
 
 use crate::http::{Channel, Message, response};
-use crate::json;
-use crate::site::{self, Record};
+use crate::json::{self, Json};
+use crate::site::{self, Record, milliseconds};
 use crate::store::Store;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -18,6 +18,8 @@
 pub const LOAD_S: f64 = 1.2;
 const DISK_LOAD_S: f64 = 0.55;
 const ADAPTER_LOAD: Duration = Duration::from_millis(10);
+/// Time after which the channel of an order without an answer is closed.
+const UNANSWERED: Duration = Duration::from_secs(5);
 
 /// Loads from the weight store: when each began, at which worker, and of which model.
 pub type Loads = Arc<Mutex<Vec<(f64, String, String)>>>;
@@ -29,6 +31,10 @@
     sequence: u64,
     is_busy: bool,
     has_crashed: bool,
+    /// How much later the next load of an adapter is carried out, if it is to get no answer.
+    delay: Option<Duration>,
+    /// Machine that sent the last order.
+    holder: String,
 }
 
 pub struct Engine {
@@ -71,6 +77,38 @@
         format!(r#"{{"InMemory":[],"OnDisk":[{}]}}"#, copies.join(","))
     }
 
+    /// Leaves the next load of an adapter without an answer, and carries it out that much later.
+    pub fn delay_next(&self, delay: Duration) {
+        self.lock().delay = Some(delay);
+    }
+
+    /// Starts anew under the same id, and holds nothing but its copies on disk.
+    pub fn restart(&self) {
+        let mut state = self.lock();
+        state.held.clear();
+        state.sequence = 0;
+        state.is_busy = false;
+        drop(state);
+        if let Some((_, born)) = &mut *self.entry.lock().expect("no thread has panicked") {
+            *born = milliseconds();
+        }
+        self.write_entry();
+    }
+
+    /// Returns the name of the machine that sent the last order.
+    pub fn holder(&self) -> String {
+        self.lock().holder.clone()
+    }
+
+    /// Whether the worker was ordered to load more than it holds.
+    pub fn has_crashed(&self) -> bool {
+        self.lock().has_crashed
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no thread has panicked")
+    }
+
     /// Writes the worker's entry in the list.
     pub fn list(&self, address: SocketAddr, born: u64) {
         *self.entry.lock().expect("no thread has panicked") = Some((address, born));
@@ -94,16 +132,24 @@
     pub fn answer(self: &Arc<Self>, call: &Message, channel: &mut Channel) -> bool {
         let answer = match call.path() {
             "/v1/report" => self.report(),
-            "/v1/order" => self.order(call),
+            "/v1/order" => match self.order(call) {
+                Some(answer) => answer,
+                None => {
+                    std::thread::sleep(UNANSWERED);
+                    return false;
+                }
+            },
             _ => return self.serve(call, channel),
         };
         channel.send(&answer).is_ok()
     }
 
     fn report(&self) -> Vec<u8> {
+        let entry = *self.entry.lock().expect("no thread has panicked");
+        let born = entry.map_or(0, |(_, born)| born);
         let state = self.state.lock().expect("no thread has panicked");
         let body = format!(
-            r#"{{"Phase":"unified","Models":[{}],"Available":{},"Incoming":[],"Busy":{},"Sequence":{},"Queued":0,"Active":0,"KvInUse":0,"KvSize":162655,"Handles":0}}"#,
+            r#"{{"Phase":"unified","Models":[{}],"Available":{},"Incoming":[],"Busy":{},"Sequence":{},"born":{born},"Queued":0,"Active":0,"KvInUse":0,"KvSize":162655,"Handles":0}}"#,
             Self::models(&state.held),
             Self::available(&state),
             state.is_busy,
@@ -116,32 +162,49 @@
         )
     }
 
-    fn order(self: &Arc<Self>, call: &Message) -> Vec<u8> {
+    /// Returns the answer to an order, if it gets one.
+    fn order(self: &Arc<Self>, call: &Message) -> Option<Vec<u8>> {
         let empty = |status| response(status, &[], b"");
         let Some(order) = json::parse(&String::from_utf8_lossy(&call.body)) else {
-            return empty("400 Bad Request");
+            return Some(empty("400 Bad Request"));
         };
-        let (operation, model) = (order.text("Operation"), order.text("Model"));
-        let (adapter, holder) = (order.text("Adapter"), order.text("Holder"));
-        let (expected, fence) = (order.number("Expected"), order.number("FencingToken"));
-        let mut state = self.state.lock().expect("no thread has panicked");
-        let status = self.carry_out(&mut state, &operation, &model, &adapter, expected);
+        let mut state = self.lock();
+        state.holder = order.text("Holder");
+        let is_adapter_load =
+            order.text("Operation") == "load" && !order.text("Adapter").is_empty();
+        if is_adapter_load && let Some(delay) = state.delay.take() {
+            drop(state);
+            self.note(&order, "no answer");
+            let engine = Arc::clone(self);
+            std::thread::spawn(move || {
+                std::thread::sleep(delay);
+                let status = engine.carry_out(&mut engine.lock(), &order);
+                engine.note(&order, &format!("carried out late, {status}"));
+            });
+            return None;
+        }
+        let status = self.carry_out(&mut state, &order);
         drop(state);
+        self.note(&order, status);
+        Some(empty(status))
+    }
+
+    fn note(&self, order: &Json, result: &str) {
         self.record.note(&format!(
-            "worker {} gets from {holder} (token {fence}): {operation} {model} {adapter}, expected {expected}: {status}",
-            self.id
+            "worker {} gets from {} (token {}): {} {} {}, expected {}: {result}",
+            self.id,
+            order.text("Holder"),
+            order.number("FencingToken"),
+            order.text("Operation"),
+            order.text("Model"),
+            order.text("Adapter"),
+            order.number("Expected"),
         ));
-        empty(status)
     }
 
-    fn carry_out(
-        self: &Arc<Self>,
-        state: &mut State,
-        operation: &str,
-        model: &str,
-        adapter: &str,
-        expected: u64,
-    ) -> &'static str {
+    fn carry_out(self: &Arc<Self>, state: &mut State, order: &Json) -> &'static str {
+        let (operation, model) = (&*order.text("Operation"), &*order.text("Model"));
+        let (adapter, expected) = (&*order.text("Adapter"), order.number("Expected"));
         if state.sequence != expected || state.is_busy {
             return "409 Conflict";
         }
--- a/review/rig3/main.rs
+++ b/review/rig3/main.rs
@@ -4,6 +4,7 @@
 //! `rig CASE FOLDER` exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod engine;
+mod handover;
 mod http;
 mod json;
 mod keep_alive;
@@ -25,6 +26,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::open(&folder);
     let verdict = record.and_then(|record| match case.as_str() {
+        "handover" => handover::run(record, has_trouble),
         "keep-alive" => keep_alive::run(record, has_trouble),
         "restart" => restart::run(record, has_trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
--- a/review/rig3/restart.rs
+++ b/review/rig3/restart.rs
@@ -168,7 +168,7 @@
     Ok(is_caught)
 }
 
-fn config() -> String {
+pub fn config() -> String {
     let models: Vec<String> = (0..MODELS)
         .map(|number| format!(r#"{{"Name":"m{number}","WeightsMb":{MODEL_MB},"LoadTimeS":{LOAD_S},"Adapters":31,"AdapterSizeMb":40.0}}"#))
         .collect();
@@ -192,7 +192,7 @@
         .push((at, status));
 }
 
-fn answer(address: SocketAddr, id: &str, target: &str) -> std::io::Result<u16> {
+pub fn answer(address: SocketAddr, id: &str, target: &str) -> std::io::Result<u16> {
     let mut channel = Channel::open(address)?;
     channel
         .stream
--- a/review/rig3/site.rs
+++ b/review/rig3/site.rs
@@ -6,10 +6,10 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -57,6 +57,24 @@
     pub service: &'static str,
     pub address: SocketAddr,
     pub born: u64,
+    channels: Arc<Mutex<Vec<TcpStream>>>,
+    is_down: Arc<AtomicBool>,
+}
+
+impl Server {
+    /// Ends all channels, and takes no new ones.
+    pub fn crash(&self) {
+        self.is_down.store(true, Ordering::SeqCst);
+        let mut channels = self.channels.lock().expect("no thread has panicked");
+        for channel in channels.drain(..) {
+            let _ = channel.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Takes channels again.
+    pub fn return_from_crash(&self) {
+        self.is_down.store(false, Ordering::SeqCst);
+    }
 }
 
 /// A running site. Its processes and folder are removed when it is dropped.
@@ -74,7 +92,7 @@
     pub process: Child,
 }
 
-fn milliseconds() -> u64 {
+pub fn milliseconds() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(1, |since| u64::try_from(since.as_millis()).unwrap_or(1))
 }
@@ -105,10 +123,20 @@
             service,
             address: listener.local_addr()?,
             born: milliseconds(),
+            channels: Arc::default(),
+            is_down: Arc::default(),
         };
         let own_id = id.to_owned();
+        let (channels, is_down) = (Arc::clone(&server.channels), Arc::clone(&server.is_down));
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if is_down.load(Ordering::SeqCst) {
+                    continue;
+                }
+                if let Ok(channel) = stream.try_clone() {
+                    let mut channels = channels.lock().expect("no thread has panicked");
+                    channels.push(channel);
+                }
                 let (work, own_id) = (Arc::clone(&work), own_id.clone());
                 std::thread::spawn(move || {
                     let mut channel = Channel::new(stream);
@@ -130,6 +158,7 @@
             service,
             address,
             born,
+            ..
         } = server;
         let slots = if *service == "llm" { 64 } else { 6 };
         let entry = format!(
@@ -171,6 +200,13 @@
         Ok(())
     }
 
+    /// Asks a gateway to stop, as for a planned restart.
+    pub fn terminate(&self, index: usize) -> std::io::Result<()> {
+        let process = self.gateways[index].process.id().to_string();
+        Command::new("kill").args(["-TERM", &process]).status()?;
+        Ok(())
+    }
+
     /// Starts a gateway that has ended again.
     pub fn relaunch(&mut self, index: usize) -> std::io::Result<()> {
         let name = self.gateways[index].name.clone();
