--- a/review/rig3/engine.rs
+++ b/review/rig3/engine.rs
@@ -9,18 +9,67 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Models that can be loaded, and the megabytes of each.
-pub const MODELS: usize = 20;
-pub const MODEL_MB: u64 = 34_300;
-const ADAPTER_MB: u64 = 40;
 const MEMORY_MB: u64 = 200_000;
 pub const ADAPTER_PLACES: usize = 8;
 pub const LOAD_S: f64 = 1.2;
-const DISK_LOAD_S: f64 = 0.55;
+const DISK_LOAD_S: f64 = 0.78;
 const ADAPTER_LOAD: Duration = Duration::from_millis(10);
+/// `HeartbeatMs`.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time after which the channel of an order without an answer is closed.
 const UNANSWERED: Duration = Duration::from_secs(5);
 
+/// Megabytes of a model, as at the site; of those that it doesn't have, the megabytes of its largest.
+fn model_mb(number: usize) -> u64 {
+    match number {
+        0 | 14 | 17 => 34_300,
+        3 | 13 | 16 => 65_100,
+        6 | 9 | 12 | 18 | 19 => 65_500,
+        _ => 72_700,
+    }
+}
+
+/// Adapters of a model, and the megabytes of each.
+fn adapters_of(number: usize) -> (usize, u64) {
+    match number {
+        0 => (31, 40),
+        2 | 4 => (9, 66),
+        6 => (7, 40),
+        8 => (7, 66),
+        _ => (0, 66),
+    }
+}
+
+fn number_of(model: &str) -> usize {
+    model[1..].parse().unwrap_or(0)
+}
+
+/// The first configuration, with this many models.
+pub fn config(models: usize) -> String {
+    let models = (0..models).map(|number| {
+        let (adapters, mb) = adapters_of(number);
+        format!(
+            r#"{{"Name":"m{number}","WeightsMb":{}.0,"LoadTimeS":{LOAD_S},"Adapters":{adapters},"AdapterSizeMb":{mb}.0}}"#,
+            model_mb(number)
+        )
+    });
+    let models: Vec<String> = models.collect();
+    let config = site::config(1, "");
+    let (before, rest) = config.split_once("\"Models\":[").unwrap_or((&config, ""));
+    let after = rest.split_once("}]}").map_or("", |(_, after)| after);
+    format!("{before}\"Models\":[{}]}}{after}", models.join(","))
+}
+
+/// Returns what each worker holds at startup: the busiest model is on each, the others on one worker
+/// each, as far as there is room for two beside the busiest.
+pub fn placement(workers: usize, models: usize) -> Vec<Vec<usize>> {
+    let mut placed = vec![vec![0]; workers];
+    for (place, model) in (0..2 * workers).zip(1..models) {
+        placed[place % workers].push(model);
+    }
+    placed
+}
+
 /// Loads from the weight store: when each began, at which worker, and of which model.
 pub type Loads = Arc<Mutex<Vec<(f64, String, String)>>>;
 
@@ -28,6 +77,10 @@
 struct State {
     held: BTreeMap<String, BTreeSet<String>>,
     copies: BTreeSet<String>,
+    /// Model that is being loaded.
+    coming: Option<String>,
+    is_down: bool,
+    heartbeats: u64,
     sequence: u64,
     is_busy: bool,
     has_crashed: bool,
@@ -47,10 +100,18 @@
 }
 
 impl Engine {
-    pub fn new(id: &str, store: Store, record: Record, loads: Loads) -> Arc<Self> {
+    pub fn new(
+        id: &str,
+        models: &[usize],
+        store: Store,
+        record: Record,
+        loads: Loads,
+    ) -> Arc<Self> {
         let mut state = State::default();
-        state.held.insert("m0".into(), BTreeSet::new());
-        state.copies.insert("m0".into());
+        for number in models {
+            state.held.insert(format!("m{number}"), BTreeSet::new());
+            state.copies.insert(format!("m{number}"));
+        }
         Arc::new(Self {
             id: id.into(),
             state: Mutex::new(state),
@@ -82,9 +143,16 @@
         self.lock().delay = Some(delay);
     }
 
+    /// Falls silent, also towards the store.
+    pub fn crash(&self) {
+        self.lock().is_down = true;
+    }
+
     /// Starts anew under the same id, and holds nothing but its copies on disk.
     pub fn restart(&self) {
         let mut state = self.lock();
+        state.is_down = false;
+        state.coming = None;
         state.held.clear();
         state.sequence = 0;
         state.is_busy = false;
@@ -109,21 +177,32 @@
         self.state.lock().expect("no thread has panicked")
     }
 
-    /// Writes the worker's entry in the list.
-    pub fn list(&self, address: SocketAddr, born: u64) {
+    /// Writes the worker's entry in the list, now and at each heartbeat.
+    pub fn list(self: &Arc<Self>, address: SocketAddr, born: u64) {
         *self.entry.lock().expect("no thread has panicked") = Some((address, born));
-        self.write_entry();
+        let engine = Arc::clone(self);
+        std::thread::spawn(move || {
+            loop {
+                engine.write_entry();
+                std::thread::sleep(HEARTBEAT);
+            }
+        });
     }
 
     fn write_entry(&self) {
         let Some((address, born)) = *self.entry.lock().expect("no thread has panicked") else {
             return;
         };
-        let state = self.state.lock().expect("no thread has panicked");
+        let mut state = self.lock();
+        if state.is_down {
+            return;
+        }
+        state.heartbeats += 1;
+        let heartbeats = state.heartbeats;
         let (models, available) = (Self::models(&state.held), Self::available(&state));
         drop(state);
         let entry = format!(
-            r#"{{"Service":"llm","Address":"{address}","Zone":"zone-a","Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":0,"Phase":"unified","Models":[{models}],"Available":{available},"Sequence":1,"born":{born}}}"#
+            r#"{{"Service":"llm","Address":"{address}","Zone":"zone-a","Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":0,"Phase":"unified","Models":[{models}],"Available":{available},"Sequence":{heartbeats},"born":{born}}}"#
         );
         self.store.put("servers", &self.id, &entry);
     }
@@ -239,9 +318,14 @@
             std::thread::spawn(move || engine.write_entry());
             return "202 Accepted";
         }
-        let used = (state.held.len() as u64 + 1) * MODEL_MB + ADAPTER_PLACES as u64 * ADAPTER_MB;
+        let held = state.held.iter().map(|(model, adapters)| {
+            let number = number_of(model);
+            model_mb(number) + adapters.len() as u64 * adapters_of(number).1
+        });
+        let used: u64 = held.sum::<u64>() + model_mb(number_of(model));
         state.has_crashed |= used > MEMORY_MB;
         state.is_busy = true;
+        state.coming = Some(model.to_owned());
         let is_from_store = state.copies.insert(model.to_owned());
         if is_from_store {
             let mut loads = self.loads.lock().expect("no thread has panicked");
@@ -254,7 +338,11 @@
             } else {
                 DISK_LOAD_S
             }));
-            let mut state = engine.state.lock().expect("no thread has panicked");
+            let mut state = engine.lock();
+            if state.coming.as_ref() != Some(&model) {
+                return;
+            }
+            state.coming = None;
             state.held.insert(model, BTreeSet::new());
             state.is_busy = false;
             drop(state);
@@ -269,13 +357,17 @@
         let state = self.state.lock().expect("no thread has panicked");
         let adapters = state.held.get(model);
         let is_held = adapters.is_some_and(|it| adapter.is_empty() || it.contains(adapter));
+        let is_coming = state.coming.as_deref() == Some(model);
         drop(state);
         let id = call.header("x-request-id").unwrap_or("");
         if !is_held {
             let headers = [("X-Request-Id", id), ("X-Not-Executed", "1")];
-            return channel
-                .send(&response("421 Misdirected Request", &headers, b""))
-                .is_ok();
+            let status = if is_coming {
+                "503 Service Unavailable"
+            } else {
+                "421 Misdirected Request"
+            };
+            return channel.send(&response(status, &headers, b"")).is_ok();
         }
         stream(channel, id, 3)
     }
--- a/review/rig3/handover.rs
+++ b/review/rig3/handover.rs
@@ -2,16 +2,22 @@
 //! the former holder is carried out late.
 
 use crate::Verdict;
-use crate::engine::{ADAPTER_PLACES, Engine, Loads};
+use crate::engine::{self, ADAPTER_PLACES, Engine, Loads};
 use crate::restart;
 use crate::site::{self, Record, Site, Work};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 const GATEWAYS: usize = 3;
+/// One of them crashes, which is a share of at most 0.17.
+const WORKERS: usize = 6;
+const MODELS: usize = 20;
+/// A model with more adapters than a worker has places. One worker holds it.
+const MODEL: usize = 4;
 /// The bench's orders are carried out 2 to 12 s late.
 const DELAY: Duration = Duration::from_secs(11);
 const DOWN_TIME: Duration = Duration::from_millis(1_500);
@@ -20,25 +26,53 @@
 
 pub fn run(record: Record, has_trouble: bool) -> Verdict {
     let mut site = Site::start(record.clone())?;
-    site.store.put("op", "config", &restart::config());
-    let engine = Engine::new(
-        "i-llm-1",
-        site.store.clone(),
-        record.clone(),
-        Loads::default(),
-    );
-    let serving = Arc::clone(&engine);
-    let work: Work = Arc::new(move |call, channel| serving.answer(call, channel));
-    let server = site.serve("i-llm-1", "llm", work)?;
-    engine.list(server.address, server.born);
+    site.store.put("op", "config", &engine::config(MODELS));
+    let mut found = None;
+    let mut others = Vec::new();
+    for (index, models) in engine::placement(WORKERS, MODELS).iter().enumerate() {
+        let id = format!("i-llm-{}", index + 1);
+        let (store, loads) = (site.store.clone(), Loads::default());
+        let engine = Engine::new(&id, models, store, record.clone(), loads);
+        let serving = Arc::clone(&engine);
+        let work: Work = Arc::new(move |call, channel| serving.answer(call, channel));
+        let server = site.serve(&id, "llm", work)?;
+        engine.list(server.address, server.born);
+        if models.contains(&MODEL) {
+            found = Some((engine, server));
+        } else {
+            others.extend(models.iter().filter(|it| **it != 0).copied());
+        }
+    }
+    let Some((engine, server)) = found else {
+        return Err(ErrorKind::NotFound.into());
+    };
     for _ in 0..GATEWAYS {
         site.add_gateway("")?;
     }
-    if !site.wait_until_ready(1) {
+    if !site.wait_until_ready(WORKERS) {
         return Err(ErrorKind::TimedOut.into());
     }
     sleep(Duration::from_secs(4));
     let callers: Vec<SocketAddr> = (0..GATEWAYS).map(|index| site.callers(index)).collect();
+    // The models of the other workers are asked for all the time, so that these have no room to spare.
+    let is_over = Arc::new(AtomicBool::new(false));
+    for (index, address) in callers.iter().copied().enumerate() {
+        let (record, others, is_over) = (record.clone(), others.clone(), Arc::clone(&is_over));
+        std::thread::spawn(move || {
+            for number in (index..).step_by(GATEWAYS) {
+                if is_over.load(Ordering::Relaxed) {
+                    return;
+                }
+                ask(
+                    &record,
+                    address,
+                    &format!("m{}", others[number % others.len()]),
+                );
+                sleep(PAUSE);
+            }
+        });
+    }
+    sleep(Duration::from_secs(3));
     for adapter in 1..=ADAPTER_PLACES {
         ask_until_served(&record, callers[0], adapter)?;
     }
@@ -56,6 +90,7 @@
     site.terminate(stopped)?;
     record.note(&format!("SIGTERM to {holder}"));
     if has_trouble {
+        engine.crash();
         server.crash();
         record.note("the worker crashes");
         sleep(DOWN_TIME);
@@ -73,10 +108,12 @@
             record.note(&format!("{holder} starts again"));
             is_back = true;
         }
-        ask(&record, address, 1 + adapter % ADAPTER_PLACES);
+        let target = format!("m{MODEL}/a{}", 1 + adapter % ADAPTER_PLACES);
+        ask(&record, address, &target);
         adapter += 1;
         sleep(PAUSE);
     }
+    is_over.store(true, Ordering::Relaxed);
     let is_kept = !engine.has_crashed();
     let result = if is_kept {
         "the worker was never ordered to load more than AdapterCapacity holds"
@@ -88,16 +125,17 @@
     Ok(is_kept)
 }
 
-fn ask(record: &Record, address: SocketAddr, adapter: usize) -> u16 {
-    let (id, target) = (site::new_id(), format!("m0/a{adapter}"));
-    let status = restart::answer(address, &id, &target).unwrap_or(0);
+fn ask(record: &Record, address: SocketAddr, target: &str) -> u16 {
+    let id = site::new_id();
+    let status = restart::answer(address, &id, target).unwrap_or(0);
     record.note(&format!("caller asks for {target} ({id}): {status}"));
     status
 }
 
 fn ask_until_served(record: &Record, address: SocketAddr, adapter: usize) -> std::io::Result<()> {
     let until = Instant::now() + Duration::from_secs(12);
-    while ask(record, address, adapter) != 200 {
+    let target = format!("m{MODEL}/a{adapter}");
+    while ask(record, address, &target) != 200 {
         if Instant::now() > until {
             return Err(ErrorKind::TimedOut.into());
         }
--- a/review/rig3/keep_alive.rs
+++ b/review/rig3/keep_alive.rs
@@ -81,7 +81,8 @@
     if !site.wait_until_ready(3) {
         return Err(ErrorKind::TimedOut.into());
     }
-    std::thread::sleep(Duration::from_secs(3));
+    // Later than `StableWindowMs` after its start the gateway is in touch.
+    std::thread::sleep(Duration::from_secs(5));
     let address = site.callers(0);
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
--- a/review/rig3/restart.rs
+++ b/review/rig3/restart.rs
@@ -1,7 +1,7 @@
 //! Holders of shards are killed while their workers load models, and start again.
 
 use crate::Verdict;
-use crate::engine::{Engine, LOAD_S, Loads, MODEL_MB, MODELS};
+use crate::engine::{self, Engine, LOAD_S, Loads};
 use crate::http::Channel;
 use crate::site::{self, Record, Site, Work};
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,11 +14,19 @@
 
 const GATEWAYS: usize = 8;
 const WORKERS: usize = 12;
-const WARM_UP: Duration = Duration::from_secs(25);
+/// More than the workers have room for at startup.
+const MODELS: usize = 60;
+/// First of the models that are asked for at first, all of which workers hold at startup.
+const FIRST_WANTED: u64 = 15;
+/// Models that are asked for at a time.
+const WANTED: u64 = 10;
+const WARM_UP: Duration = Duration::from_secs(20);
+const CATCH: Duration = Duration::from_secs(34);
 const RESTART_DELAY: Duration = Duration::from_millis(500);
-/// `RecoveryS`.
-const RECOVERY: Duration = Duration::from_secs(12);
-const AFTER: Duration = Duration::from_secs(40);
+const AFTER: Duration = Duration::from_secs(44);
+/// The demand moves on by two models at a time, as with `model_shift`.
+const SHIFT: u64 = 2;
+const SHIFT_INTERVAL: Duration = Duration::from_secs(4);
 /// Share of the machines that may be killed at once.
 const MAX_KILLED: usize = GATEWAYS * 55 / 100;
 
@@ -27,11 +35,19 @@
 
 pub fn run(record: Record, has_trouble: bool) -> Verdict {
     let mut site = Site::start(record.clone())?;
-    site.store.put("op", "config", &config());
+    site.store.put("op", "config", &engine::config(MODELS));
+    let placement = engine::placement(WORKERS, MODELS);
     let loads = Loads::default();
     for number in 1..=WORKERS {
         let id = format!("i-llm-{number}");
-        let engine = Engine::new(&id, site.store.clone(), record.clone(), Arc::clone(&loads));
+        let models = &placement[number - 1];
+        let engine = Engine::new(
+            &id,
+            models,
+            site.store.clone(),
+            record.clone(),
+            Arc::clone(&loads),
+        );
         let serving = Arc::clone(&engine);
         let work: Work = Arc::new(move |call, channel| serving.answer(call, channel));
         let server = site.serve(&id, "llm", work)?;
@@ -56,8 +72,8 @@
         .collect();
     let killed: Vec<usize> = killed.into_iter().take(MAX_KILLED).collect();
     let asked = Asked::default();
-    // How many of the models are asked for; none while adapters are.
-    let wanted = Arc::new(AtomicU64::new(0));
+    // The first of the models that are asked for.
+    let wanted = Arc::new(AtomicU64::new(FIRST_WANTED));
     let is_over = Arc::new(AtomicBool::new(false));
     let mut threads = Vec::new();
     for index in 0..GATEWAYS {
@@ -71,9 +87,11 @@
             let mut number = index as u64;
             while !is_over.load(Ordering::Relaxed) {
                 number += 7;
-                let target = match wanted.load(Ordering::Relaxed) {
-                    0 => format!("m0/a{}", 1 + number % 31),
-                    wanted => format!("m{}", 1 + number % wanted),
+                let target = if number % 2 == 0 {
+                    format!("m0/a{}", 1 + number / 2 % 31)
+                } else {
+                    let first = wanted.load(Ordering::Relaxed);
+                    format!("m{}", first + number / 2 % WANTED)
                 };
                 ask(&record, address, &target, &asked);
                 sleep(Duration::from_millis(180));
@@ -81,11 +99,18 @@
         }));
     }
     sleep(WARM_UP);
-    let is_caught = disturb(&mut site, &loads, &wanted, &killed, has_trouble)?;
-    wanted.store(MODELS as u64 - 1, Ordering::Relaxed);
-    record.note("all models are asked for");
-    sleep(RECOVERY);
-    let from = record.now();
+    let (moving, moved, ends) = (record.clone(), Arc::clone(&wanted), Arc::clone(&is_over));
+    threads.push(std::thread::spawn(move || {
+        while !ends.load(Ordering::Relaxed) {
+            let first = moved.load(Ordering::Relaxed) + SHIFT;
+            if first + WANTED <= MODELS as u64 {
+                moved.store(first, Ordering::Relaxed);
+                moving.note(&format!("demand moves on to m{first} and those after it"));
+            }
+            sleep(SHIFT_INTERVAL);
+        }
+    }));
+    let is_caught = disturb(&mut site, &loads, &killed, has_trouble)?;
     sleep(AFTER);
     is_over.store(true, Ordering::Relaxed);
     for thread in threads {
@@ -95,24 +120,25 @@
         return Err(ErrorKind::TimedOut.into());
     }
     let asked = asked.lock().expect("no thread has panicked");
-    let mut starved = Vec::new();
-    let (mut often, mut sent, mut served) = (0, 0, 0);
+    let tries = || asked.values().flatten();
+    let sent = tries().count();
+    let served = tries().filter(|(_, status)| *status == 200).count();
+    let unserved = 1.0 - served as f64 / sent as f64;
+    let (mut often, mut by_chance, mut starved) = (0, 0.0, Vec::new());
     for (target, tries) in asked.iter() {
-        let tries: Vec<&(f64, u16)> = tries.iter().filter(|(at, _)| *at >= from).collect();
-        let successes = tries.iter().filter(|(_, status)| *status == 200).count();
         let span = tries.last().map_or(0.0, |it| it.0) - tries.first().map_or(0.0, |it| it.0);
-        sent += tries.len();
-        served += successes;
-        if tries.len() >= 4 && span > 8.0 {
-            often += 1;
-            if successes == 0 {
-                starved.push(target.clone());
-            }
+        if tries.len() < 4 || span <= 8.0 {
+            continue;
+        }
+        often += 1;
+        by_chance += unserved.powi(tries.len() as i32);
+        if tries.iter().all(|(_, status)| *status != 200) {
+            starved.push(target.clone());
         }
     }
-    let limit = 1.0 + 0.1 * f64::from(often);
+    let limit = 1.0 + 0.1 * f64::from(often) + 3.0 * by_chance;
     let summary = format!(
-        "later than RecoveryS after the restart: {served} of {sent} requests served; {} of {often} models never (limit {limit:.1}): {starved:?}",
+        "{} of {often} models and adapters were never served (limit {limit:.1}, by chance {by_chance:.4}); {served} of {sent} requests were: {starved:?}",
         starved.len()
     );
     record.note(&summary);
@@ -120,25 +146,19 @@
     Ok(starved.len() as f64 <= limit)
 }
 
-/// Has one model after another asked for, and kills holders while two workers of theirs load; returns
-/// whether that came about.
+/// Waits until two workers of these holders load, and kills the holders; returns whether that
+/// came about.
 fn disturb(
     site: &mut Site,
     loads: &Loads,
-    wanted: &AtomicU64,
     killed: &[usize],
     has_trouble: bool,
 ) -> std::io::Result<bool> {
     let record = site.record.clone();
     let mut is_caught = false;
-    let until = Instant::now() + Duration::from_secs(20);
-    let mut next = record.now();
+    let until = Instant::now() + CATCH;
     while !is_caught && Instant::now() < until {
         let now = record.now();
-        if now >= next && wanted.load(Ordering::Relaxed) < MODELS as u64 - 1 {
-            next = now + 1.5;
-            wanted.fetch_add(2, Ordering::Relaxed);
-        }
         let loading: BTreeSet<String> = {
             let loads = loads.lock().expect("no thread has panicked");
             let loading = loads
@@ -168,16 +188,6 @@
     Ok(is_caught)
 }
 
-pub fn config() -> String {
-    let models: Vec<String> = (0..MODELS)
-        .map(|number| format!(r#"{{"Name":"m{number}","WeightsMb":{MODEL_MB},"LoadTimeS":{LOAD_S},"Adapters":31,"AdapterSizeMb":40.0}}"#))
-        .collect();
-    let config = site::config(1, "");
-    let (before, rest) = config.split_once("\"Models\":[").unwrap_or((&config, ""));
-    let after = rest.split_once("}]}").map_or("", |(_, after)| after);
-    format!("{before}\"Models\":[{}]}}{after}", models.join(","))
-}
-
 fn ask(record: &Record, address: SocketAddr, target: &str, asked: &Asked) {
     let id = site::new_id();
     let at = record.now();
