--- a/review/rig3/engine.rs
+++ b/review/rig3/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::http::{Channel, Message, response};
 use crate::json::{self, Json};
-use crate::site::{self, Record, milliseconds};
+use crate::site::{self, HEARTBEAT, Record, milliseconds};
 use crate::store::Store;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -14,8 +14,6 @@
 pub const LOAD_S: f64 = 1.2;
 const DISK_LOAD_S: f64 = 0.78;
 const ADAPTER_LOAD: Duration = Duration::from_millis(10);
-/// `HeartbeatMs`.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Time after which the channel of an order without an answer is closed.
 const UNANSWERED: Duration = Duration::from_secs(5);
 
--- a/review/rig3/keep_alive.rs
+++ b/review/rig3/keep_alive.rs
@@ -75,7 +75,7 @@
                 .is_ok()
         });
         let server = site.serve(id, "app", work)?;
-        site.list(&server, "", "ready");
+        site.list(&server);
     }
     site.add_gateway("")?;
     if !site.wait_until_ready(3) {
--- a/review/rig3/site.rs
+++ b/review/rig3/site.rs
@@ -17,6 +17,8 @@
 const READY_PORT: u16 = 8141;
 const CONTROL_PORT: u16 = 8144;
 const STATE_PORT: u16 = 7381;
+/// `HeartbeatMs`.
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 /// What was sent, answered and run, in the order in which it happened.
 #[derive(Clone)]
@@ -151,20 +153,19 @@
         Ok(server)
     }
 
-    /// Writes a server's entry.
-    pub fn list(&self, server: &Server, models: &str, state: &str) {
-        let Server {
-            id,
-            service,
-            address,
-            born,
-            ..
-        } = server;
-        let slots = if *service == "llm" { 64 } else { 6 };
-        let entry = format!(
-            r#"{{"Service":"{service}","Address":"{address}","Zone":"zone-a","Version":"v1","Slots":{slots},"State":"{state}","ColdRemainingMs":0,"Phase":"unified","Models":[{models}],"Sequence":1,"born":{born}}}"#
-        );
-        self.store.put("servers", id, &entry);
+    /// Writes a server's entry, now and at each heartbeat.
+    pub fn list(&self, server: &Server) {
+        let (store, id) = (self.store.clone(), server.id.clone());
+        let (service, address, born) = (server.service, server.address, server.born);
+        std::thread::spawn(move || {
+            for heartbeats in 1.. {
+                let entry = format!(
+                    r#"{{"Service":"{service}","Address":"{address}","Zone":"zone-a","Version":"v1","Slots":6,"State":"ready","ColdRemainingMs":0,"Sequence":{heartbeats},"born":{born}}}"#
+                );
+                store.put("servers", &id, &entry);
+                std::thread::sleep(HEARTBEAT);
+            }
+        });
     }
 
     fn settings(&self, name: &str, ip: Ipv4Addr, more_bounds: &str) -> String {
