Times and counts from outside: bound them where they are decoded

What callers saw: a server stated Keep-Alive timeout=.

Cause: Pool::put adds the stated time-out to the present moment. Arithmetic on Duration panics on overflow, and the panic ended the task of the caller's connection. The same holds wherever a number of another process becomes a Duration.

Values that are too large mean that there is no limit, and the store accepts the configuration, so it is applied rather than passed over. Settings out of range are refused with the field and its range, since nothing runs yet that could go on without them. Workloads of peers are added with saturation.

Ruled out: a guard at the + in Pool::put only; it leaves the other places.

Tests: gateway::extremes (each decoder over the whole range of its fields, then the moments that follow, on a late clock) and gateway_processes::extremes.

--- a/src/decide/balance/view.rs
+++ b/src/decide/balance/view.rs
@@ -7,6 +7,7 @@
 use crate::world::backend::Backend;
 use crate::world::id;
 use crate::world::message::{Load, Target};
+use crate::world::time;
 
 /// Assumed time of a request to a plain service until answers give an average.
 const INITIAL_SERVICE_SECONDS: f64 = 0.03;
@@ -30,9 +31,9 @@
 impl Workload {
     pub(super) fn plus(self, other: Self) -> Self {
         Self {
-            requests: self.requests + other.requests,
-            reading_us: self.reading_us + other.reading_us,
-            kept: self.kept + other.kept,
+            requests: self.requests.saturating_add(other.requests),
+            reading_us: self.reading_us.saturating_add(other.reading_us),
+            kept: self.kept.saturating_add(other.kept),
             recent: self.recent.saturating_add(other.recent),
         }
     }
@@ -137,7 +138,7 @@
 
     /// Returns the factor by which work of this many seconds that starts now takes longer than usual.
     pub(super) fn pace_during(&self, now: Duration, seconds: f64) -> f64 {
-        self.pace.during(now, Duration::from_secs_f64(seconds))
+        self.pace.during(now, time::from_secs_f64(seconds))
     }
 
     pub(super) fn on_peer(&mut self, now: Duration, peer: &id::Instance, running: Workload) {
--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -7,6 +7,7 @@
 
 use crate::common::*;
 use crate::world::message::{MAX_PACE, MIN_PACE};
+use crate::world::time;
 
 /// Age up to which the newest value counts in full.
 const FRESH: Duration = Duration::from_millis(50);
@@ -141,7 +142,7 @@
         let learned = self
             .event_seconds
             .filter(|_| self.intervals >= MIN_INTERVALS);
-        learned.map(Duration::from_secs_f64)
+        learned.map(time::from_secs_f64)
     }
 
     fn add_to_average(&mut self, now: Duration, pace: f64) {
--- a/src/decide/quota/grantor.rs
+++ b/src/decide/quota/grantor.rs
@@ -8,6 +8,7 @@
 use crate::world::deployment::QuotaSlack;
 use crate::world::id;
 use crate::world::shard::Shard;
+use crate::world::time;
 use crate::world::unit::{Fence, Incarnation, float};
 use crate::world::workspace::Quota;
 
@@ -309,8 +310,7 @@
             (units - self.terms.debt).min(self.terms.capacity)
         };
         let wait = (needed - self.level) / self.terms.rate;
-        let wait = Duration::try_from_secs_f64(wait.max(0.0)).unwrap_or(Duration::MAX);
-        wait.max(MIN_WAIT)
+        time::from_secs_f64(wait).max(MIN_WAIT)
     }
 
     fn take_back(&mut self, sender: &Sender, returned: &Return) -> f64 {
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -16,6 +16,7 @@
 use crate::decide::ledger::Report;
 use crate::world::artifact::Artifact;
 use crate::world::contract::Class;
+use crate::world::time;
 use crate::world::unit::Tokens;
 use crate::world::{contract, id};
 use view::Observation;
@@ -209,7 +210,7 @@
         if let Some(service_time) = service_time {
             let mean = view.service_time.as_secs_f64();
             let mean = mean + SERVICE_TIME_SMOOTHING * (service_time.as_secs_f64() - mean);
-            view.service_time = Duration::from_secs_f64(mean);
+            view.service_time = time::from_secs_f64(mean);
         }
     }
 
--- a/src/decide/speed.rs
+++ b/src/decide/speed.rs
@@ -6,6 +6,7 @@
 use crate::common::*;
 use crate::world::id;
 use crate::world::site::Engine;
+use crate::world::time;
 use crate::world::unit::{Tokens, float};
 
 /// Assumed speed of the largest model, before any answer.
@@ -51,7 +52,7 @@
     /// Returns the time that an engine needs to read `tokens` of a prompt.
     #[must_use]
     pub fn prefill_time(&self, model: &id::Model, tokens: Tokens) -> Duration {
-        Duration::from_secs_f64(float(tokens.0) / self.rate(model))
+        time::from_secs_f64(float(tokens.0) / self.rate(model))
     }
 
     /// Returns the number of engines needed to read `tokens` prompt tokens per second.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use crate::world::id;
 use crate::world::message::{Answer, Outcome};
 use crate::world::site::Repeat;
+use crate::world::time;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Response;
@@ -95,8 +96,7 @@
     ) -> Attempt {
         let guard = Guard::new(self, worker, expected);
         let time_left = self.time_left().saturating_sub(DEADLINE_MARGIN);
-        let silence_limit =
-            Duration::from_secs_f64(expected * SILENCE_FACTOR).max(self.route.target);
+        let silence_limit = time::from_secs_f64(expected * SILENCE_FACTOR).max(self.route.target);
         let time_limit = if may_try_another {
             time_left.min(silence_limit)
         } else {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -22,6 +22,7 @@
 use crate::world::id;
 use crate::world::message::{Generation, PartId, Request, TakeUp};
 use crate::world::site::{Repeat, Route, Site};
+use crate::world::time;
 use crate::world::workspace::Workspace;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -420,7 +421,7 @@
     /// Returns a Retry-After if even the best server would keep a new request waiting too long.
     fn overload_retry_after(&self, expected: f64) -> Option<Duration> {
         self.need.generation.as_ref()?;
-        shed::retry_after(&self.site, &self.route, Duration::from_secs_f64(expected))
+        shed::retry_after(&self.site, &self.route, time::from_secs_f64(expected))
     }
 
     /// Returns the time within which the response must begin before the caller gives up.
--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -10,6 +10,7 @@
 use crate::wire::token::Token;
 use crate::world::id;
 use crate::world::message::{MAX_SHARED_PARTS, PartId};
+use crate::world::time;
 use crate::world::unit::Tokens;
 use std::io;
 use xxhash_rust::xxh3::xxh3_64;
@@ -163,7 +164,7 @@
     let Some(text) = incoming.header("X-Deadline-Ms") else {
         return Ok(default);
     };
-    let given = text.parse().ok().map(Duration::from_millis);
+    let given = text.parse().ok().map(time::from_millis);
     let given = given.filter(|given| !given.is_zero() && *given <= LONGEST_DEADLINE);
     given.ok_or_else(|| {
         let detail = format!("X-Deadline-Ms is 1 to {}", LONGEST_DEADLINE.as_millis());
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -3,6 +3,7 @@
 use super::request::is_workspace_name;
 use crate::common::*;
 use crate::world::site::{Engine, Limits, Model, Repeat, Route, Service, Site, Version};
+use crate::world::time;
 use crate::world::unit::{Bytes, Rate, Tokens};
 use crate::world::workspace::{Quota, Unit, Workspace, Workspaces};
 
@@ -16,6 +17,13 @@
 
 const MEGABYTE: f64 = 1_000_000.0;
 
+/// Largest sizes, counts and rates that are taken; larger ones are cut to them. They stand for no limit, and
+/// sums and products of them can't overflow.
+const MAX_BYTES: u64 = 1 << 50;
+const MAX_TOKENS: u64 = 1 << 50;
+const MAX_ADAPTER_PLACES: usize = 1 << 12;
+const MAX_LOADS: Rate = Rate(1e3);
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireSite {
@@ -196,10 +204,10 @@
         let models: Result<_> = self.models.into_iter().map(WireModel::decode).collect();
         Ok(Engine {
             batch: self.slots,
-            cache: Tokens(self.kv_capacity),
+            cache: Tokens(self.kv_capacity.min(MAX_TOKENS)),
             memory: megabytes(self.weights_mb),
-            adapter_places: self.adapter_capacity,
-            loads: Rate(self.loads_per_s),
+            adapter_places: self.adapter_capacity.min(MAX_ADAPTER_PLACES),
+            loads: Rate(self.loads_per_s.clamp(0.0, MAX_LOADS.0)),
             models: models?,
         })
     }
@@ -209,7 +217,7 @@
     fn decode(self) -> Result<(crate::world::id::Model, Model)> {
         let model = Model {
             size: megabytes(self.weights_mb),
-            load: Duration::from_secs_f64(self.load_time_s.max(0.0)),
+            load: time::from_secs_f64(self.load_time_s),
             adapters: self.adapters,
             adapter_size: megabytes(self.adapter_size_mb),
         };
@@ -262,22 +270,22 @@
         Limits {
             header: Bytes(self.max_header_bytes),
             body: Bytes(self.max_body_bytes),
-            idle: Duration::from_millis(self.idle_timeout_ms),
-            head: self.header_timeout_ms.map(Duration::from_millis),
+            idle: time::from_millis(self.idle_timeout_ms),
+            head: self.header_timeout_ms.map(time::from_millis),
         }
     }
 }
 
 fn milliseconds(value: f64) -> Duration {
-    Duration::from_secs_f64((value / 1e3).max(0.0))
+    time::from_secs_f64(value / 1e3)
 }
 
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn megabytes(value: f64) -> Bytes {
-    Bytes((value.max(0.0) * MEGABYTE).round() as u64)
+    Bytes(((value.max(0.0) * MEGABYTE).round() as u64).min(MAX_BYTES))
 }
 
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn tokens(value: f64) -> Tokens {
-    Tokens(value.max(0.0).round() as u64)
+    Tokens((value.max(0.0).round() as u64).min(MAX_TOKENS))
 }
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -7,9 +7,11 @@
     Answer, Generation, Load, MAX_PACE, MIN_PACE, MaxRejections, Notice, Outcome, Part, Request,
     TakeUp,
 };
+use crate::world::time;
 use crate::world::unit::{Rate, Tokens};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::{StatusCode, request, response};
+use std::num::IntErrorKind;
 
 const REQUEST_ID: &str = "x-request-id";
 const DEADLINE: &str = "x-deadline-ms";
@@ -40,6 +42,12 @@
 /// Rejections in a second beyond which a server falls over.
 const MAX_REJECTIONS: &str = "server-brittle";
 
+/// Most tokens that a request or a part is taken to have. It is beyond the memory of any server, and sums of
+/// many such numbers can't overflow.
+const MAX_TOKENS: u64 = 1 << 36;
+/// The same for numbers of requests at a server.
+const MAX_REQUESTS: u32 = 1 << 16;
+
 /// Headers that only this system may set; they are removed from callers' requests.
 const RESERVED: [&str; 9] = [
     EXPECTED_INSTANCE,
@@ -78,7 +86,7 @@
     Some(Request {
         id: id.into(),
         host: host.into(),
-        patience: patience.map(Duration::from_millis),
+        patience: patience.map(time::from_millis),
         generation: decode_generation(headers),
         taken_up: decode_take_up(headers),
     })
@@ -129,8 +137,14 @@
     })
 }
 
+/// Parses a number of tokens, cut to [`MAX_TOKENS`]; 0 if it is none.
 fn parse_tokens(text: &str) -> Tokens {
-    Tokens(text.trim().parse().unwrap_or(0))
+    let count = text.trim().parse::<u64>();
+    let count = count.or_else(|error| match error.kind() {
+        IntErrorKind::PosOverflow => Ok(MAX_TOKENS),
+        _ => Err(error),
+    });
+    Tokens(count.unwrap_or(0).min(MAX_TOKENS))
 }
 
 /// Returns the SHA-256 of a caller's key in hex; `None` if there is no key, or more than one value
@@ -358,7 +372,7 @@
 fn parse_seconds(value: &HeaderValue) -> Option<Duration> {
     let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
     let is_time = seconds.is_finite() && seconds >= 0.0;
-    is_time.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    is_time.then(|| time::from_secs_f64(seconds))
 }
 
 fn decode_outcome(id: &str, head: &response::Parts, is_reused: bool) -> Outcome {
@@ -385,11 +399,12 @@
         .split(',')
         .filter_map(|value| value.trim().split_once('='));
     let (_, seconds) = values.find(|(name, _)| name.trim() == "timeout")?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
+    seconds.trim().parse().ok().map(time::from_secs)
 }
 
 fn parse_load(text: &str) -> Option<Load> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    let numbers = text.split(',').map(|number| number.trim().parse().ok());
+    let mut numbers = numbers.map(|number: Option<u32>| Some(number?.min(MAX_REQUESTS)));
     Some(Load {
         running: numbers.next()??,
         waiting: numbers.next()??,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -2,12 +2,15 @@
 
 use crate::common::*;
 use crate::world::deployment::{Allowance, Bounds, Deployment, Machine, QuotaSlack};
+use crate::world::time;
 use crate::world::unit::Bytes;
 
 /// Environment variable that holds the path of the settings file.
 pub const PATH_VARIABLE: &str = "POPLARSEAM_SETTINGS";
 
 const MEGABYTE: u64 = 1_000_000;
+/// Largest number of requests or units, and largest ratio, in the settings.
+const MAX_AMOUNT: f64 = 1e9;
 
 /// Path of the platform's readiness probe.
 pub const READY_PATH: &str = "/v1/readyz";
@@ -38,17 +41,17 @@
 #[serde(rename_all = "PascalCase")]
 struct WireBounds {
     grace_s: f64,
-    lease_ms: u64,
+    lease_ms: f64,
     #[serde(default)]
     fencing_enforced: bool,
     retry_budget_ratio: f64,
     budget_extra: f64,
     budget_window_s: f64,
     ceiling_window_s: f64,
-    config_apply_ms: Option<u64>,
+    config_apply_ms: Option<f64>,
     #[serde(default)]
     revoke_strict: bool,
-    revoke_ms: Option<u64>,
+    revoke_ms: Option<f64>,
     quota_window_s: Option<f64>,
     #[serde(default)]
     quota_overage: f64,
@@ -94,7 +97,7 @@
         peers: (file.ip, file.internal_ports[0]).into(),
         metrics: (file.ip, file.internal_ports[0] + 1).into(),
         store: file.platform.address,
-        bounds: file.bounds.decode(),
+        bounds: file.bounds.decode()?,
         machine: file.limits.decode(),
     })
 }
@@ -110,29 +113,63 @@
 }
 
 impl WireBounds {
-    fn decode(&self) -> Bounds {
-        Bounds {
-            grace: Duration::from_secs_f64(self.grace_s.max(0.0)),
-            lease: Duration::from_millis(self.lease_ms),
+    fn decode(&self) -> Result<Bounds> {
+        let revocation = optional("RevokeMs", self.revoke_ms, millis)?;
+        let window = optional("QuotaWindowS", self.quota_window_s, seconds)?;
+        Ok(Bounds {
+            grace: seconds("GraceS", self.grace_s)?,
+            lease: millis("LeaseMs", self.lease_ms)?,
             fencing_enforced: self.fencing_enforced,
             retries: Allowance {
-                ratio: self.retry_budget_ratio,
-                extra: self.budget_extra,
-                window: Duration::from_secs_f64(self.budget_window_s.max(0.0)),
+                ratio: amount("RetryBudgetRatio", self.retry_budget_ratio)?,
+                extra: amount("BudgetExtra", self.budget_extra)?,
+                window: seconds("BudgetWindowS", self.budget_window_s)?,
             },
-            load_window: Duration::from_secs_f64(self.ceiling_window_s.max(0.0)),
-            configuration: self.config_apply_ms.map(Duration::from_millis),
-            revocation: self
-                .revoke_ms
-                .filter(|_| self.revoke_strict)
-                .map(Duration::from_millis),
-            quotas: self.quota_window_s.map(|window| QuotaSlack {
-                window: Duration::from_secs_f64(window.max(0.0)),
-                overage: self.quota_overage.max(0.0),
-                extra: self.quota_slack.max(0.0),
-            }),
-        }
+            load_window: seconds("CeilingWindowS", self.ceiling_window_s)?,
+            configuration: optional("ConfigApplyMs", self.config_apply_ms, millis)?,
+            revocation: revocation.filter(|_| self.revoke_strict),
+            quotas: match window {
+                Some(window) => Some(QuotaSlack {
+                    window,
+                    overage: amount("QuotaOverage", self.quota_overage)?,
+                    extra: amount("QuotaSlack", self.quota_slack)?,
+                }),
+                None => None,
+            },
+        })
+    }
+}
+
+fn optional<T, U>(
+    field: &str,
+    value: Option<T>,
+    decode: impl Fn(&str, T) -> Result<U>,
+) -> Result<Option<U>> {
+    value.map(|value| decode(field, value)).transpose()
+}
+
+fn seconds(field: &str, value: f64) -> Result<Duration> {
+    let seconds = check_range(field, value, time::LONGEST.as_secs_f64())?;
+    Ok(time::from_secs_f64(seconds))
+}
+
+fn millis(field: &str, value: f64) -> Result<Duration> {
+    let millis = check_range(field, value, time::LONGEST.as_secs_f64() * 1e3)?;
+    Ok(time::from_secs_f64(millis / 1e3))
+}
+
+/// Checks a number of requests or units, or a ratio of such numbers.
+fn amount(field: &str, value: f64) -> Result<f64> {
+    check_range(field, value, MAX_AMOUNT)
+}
+
+fn check_range(field: &str, value: f64, most: f64) -> Result<f64> {
+    if (0.0..=most).contains(&value) {
+        return Ok(value);
     }
+    Err(settings_error(&format!(
+        "`{field}` is {value:e}, but must be from 0 to {most}"
+    )))
 }
 
 fn settings_error(reason: &str) -> Error {
--- a/src/wire/quota.rs
+++ b/src/wire/quota.rs
@@ -1,8 +1,8 @@
 //! Codec of the messages about units of quotas.
 
 use super::generated_gossip::{QuotaGrant, QuotaRequest, QuotaReturn};
-use crate::common::*;
 use crate::decide::quota::{Answer, Ask, Return};
+use crate::world::time;
 use crate::world::unit::Incarnation;
 
 pub(crate) fn encode_ask(ask: &Ask) -> QuotaRequest {
@@ -36,7 +36,7 @@
 }
 
 pub(crate) fn decode_answer(grant: &QuotaGrant) -> Answer {
-    let unmet = (grant.unmet, Duration::from_millis(grant.wait_ms));
+    let unmet = (grant.unmet, time::from_millis(grant.wait_ms));
     Answer {
         workspace: grant.workspace.as_str().into(),
         number: grant.number,
--- a/src/world/catalog.rs
+++ b/src/world/catalog.rs
@@ -7,6 +7,7 @@
 use super::contract::{self, SITE};
 use super::id;
 use super::key_index::KeyIndex;
+use super::time;
 use super::unit::{Bytes, Position, Revision};
 use crate::common::*;
 
@@ -105,7 +106,7 @@
             (_, "models") => {
                 let model: contract::Model = parse(owner, path, value)?;
                 let artifact = Artifact::model(owner, &name.parse()?, &model.version);
-                let first_token = Duration::from_millis(model.first_token_ms);
+                let first_token = time::from_millis(model.first_token_ms);
                 let target = Target {
                     artifact,
                     size: model.size,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod config_source;
 mod connections;
 mod era;
+mod extremes;
 mod fleet;
 mod follower;
 mod forecast;
--- a/tests/gateway/platform.rs
+++ b/tests/gateway/platform.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 
-fn settings_file() -> Value {
+pub fn settings_file() -> Value {
     json!({
         "NodeName": "edge-1", "Zone": "north-1", "Zones": {"north-1": "north"}, "Ip": "127.0.0.1",
         "Listen": {"Frontend": "127.0.0.1:1", "Ready": "127.0.0.1:2"}, "InternalPorts": [10, 20],
@@ -69,7 +69,7 @@
     assert!(error.contains("let the platform write it anew"), "{error}");
 }
 
-fn configuration() -> Value {
+pub fn configuration() -> Value {
     let route = |name: &str, kind: &str, resumable: bool| {
         json!({"Name": name, "Hostname": "h", "PathPrefix": format!("/{name}/"), "Type": kind,
             "TimeoutMs": 5000, "TargetLatencyMs": 800, "Priority": 1, "Service": "s",
--- a/tests/gateway_processes/main.rs
+++ b/tests/gateway_processes/main.rs
@@ -5,6 +5,7 @@
 mod configurations;
 mod cuts;
 mod endless;
+mod extremes;
 mod freshness;
 mod limits;
 mod lists;
