A task that panics: start it again, answer its request, log and count it

What callers saw: after a configuration that made its follower panic, both gateways of a site stayed ready at the version before, for good; later, sound configurations were never taken. The only sign was the panic's text on standard error.

Cause: spawn ended the process when a thread ended, but the loops inside the threads ran as tasks whose handles were dropped. Nothing noticed that one was gone.

Change (gateway/tasks.rs): loops of the traffic and the store thread are started again, after a delay that doubles from 50 ms to 5 s. Restarting the process was weighed: a configuration or a row that panics is still there after it, at all instances at once, so all would go on restarting and serve nobody; with a restart of the task the last good state stays in force. If applying an update of the store panics, what it held is read again. Calls of the placer whose outcome others wait for (orders, reports, leases) end the process as a thread does, since the ledger would wait for ever. A request whose task panics is answered with 502, which promises nothing. A hook logs each panic as a JSON line with its place and counts it (poplarseam_panics_total).

Evidence: gateway::tasks (new; before, nothing supervised tasks).

Not covered: the one-off check of a server after a broken connection (Traffic::check_server) leaves its mark if it panics, so that this server isn't checked again by this process.

--- a/src/gateway/admin.rs
+++ b/src/gateway/admin.rs
@@ -27,7 +27,7 @@
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Serves these endpoints on a listener.
-pub async fn serve(traffic: Rc<Traffic>, listener: TcpListener) {
+pub async fn serve(traffic: Rc<Traffic>, listener: Rc<TcpListener>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             traffic
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -8,7 +8,7 @@
 use super::ingress::Door;
 use super::journal::Journal;
 use super::traffic::{Tier, Traffic};
-use super::{admin, gossip, ingress, notices, origins, placer, quarantine, quota, store};
+use super::{admin, gossip, ingress, notices, origins, placer, quarantine, quota, store, tasks};
 use crate::common::*;
 use crate::decide::shutdown::Shutdown;
 use crate::node::clock::{Clock, incarnation};
@@ -22,7 +22,7 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet};
 use tokio::time::{interval, sleep};
 
 /// Callers' connections that may wait to be accepted.
@@ -90,6 +90,7 @@
             subscription,
             traffic_calls,
         );
+        tasks::watch_panics(traffic.metrics.panics.clone());
         let served = serve(traffic, updates_rx, announcements_rx, placer_events).await;
         is_ending.store(true, Ordering::SeqCst);
         served
@@ -113,9 +114,6 @@
     settings::decode(&text)
 }
 
-/// Exit code of a process one of whose threads ended unexpectedly.
-const THREAD_ENDED_EXIT_CODE: i32 = 70;
-
 /// Starts a thread with a runtime of its own; if it ends before shutdown, the process exits.
 fn spawn<F: Future<Output = ()>>(
     name: &str,
@@ -131,8 +129,10 @@
             if is_ending.load(Ordering::SeqCst) {
                 return;
             }
-            eprintln!("thread {label} ended unexpectedly: {result:?}; exiting for a restart");
-            std::process::exit(THREAD_ENDED_EXIT_CODE);
+            if let Ok(Err(error)) = result {
+                log::error!("thread {label} could not start: {error}");
+            }
+            tasks::exit(&label);
         })
         .map_err(|source| Error::Thread { source })?;
     Ok(())
@@ -181,51 +181,97 @@
     let machine = deployment.machine;
     let callers = listen(deployment.callers, machine)?;
     let carried = listen(peers, machine)?;
-    spawn_local(admin::serve(
-        Rc::clone(&traffic),
-        listen(deployment.ready, machine)?,
-    ));
-    spawn_local(admin::serve(
-        Rc::clone(&traffic),
-        listen(deployment.metrics, machine)?,
-    ));
-    spawn_local(gossip::listen(Rc::clone(&traffic), Rc::clone(&socket)));
-    for tier in [Tier::DataCentre, Tier::Region, Tier::Far] {
-        spawn_local(gossip::gossip_loads(
-            Rc::clone(&traffic),
-            Rc::clone(&socket),
-            tier,
-        ));
+    let admin_addresses = [deployment.ready, deployment.metrics];
+    for address in admin_addresses {
+        let (traffic, listener) = (Rc::clone(&traffic), Rc::new(listen(address, machine)?));
+        tasks::keep("admin", move || {
+            admin::serve(Rc::clone(&traffic), Rc::clone(&listener))
+        });
     }
-    spawn_local(gossip::gossip_sums(Rc::clone(&traffic), Rc::clone(&socket)));
-    spawn_local(gossip::gossip_urgent(
-        Rc::clone(&traffic),
-        Rc::clone(&socket),
-    ));
-    spawn_local(quota::run(Rc::clone(&traffic), Rc::clone(&socket)));
-    spawn_local(gossip::forward_announcements(
-        Rc::clone(&traffic),
-        socket,
-        announcements,
-    ));
-    spawn_local(apply_store_updates(Rc::clone(&traffic), updates));
-    spawn_local(tick_periodically(Rc::clone(&traffic)));
-    spawn_local(quarantine::keep_in_store(Rc::clone(&traffic)));
-    spawn_local(notices::keep_in_store(Rc::clone(&traffic)));
-    spawn_local(origins::tell_peers(Rc::clone(&traffic)));
-    spawn_local(origins::keep_in_store(Rc::clone(&traffic)));
+    keep_gossip(&traffic, &socket, announcements);
+    keep_state(&traffic, updates);
     let accepting = [(callers, Door::Callers), (carried, Door::Peers)].map(|(listener, door)| {
-        let serving = ingress::serve(Rc::clone(&traffic), listener, door, closing.clone());
-        spawn_local(serving)
+        let (traffic, listener) = (Rc::clone(&traffic), Rc::new(listener));
+        let closing = closing.clone();
+        tasks::keep("ingress", move || {
+            ingress::serve(
+                Rc::clone(&traffic),
+                Rc::clone(&listener),
+                door,
+                closing.clone(),
+            )
+        })
     });
     wait_for_stop(&traffic).await?;
     stop(&traffic, &placer, &close, accepting).await;
     Ok(())
 }
 
+/// Starts the tasks that send datagrams to other instances and receive theirs.
+fn keep_gossip(
+    traffic: &Rc<Traffic>,
+    socket: &Rc<UdpSocket>,
+    announcements: flume::Receiver<Announcement>,
+) {
+    let both = || (Rc::clone(traffic), Rc::clone(socket));
+    let (traffic, socket) = both();
+    tasks::keep("listen", move || {
+        gossip::listen(Rc::clone(&traffic), Rc::clone(&socket))
+    });
+    for tier in [Tier::DataCentre, Tier::Region, Tier::Far] {
+        let (traffic, socket) = both();
+        tasks::keep("loads", move || {
+            gossip::gossip_loads(Rc::clone(&traffic), Rc::clone(&socket), tier)
+        });
+    }
+    let (traffic, socket) = both();
+    tasks::keep("sums", move || {
+        gossip::gossip_sums(Rc::clone(&traffic), Rc::clone(&socket))
+    });
+    let (traffic, socket) = both();
+    tasks::keep("urgent", move || {
+        gossip::gossip_urgent(Rc::clone(&traffic), Rc::clone(&socket))
+    });
+    let (traffic, socket) = both();
+    tasks::keep("quota", move || {
+        quota::run(Rc::clone(&traffic), Rc::clone(&socket))
+    });
+    let (traffic, socket) = both();
+    tasks::keep("announcements", move || {
+        gossip::forward_announcements(
+            Rc::clone(&traffic),
+            Rc::clone(&socket),
+            announcements.clone(),
+        )
+    });
+}
+
+/// Starts the tasks that keep this instance's state and its rows in the store.
+fn keep_state(traffic: &Rc<Traffic>, updates: flume::Receiver<StoreUpdate>) {
+    let this = Rc::clone(traffic);
+    tasks::keep("updates", move || {
+        apply_store_updates(Rc::clone(&this), updates.clone())
+    });
+    let this = Rc::clone(traffic);
+    tasks::keep("ticks", move || tick_periodically(Rc::clone(&this)));
+    let this = Rc::clone(traffic);
+    tasks::keep("quarantine", move || {
+        quarantine::keep_in_store(Rc::clone(&this))
+    });
+    let this = Rc::clone(traffic);
+    tasks::keep("notices", move || notices::keep_in_store(Rc::clone(&this)));
+    let this = Rc::clone(traffic);
+    tasks::keep("streams", move || origins::tell_peers(Rc::clone(&this)));
+    let this = Rc::clone(traffic);
+    tasks::keep("origins", move || origins::keep_in_store(Rc::clone(&this)));
+}
+
 async fn apply_store_updates(traffic: Rc<Traffic>, updates: flume::Receiver<StoreUpdate>) {
     while let Ok(update) = updates.recv_async().await {
+        // Stays set if the update panics and is lost.
+        traffic.misses_update.set(true);
         traffic.on_store_update(update);
+        traffic.misses_update.set(false);
     }
 }
 
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -11,6 +11,7 @@
 use super::origins::Binding;
 use super::reply;
 use super::request_body::{self, Refusal};
+use super::tasks;
 use super::traffic::Traffic;
 use super::write_limit;
 use crate::common::*;
@@ -68,7 +69,7 @@
 /// Accepts connections until shutdown.
 pub async fn serve(
     traffic: Rc<Traffic>,
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     door: Door,
     closing: watch::Receiver<bool>,
 ) {
@@ -126,12 +127,12 @@
     let head = usize::try_from(limits.header.0).unwrap_or(usize::MAX / 2);
     let stream = write_limit::Stream::new(stream, Rc::clone(&connection), limits.head);
     let close = Rc::clone(&connection);
-    let answer = service_fn(move |request| {
+    let service = service_fn(move |request| {
         let (traffic, connection) = (Rc::clone(&traffic), Rc::clone(&connection));
         on_first_request.notify_one();
         connection.on_head();
         async move {
-            let response = handle(traffic, &connection, door, request).await;
+            let response = answer(&traffic, &connection, door, request).await;
             Ok::<_, Infallible>(response.map(|body| Answer { body, connection }))
         }
     });
@@ -139,7 +140,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle)
         .max_buf_size(head + HEAD_SLACK_BYTES)
-        .serve_connection(TokioIo::new(stream), answer);
+        .serve_connection(TokioIo::new(stream), service);
     let mut served = std::pin::pin!(served);
     let serve = async {
         tokio::select! {
@@ -209,6 +210,20 @@
     }
 }
 
+/// Serves a request. If that panics, the caller learns that its outcome is unknown.
+async fn answer(
+    traffic: &Rc<Traffic>,
+    connection: &Connection,
+    door: Door,
+    incoming: hyper::Request<Incoming>,
+) -> Response<Body> {
+    let id = request::id(incoming.headers()).unwrap_or_default();
+    let handled = tasks::catch(handle(Rc::clone(traffic), connection, door, incoming));
+    handled
+        .await
+        .unwrap_or_else(|| deny(traffic, &id, StatusCode::BAD_GATEWAY, "internal error"))
+}
+
 async fn handle(
     traffic: Rc<Traffic>,
     connection: &Connection,
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -43,6 +43,8 @@
     pub connections: Counter,
     /// Times that the store came back from an old copy.
     pub era_changes: Counter,
+    /// Panics, in all threads.
+    pub panics: Counter,
     /// Age of the proof that the configuration is current; `NO_AGE` if there is none.
     pub configuration_age_ms: Gauge,
     /// Instances of this data centre that read the configuration from the store, as this one counts
@@ -141,10 +143,11 @@
                 "connections",
                 "Connections opened to servers",
             ),
-            era_changes: counter(
+            era_changes: era_changes(&mut registry),
+            panics: counter(
                 &mut registry,
-                "era_changes",
-                "Times that the store came back from an old copy",
+                "panics",
+                "Panics; each is logged with its place",
             ),
             configuration_age_ms: age_gauge(&mut registry),
             readers: readers(&mut registry),
@@ -216,6 +219,11 @@
     register(registry, name, help, Counter::default())
 }
 
+fn era_changes(registry: &mut Registry) -> Counter {
+    let help = "Times that the store came back from an old copy";
+    counter(registry, "era_changes", help)
+}
+
 /// Registers the gauge of the quarantine and returns it.
 fn quarantined(registry: &mut Registry) -> Gauge {
     let help = "Sets of prompt parts in quarantine";
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -8,6 +8,7 @@
 use super::channel;
 use super::event::{Announcement, Answer, Call, LEASE_KEY_PREFIX, PlacerEvent};
 use super::journal::Journal;
+use super::tasks;
 use crate::common::*;
 use crate::decide::fleet::{Fleet, Task};
 use crate::decide::lease::{Action, Lease, Timing};
@@ -556,13 +557,13 @@
             let (reply, answer) = flume::bounded(1);
             shard_state.has_pending_call = calls.try_send(Call::Read(key, reply)).is_ok();
             drop(this);
-            tokio::task::spawn_local(on_lease_read(Rc::clone(placer), index, answer));
+            tasks::require("lease", on_lease_read(Rc::clone(placer), index, answer));
         }
         Action::Commit(txn) => {
             let (reply, answer) = flume::bounded(1);
             shard_state.has_pending_call = calls.try_send(Call::Commit(txn, reply)).is_ok();
             drop(this);
-            tokio::task::spawn_local(on_lease_commit(Rc::clone(placer), index, answer));
+            tasks::require("lease", on_lease_commit(Rc::clone(placer), index, answer));
         }
     }
 }
@@ -645,7 +646,7 @@
 fn start_task(placer: &Shared, this: &Placer, task: Task) {
     match task {
         Task::RequestReport { worker } => {
-            tokio::task::spawn_local(request_report(Rc::clone(placer), worker));
+            tasks::require("report", request_report(Rc::clone(placer), worker));
         }
         Task::Order {
             worker,
@@ -653,7 +654,7 @@
             expected,
         } => {
             if let Some(order) = this.build_order(worker, action, expected) {
-                tokio::task::spawn_local(send_order(Rc::clone(placer), order));
+                tasks::require("order", send_order(Rc::clone(placer), order));
             }
         }
     }
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -3,7 +3,7 @@
 
 use super::channel::{self, BegunReply, Channel, Reply};
 use super::event::{Answer, Call, Fetch, StoreUpdate, Subscription};
-use super::{follower, registration};
+use super::{follower, registration, tasks};
 use crate::common::*;
 use crate::decide::era::Eras;
 use crate::decide::health::Health;
@@ -70,19 +70,33 @@
         recovered: Notify::new(),
         returned: Notify::new(),
     });
-    let site = follower::follow_site(
-        Rc::clone(&store),
-        subscription.clone(),
-        Arc::clone(&deployment),
-    );
-    tokio::task::spawn_local(site);
-    tokio::task::spawn_local(follower::follow_servers(Rc::clone(&store), subscription));
-    tokio::task::spawn_local(registration::run(Rc::clone(&store), deployment));
+    keep_followers(&store, &subscription, &deployment);
     while let Ok(call) = calls.recv_async().await {
         tokio::task::spawn_local(handle_call(Rc::clone(&store), call));
     }
 }
 
+/// Starts the tasks that read the store.
+fn keep_followers(
+    store: &Rc<Store>,
+    subscription: &watch::Receiver<Subscription>,
+    deployment: &Arc<Deployment>,
+) {
+    let (this, settings) = (Rc::clone(store), Arc::clone(deployment));
+    let wanted = subscription.clone();
+    tasks::keep("configuration", move || {
+        follower::follow_site(Rc::clone(&this), wanted.clone(), Arc::clone(&settings))
+    });
+    let (this, wanted) = (Rc::clone(store), subscription.clone());
+    tasks::keep("servers", move || {
+        follower::follow_servers(Rc::clone(&this), wanted.clone())
+    });
+    let (this, settings) = (Rc::clone(store), Arc::clone(deployment));
+    tasks::keep("registration", move || {
+        registration::run(Rc::clone(&this), Arc::clone(&settings))
+    });
+}
+
 impl Store {
     pub async fn send_update(&self, update: StoreUpdate) {
         if self.updates.send_async(update).await.is_err() {
--- a/src/gateway/traffic.rs
+++ b/src/gateway/traffic.rs
@@ -158,6 +158,8 @@
     pub(super) sequence: Cell<u64>,
     /// Changes of the server list to send to peers.
     pub list_updates: RefCell<Vec<ListUpdate>>,
+    /// Whether an update from the store was lost, so that what it held must be read again.
+    pub misses_update: Cell<bool>,
     pub(super) placer: flume::Sender<PlacerEvent>,
     /// Bytes of datagrams sent to other instances since the last tick, by kind.
     pub(super) gossip_sent: RefCell<BTreeMap<&'static str, usize>>,
@@ -303,6 +305,7 @@
             demand_sent_at: Cell::default(),
             sequence: Cell::new(0),
             list_updates: RefCell::default(),
+            misses_update: Cell::new(false),
             placer,
             gossip_sent: RefCell::default(),
         })
@@ -601,7 +604,9 @@
         );
         // The first instance that reads the store can then serve the others.
         let max_lag = MAX_LAG.mul_f64(1.0 + self.spread);
-        let misses_site = lags.site.is_late(now, in_force, newest, max_lag);
+        let must_reread = self.misses_update.take();
+        let misses_servers = misses_servers || must_reread;
+        let misses_site = lags.site.is_late(now, in_force, newest, max_lag) || must_reread;
         drop(lags);
         let old = *self.subscription.borrow();
         let topology = self.topology.borrow();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -160,6 +160,7 @@
     mod request_body;
     mod retry_budget;
     mod store;
+    pub mod tasks;
     mod traffic;
     mod write_limit;
 }
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -92,6 +92,12 @@
     })
 }
 
+/// Returns the id of a request, if it is readable.
+#[must_use]
+pub fn id(headers: &HeaderMap) -> Option<CompactString> {
+    header_text(headers, REQUEST_ID).map(Into::into)
+}
+
 /// Decodes which stream a request takes up.
 fn decode_take_up(headers: &HeaderMap) -> Option<TakeUp> {
     let last_event = header_text(headers, LAST_EVENT).map(str::trim);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -47,5 +47,6 @@
 mod shed;
 mod shutdown;
 mod speed;
+mod tasks;
 mod topology;
 mod water_filling;
