Holders: keep a restarted worker free while orders of others may arrive

What callers saw: a worker crashed and cut the streams that it ran.

A ledger reserves room for such loads, but only for those that it sent itself. While a worker runs on, the number of orders that it expects keeps others' orders out. A restart sets that number back, so that an order of an earlier holder can fit again after the next holder has filled the worker.

Change: a ledger knows until when orders of earlier holders may arrive (13 s after the last of them could act). If the worker has restarted by then, it gets no orders before that time, and is then asked for a report first. What a ledger knew itself (loads without an answer, its revision) outlives it, while the worker is unlisted or the shard is lost. orders_held_back lines say so.

Weighed: telling followers in announcements or in the lease's row. A holder that is killed tells nobody of its last orders, so waiting is needed all the same; the two events, a restart under one id and a change of the holder within 13 s, are rare together.

Open: a process that starts after the worker's restart, and holds its shard again at once, can't know of that restart; it was not there to see it.

Tests: gateway::handover.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -7,7 +7,7 @@
 
 use super::forecast::Forecast;
 use super::limit::Limits;
-use super::orders::{Ledger, Step};
+use super::orders::{Ledger, MAX_ORDER_DELAY, Remains, Step};
 use super::planner::{Demand, Job, Planner, Policy, Worker};
 use super::snapshot::Snapshot;
 use super::speed::Speeds;
@@ -63,6 +63,12 @@
     backends: BTreeMap<id::Worker, Backend>,
     /// Ledgers of the workers in shards that this instance holds.
     ledgers: BTreeMap<id::Worker, Ledger>,
+    /// What remains of the ledgers that ended.
+    ended: BTreeMap<id::Worker, Remains>,
+    /// Starts of all workers, also of those that were listed until recently.
+    starts: BTreeMap<id::Worker, Start>,
+    /// Time until which orders of earlier holders may arrive, for each shard that this instance holds.
+    foreign_until: BTreeMap<Shard, Duration>,
     snapshots: BTreeMap<id::Worker, Snapshot>,
     pub token_demand: Forecast,
     /// Prompt reading speeds of engines, as observed in this instance's requests.
@@ -80,6 +86,24 @@
     planned_at: Duration,
 }
 
+/// Newest start of a worker that this instance has seen.
+#[derive(Debug, Clone, Copy)]
+struct Start {
+    boot: Incarnation,
+    /// When it was first seen, if the worker had been seen before it.
+    restarted_at: Option<Duration>,
+    /// When the worker was last listed or unlisted.
+    seen_at: Duration,
+}
+
+impl Start {
+    /// Whether orders to an earlier incarnation of the worker may still arrive.
+    fn is_recent(&self, now: Duration) -> bool {
+        self.restarted_at
+            .is_some_and(|at| now < at + MAX_ORDER_DELAY)
+    }
+}
+
 impl Fleet {
     /// Creates a fleet without workers or services.
     #[must_use]
@@ -119,41 +143,101 @@
     /// Updates a worker's entry; `held` says whether this instance holds its shard.
     pub fn on_listed(&mut self, now: Duration, backend: Backend, held: bool) {
         let id = backend.id.clone();
+        self.record_start(now, &backend);
         match self.ledgers.get_mut(&id) {
             Some(ledger) => ledger.on_listed(now, backend.clone()),
-            None if held => {
-                let ledger = Ledger::new(now, backend.clone());
-                self.ledgers.insert(id.clone(), ledger);
-            }
+            None if held => self.start_ledger(now, now, &backend),
             None => {}
         }
         self.backends.insert(id, backend);
     }
 
-    /// Removes a worker that has ended.
-    pub fn on_unlisted(&mut self, worker: &id::Worker) {
-        self.ledgers.remove(worker);
+    fn record_start(&mut self, now: Duration, backend: &Backend) {
+        let boot = backend.boot;
+        let known = self.starts.get(&backend.id).copied();
+        let restarted_at = match known {
+            Some(known) if known.boot == boot => known.restarted_at,
+            Some(_) => Some(now),
+            None => None,
+        };
+        let start = Start {
+            boot,
+            restarted_at,
+            seen_at: now,
+        };
+        self.starts.insert(backend.id.clone(), start);
+    }
+
+    /// Creates the ledger of a worker, which is asked for a report from `may_order_from` on.
+    fn start_ledger(&mut self, now: Duration, may_order_from: Duration, backend: &Backend) {
+        let shard = Shard::for_worker(&backend.id);
+        let foreign_until = self.foreign_until.get(&shard).copied().unwrap_or_default();
+        let start = self.starts.get(&backend.id);
+        let has_restarted = start.is_some_and(|start| start.is_recent(now));
+        let mut ledger =
+            Ledger::new(may_order_from, backend.clone()).after_others(foreign_until, has_restarted);
+        if let Some(remains) = self.ended.remove(&backend.id) {
+            ledger = ledger.resume(remains);
+        }
+        let before = self.snapshots.get(&backend.id);
+        ledger.revision += before.map_or(0, |snapshot| snapshot.revision);
+        self.ledgers.insert(backend.id.clone(), ledger);
+    }
+
+    fn end_ledger(&mut self, now: Duration, worker: &id::Worker) {
+        if let Some(ledger) = self.ledgers.remove(worker) {
+            self.ended.insert(worker.clone(), ledger.end(now));
+        }
+    }
+
+    /// Removes a worker that has ended. It may come back under its id.
+    pub fn on_unlisted(&mut self, now: Duration, worker: &id::Worker) {
+        self.end_ledger(now, worker);
+        if let Some(start) = self.starts.get_mut(worker) {
+            start.seen_at = now;
+        }
         self.backends.remove(worker);
         self.snapshots.remove(worker);
     }
 
-    /// Starts holding a shard. Its workers are asked for reports, which precede all orders, from
-    /// `may_order_from` on.
-    pub fn on_shard_gained(&mut self, may_order_from: Duration, shard: Shard) {
+    /// Starts holding a shard, for which no other holder acts from `acts_from` on. Its workers are asked
+    /// for reports, which precede all orders, from `may_order_from` on.
+    pub fn on_shard_gained(
+        &mut self,
+        now: Duration,
+        acts_from: Duration,
+        may_order_from: Duration,
+        shard: Shard,
+    ) {
+        self.foreign_until
+            .insert(shard, acts_from + MAX_ORDER_DELAY);
         let workers = self.backends.values();
         let workers = workers.filter(|backend| Shard::for_worker(&backend.id) == shard);
-        for backend in workers {
-            let mut ledger = Ledger::new(may_order_from, backend.clone());
-            let before = self.snapshots.get(&backend.id);
-            ledger.revision += before.map_or(0, |snapshot| snapshot.revision);
-            self.ledgers.insert(backend.id.clone(), ledger);
+        for backend in workers.cloned().collect::<Vec<_>>() {
+            self.start_ledger(now, may_order_from, &backend);
         }
     }
 
     /// Stops holding a shard.
-    pub fn on_shard_lost(&mut self, shard: Shard) {
-        self.ledgers
-            .retain(|worker, _| Shard::for_worker(worker) != shard);
+    pub fn on_shard_lost(&mut self, now: Duration, shard: Shard) {
+        let workers = self.ledgers.keys();
+        let workers = workers.filter(|worker| Shard::for_worker(worker) == shard);
+        for worker in workers.cloned().collect::<Vec<_>>() {
+            self.end_ledger(now, &worker);
+        }
+        self.foreign_until.remove(&shard);
+    }
+
+    /// Forgets workers that were unlisted so long ago that no order to them can arrive any more.
+    fn forget_unlisted(&mut self, now: Duration) {
+        let backends = &self.backends;
+        let is_known = |worker: &id::Worker, at: Duration| {
+            backends.contains_key(worker) || now < at + MAX_ORDER_DELAY
+        };
+        self.ended
+            .retain(|worker, remains| is_known(worker, remains.ended_at));
+        self.starts
+            .retain(|worker, start| is_known(worker, start.seen_at));
     }
 
     /// Records the snapshot of a worker that the holder of its shard sent, unless a newer one is
@@ -259,6 +343,7 @@
     /// Returns the calls that are due to workers of the shards for which `may_order` returns true.
     pub fn due_tasks(&mut self, now: Duration, may_order: impl Fn(Shard) -> bool) -> Vec<Task> {
         self.throttled_until.retain(|_, (_, until)| now < *until);
+        self.forget_unlisted(now);
         let mut tasks = Vec::new();
         for (worker, ledger) in &mut self.ledgers {
             let Some(engine) = self.engines.get(&ledger.backend.service) else {
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -4,7 +4,9 @@
 //! and the worker rejects it if its own count differs. Of all orders with the same expected count,
 //! including delayed copies, at most one takes effect. An order that gets no answer is resent
 //! unchanged until its outcome is known. A restarted worker counts from zero again, so memory for
-//! orders to its earlier incarnation stays reserved until they can no longer arrive.
+//! orders to its earlier incarnation stays reserved until they can no longer arrive. Orders that other
+//! holders of the worker's shard sent are not known, so a worker that restarts while they may arrive gets
+//! no orders until then.
 
 use super::planner::Job;
 use crate::common::*;
@@ -13,11 +15,11 @@
 use crate::world::message::Target;
 use crate::world::order::{Action, Order, Reply};
 use crate::world::site::Engine;
-use crate::world::unit::Bytes;
+use crate::world::unit::{Bytes, Incarnation};
 
 /// Longest time for which an unanswered order may still be carried out later; the platform
 /// specifies it.
-const MAX_ORDER_DELAY: Duration = Duration::from_secs(13);
+pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(13);
 /// Delay before an unanswered order is resent or a report is requested again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(400);
 /// Greatest age of the state that a report describes, at the time the report arrives.
@@ -71,6 +73,17 @@
     Asked,
 }
 
+/// What outlives a ledger when its worker is no longer listed or its shard is lost: loads that may still
+/// be carried out, as in a [`Ledger`], and the revision.
+#[derive(Debug, Clone)]
+pub struct Remains {
+    boot: Incarnation,
+    copies: Vec<(Target, Duration)>,
+    late: Vec<(Target, Duration)>,
+    revision: u64,
+    pub ended_at: Duration,
+}
+
 /// Known memory contents and outstanding orders of one worker.
 #[derive(Debug, Clone, Serialize)]
 pub struct Ledger {
@@ -96,6 +109,8 @@
     copies: Vec<(Target, Duration)>,
     /// The same loads of earlier incarnations of this worker.
     late: Vec<(Target, Duration)>,
+    /// Time until which orders of earlier holders may arrive.
+    foreign_until: Duration,
     /// Increases with every change that other instances need to know.
     pub revision: u64,
 }
@@ -117,10 +132,50 @@
             arriving: Vec::new(),
             copies: Vec::new(),
             late: Vec::new(),
+            foreign_until: Duration::ZERO,
             revision: 1,
         }
     }
 
+    /// Sets the time until which orders of earlier holders may arrive. A worker that has restarted
+    /// recently gets no orders before then.
+    #[must_use]
+    pub fn after_others(mut self, until: Duration, has_restarted: bool) -> Self {
+        self.foreign_until = until;
+        if let State::Unknown { ask_at } = &mut self.state
+            && has_restarted
+        {
+            *ask_at = until.max(*ask_at);
+        }
+        self
+    }
+
+    /// Continues an earlier ledger of the same worker.
+    #[must_use]
+    pub fn resume(mut self, former: Remains) -> Self {
+        self.late = former.late;
+        if former.boot == self.backend.boot {
+            self.copies = former.copies;
+        } else {
+            self.late.extend(former.copies);
+        }
+        self.revision = former.revision + 1;
+        self
+    }
+
+    /// Ends the ledger.
+    #[must_use]
+    pub fn end(mut self, now: Duration) -> Remains {
+        self.expect_unanswered(now);
+        Remains {
+            boot: self.backend.boot,
+            copies: self.copies,
+            late: self.late,
+            revision: self.revision,
+            ended_at: now,
+        }
+    }
+
     /// Updates the ledger from the worker's entry in the platform's list.
     ///
     /// An entry may be older than the report and the answers from which the ledger knows the
@@ -170,17 +225,22 @@
     }
 
     fn on_restart(&mut self, now: Duration, backend: Backend) {
+        let foreign_until = self.foreign_until;
+        let ended = std::mem::replace(self, Self::new(now, backend.clone())).end(now);
+        *self = Self::new(now, backend)
+            .after_others(foreign_until, true)
+            .resume(ended);
+        if now >= foreign_until {
+            self.has_reported = true;
+            self.state = State::Idle;
+        }
+    }
+
+    /// Records that the order that is not answered yet may arrive later.
+    fn expect_unanswered(&mut self, now: Duration) {
         if let State::Sent { action } | State::Unanswered { action, .. } = &self.state {
             self.expect_copy(now, &action.clone());
         }
-        let mut late = std::mem::take(&mut self.late);
-        late.append(&mut self.copies);
-        let revision = self.revision + 1;
-        *self = Self::new(now, backend);
-        self.late = late;
-        self.revision = revision;
-        self.has_reported = true;
-        self.state = State::Idle;
     }
 
     /// Records that a copy of an order may arrive later.
@@ -205,6 +265,13 @@
         self.has_reported && !matches!(self.state, State::Asked)
     }
 
+    /// Returns until when the worker gets no orders because those of earlier holders may arrive.
+    #[must_use]
+    pub fn held_back_until(&self, now: Duration) -> Option<Duration> {
+        let is_held_back = matches!(self.state, State::Unknown { ask_at } if now < ask_at && ask_at == self.foreign_until);
+        is_held_back.then_some(self.foreign_until)
+    }
+
     /// Whether adapters can be loaded or unloaded.
     #[must_use]
     pub fn accepts_adapters(&self) -> bool {
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -237,9 +237,20 @@
                     .shard_state(&backend.id)
                     .is_some_and(|shard_state| shard_state.was_holder);
                 self.log_difference(&backend);
+                let worker = backend.id.clone();
                 self.fleet.on_listed(now, backend, held);
+                self.log_held_back(now, &worker);
             }
-            Change::Unlisted(worker) => self.fleet.on_unlisted(&worker),
+            Change::Unlisted(worker) => self.fleet.on_unlisted(now, &worker),
+        }
+    }
+
+    /// Logs that a worker gets no orders yet.
+    fn log_held_back(&self, now: Duration, worker: &id::Worker) {
+        let ledger = self.fleet.ledger(worker);
+        if let Some(until) = ledger.and_then(|ledger| ledger.held_back_until(now)) {
+            let values = json!({"server": worker, "until_ms": until.as_millis()});
+            self.journal.note("orders_held_back", &values);
         }
     }
 
@@ -345,10 +356,14 @@
             shard_state.acts_from = former_holder.map_or(now, |(_, until)| now.max(until));
             shard_state.orders_from =
                 former_holder.map_or(now, |(_, until)| now.max(until + lease));
-            self.fleet
-                .on_shard_gained(shard_state.orders_from, shard_state.shard);
+            self.fleet.on_shard_gained(
+                now,
+                shard_state.acts_from,
+                shard_state.orders_from,
+                shard_state.shard,
+            );
         } else {
-            self.fleet.on_shard_lost(shard_state.shard);
+            self.fleet.on_shard_lost(now, shard_state.shard);
         }
         let values = json!({
             "shard": shard_state.shard,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod freshness;
 mod freshness_calm;
 mod freshness_rules;
+mod handover;
 mod health;
 mod herd;
 mod keys;
