Holders that start again under their token: compare starts before revisions

What callers saw: requests for most models were never served.

Peers compare token and revision, so they ignored its announcements; the planner kept two loads of before as running for good, and these filled the weight store's places.

Instances count starts already, for totals of demand, in a way that a clock that was set back doesn't disturb. Nothing changes on the wire, both ways.

Weighed and not taken: revisions that begin at the time of day; they go wrong with the clock.

--- a/src/decide/snapshot.rs
+++ b/src/decide/snapshot.rs
@@ -10,6 +10,9 @@
 pub struct Snapshot {
     pub boot: Incarnation,
     pub fence: Fence,
+    /// Starts of the holder's process that this instance has seen. A holder that starts again may keep its
+    /// token, but counts revisions anew.
+    pub start: u64,
     pub revision: u64,
     pub holdings: Holdings,
     /// Models announced for unloading.
@@ -26,7 +29,7 @@
     /// Whether this snapshot is newer than the known one of the same worker.
     #[must_use]
     pub fn is_newer_than(&self, known: Option<&Self>) -> bool {
-        let age_key = |snapshot: &Self| (snapshot.fence, snapshot.revision);
+        let age_key = |snapshot: &Self| (snapshot.fence, snapshot.start, snapshot.revision);
         known.is_none_or(|known| age_key(self) > age_key(known))
     }
 
--- a/src/gateway/announcements.rs
+++ b/src/gateway/announcements.rs
@@ -31,8 +31,9 @@
     }
 }
 
-/// Decodes what a holder announced about a worker.
-pub(crate) fn decode_holding(holding: &Holding) -> Option<(id::Worker, Snapshot)> {
+/// Decodes what a holder announced about a worker; `start` is the number of starts of its process that this
+/// instance has seen.
+pub(crate) fn decode_holding(holding: &Holding, start: u64) -> Option<(id::Worker, Snapshot)> {
     let held = holding.held.iter().filter_map(|held| {
         Some((
             held.model.parse().ok()?,
@@ -42,6 +43,7 @@
     let reported = Snapshot {
         boot: Incarnation(holding.boot),
         fence: Fence(holding.fence),
+        start,
         revision: holding.revision,
         holdings: held.collect(),
         closing: parse_all(&holding.closing).collect(),
--- a/src/gateway/peer_state.rs
+++ b/src/gateway/peer_state.rs
@@ -19,6 +19,8 @@
 const DEMAND_REFRESH_INTERVAL: Duration = Duration::from_secs(2);
 /// Instances in each other data centre that receive a holder's announcements, in case one fails.
 const RELAYS_PER_DATA_CENTRE: usize = 2;
+/// Number of starts of this process itself, which sees no other.
+const OWN_START: u64 = 1;
 
 impl Traffic {
     /// Applies a peer's datagram. Returns whether it may be news to others: not if it has changes
@@ -80,7 +82,7 @@
             self.update_subscription(now);
         }
         self.on_leads(now, &gossip.leads, Some(sender.address));
-        self.on_holdings(&gossip.holdings);
+        self.on_holdings(&gossip.holdings, observation.start);
         self.on_peer_quarantine(now, &gossip);
         self.on_peer_leaving(&gossip.leaving);
         self.on_peer_limits(&gossip.limits);
@@ -173,8 +175,10 @@
         }));
     }
 
-    fn on_holdings(&self, holdings: &[Holding]) {
-        for (worker, reported) in holdings.iter().filter_map(announcements::decode_holding) {
+    fn on_holdings(&self, holdings: &[Holding], start: u64) {
+        let decoded = holdings.iter();
+        let decoded = decoded.filter_map(|it| announcements::decode_holding(it, start));
+        for (worker, reported) in decoded {
             let mut held = self.worker_holdings.borrow_mut();
             let is_old = !reported.is_newer_than(held.get(&worker));
             let mut balance = self.balance.borrow_mut();
@@ -196,7 +200,7 @@
         self.update_subscription(now);
         self.on_leads(now, &announcement.leads, None);
         self.on_tenures(&announcement.tenures);
-        self.on_holdings(&announcement.holdings);
+        self.on_holdings(&announcement.holdings, OWN_START);
         for (worker, boot, notice) in &announcement.notices {
             self.on_notice(worker, *boot, *notice);
         }
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -321,7 +321,8 @@
             }
         }
         for holding in &gossip.holdings {
-            if let Some((worker, reported)) = announcements::decode_holding(holding) {
+            if let Some((worker, reported)) = announcements::decode_holding(holding, incarnation.0)
+            {
                 self.fleet.on_snapshot(now, worker, reported);
             }
         }
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -24,9 +24,21 @@
 
 /// Reports a worker as loading some models from the weight store, or as idle if there are none.
 fn report_snapshot(fleet: &mut Fleet, at: u64, name: &str, revision: u64, coming: &[&str]) {
+    report_snapshot_of_start(fleet, at, name, (1, revision), coming);
+}
+
+/// Does so for a holder whose process has started `start` times.
+fn report_snapshot_of_start(
+    fleet: &mut Fleet,
+    at: u64,
+    name: &str,
+    (start, revision): (u64, u64),
+    coming: &[&str],
+) {
     let snapshot = Snapshot {
         boot: Incarnation(1),
         fence: Fence(1),
+        start,
         revision,
         holdings: super::build::holdings("m1"),
         closing: [].into(),
@@ -133,6 +145,35 @@
     assert_eq!(fleet.plan(ms(1_100)), Vec::<Job>::new());
 }
 
+/// Guards against a planner that ignores holders which were killed and took their leases back under the same
+/// tokens, since they count revisions anew: it counted the loads of before as running for good, and no model
+/// was loaded any more.
+#[test]
+fn a_holder_that_started_again_under_its_token_is_heard() {
+    let mut fleet = fleet();
+    for name in ["w0", "w1"] {
+        report_snapshot_of_start(&mut fleet, 900, name, (1, 50), &["m9"]);
+    }
+    request_unloaded_models(&mut fleet, 1_000);
+    assert_eq!(fleet.plan(ms(1_100)).len(), 0);
+    for name in ["w0", "w1"] {
+        report_snapshot_of_start(&mut fleet, 2_000, name, (2, 1), &[]);
+    }
+    assert_eq!(fleet.plan(ms(6_500)).len(), 2);
+}
+
+/// Guards against announcements from before a restart of the holder that arrive after it.
+#[test]
+fn announcements_from_before_a_restart_of_the_holder_are_ignored() {
+    let mut fleet = fleet();
+    for name in ["w0", "w1"] {
+        report_snapshot_of_start(&mut fleet, 900, name, (2, 1), &[]);
+        report_snapshot_of_start(&mut fleet, 910, name, (1, 50), &["m9"]);
+    }
+    request_unloaded_models(&mut fleet, 1_000);
+    assert_eq!(fleet.plan(ms(6_500)).len(), 2);
+}
+
 #[test]
 fn older_snapshot_of_a_worker_is_ignored() {
     let mut fleet = fleet();
