Leases: name the workers to which orders may be on their way

Cause, the rest of the commit before: a process that starts after a worker has restarted, and then holds the worker's shard, has not seen that restart, so it filled the worker although orders of the holder before could still arrive.

Change: the row of a lease, which its holder renews anyway, names the workers that were sent orders within the last 13 s and the incarnations for which they were meant. The next holder compares these with the list. A worker of another incarnation counts as restarted. What was taken over is named further, so that a third holder knows it too. Older builds ignore the field, and rows without it mean as little as before.

Weighed: to hold back all workers for 13 s after each start of a holder's process; every kill of a holder would cost that. The number of heartbeats in a worker's entry, as a proof of its age: entries change only when more than that changes.

Open: orders since the last renewal (0.7 s at most) are not in the row.

Tests: gateway::handover no longer spares processes that start after a restart.

--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -6,6 +6,7 @@
 //! work but are safe, since a holder checks each job against its own ledger.
 
 use super::forecast::Forecast;
+use super::lease::Ordered;
 use super::limit::Limits;
 use super::orders::{Ledger, MAX_ORDER_DELAY, Remains, Step};
 use super::planner::{Demand, Job, Planner, Policy, Worker};
@@ -67,6 +68,9 @@
     ended: BTreeMap<id::Worker, Remains>,
     /// Starts of all workers, also of those that were listed until recently.
     starts: BTreeMap<id::Worker, Start>,
+    /// Orders that may still be on their way: the incarnations for which they were meant, and until when
+    /// they may arrive.
+    ordered: BTreeMap<id::Worker, Vec<(Incarnation, Duration)>>,
     /// Time until which orders of earlier holders may arrive, for each shard that this instance holds.
     foreign_until: BTreeMap<Shard, Duration>,
     snapshots: BTreeMap<id::Worker, Snapshot>,
@@ -201,16 +205,29 @@
     }
 
     /// Starts holding a shard, for which no other holder acts from `acts_from` on. Its workers are asked
-    /// for reports, which precede all orders, from `may_order_from` on.
+    /// for reports, which precede all orders, from `may_order_from` on. `ordered` is what the holder before
+    /// stated.
     pub fn on_shard_gained(
         &mut self,
         now: Duration,
         acts_from: Duration,
         may_order_from: Duration,
         shard: Shard,
+        ordered: &Ordered,
     ) {
-        self.foreign_until
-            .insert(shard, acts_from + MAX_ORDER_DELAY);
+        let foreign_until = acts_from + MAX_ORDER_DELAY;
+        self.foreign_until.insert(shard, foreign_until);
+        for (worker, boot) in ordered {
+            self.record_ordered(worker, *boot, foreign_until);
+            let start = self.starts.entry(worker.clone()).or_insert(Start {
+                boot: *boot,
+                restarted_at: None,
+                seen_at: now,
+            });
+            if start.boot != *boot {
+                start.restarted_at = Some(now);
+            }
+        }
         let workers = self.backends.values();
         let workers = workers.filter(|backend| Shard::for_worker(&backend.id) == shard);
         for backend in workers.cloned().collect::<Vec<_>>() {
@@ -228,6 +245,27 @@
         self.foreign_until.remove(&shard);
     }
 
+    fn record_ordered(&mut self, worker: &id::Worker, boot: Incarnation, until: Duration) {
+        let ordered = self.ordered.entry(worker.clone()).or_default();
+        ordered.retain(|(known, _)| *known != boot);
+        ordered.push((boot, until));
+    }
+
+    /// Returns the workers of a shard to which orders may still be on their way.
+    pub fn ordered(&mut self, now: Duration, shard: Shard) -> Ordered {
+        self.ordered.retain(|_, orders| {
+            orders.retain(|(_, until)| now < *until);
+            !orders.is_empty()
+        });
+        let ordered = self.ordered.iter();
+        let ordered = ordered.filter(|(worker, _)| Shard::for_worker(worker) == shard);
+        let oldest = ordered.filter_map(|(worker, orders)| {
+            let (boot, _) = orders.first()?;
+            Some((worker.clone(), *boot))
+        });
+        oldest.collect()
+    }
+
     /// Forgets workers that were unlisted so long ago that no order to them can arrive any more.
     fn forget_unlisted(&mut self, now: Duration) {
         let backends = &self.backends;
@@ -345,6 +383,7 @@
         self.throttled_until.retain(|_, (_, until)| now < *until);
         self.forget_unlisted(now);
         let mut tasks = Vec::new();
+        let mut ordered = Vec::new();
         for (worker, ledger) in &mut self.ledgers {
             let Some(engine) = self.engines.get(&ledger.backend.service) else {
                 continue;
@@ -358,13 +397,19 @@
             match ledger.next(now, engine) {
                 Step::Wait => {}
                 Step::RequestReport => tasks.push(Task::RequestReport { worker }),
-                Step::Send(action, expected) => tasks.push(Task::Order {
-                    worker,
-                    action,
-                    expected,
-                }),
+                Step::Send(action, expected) => {
+                    ordered.push((worker.clone(), ledger.backend.boot));
+                    tasks.push(Task::Order {
+                        worker,
+                        action,
+                        expected,
+                    });
+                }
             }
         }
+        for (worker, boot) in ordered {
+            self.record_ordered(&worker, boot, now + MAX_ORDER_DELAY);
+        }
         tasks
     }
 
--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -45,8 +45,14 @@
     pub renewals: u64,
     /// Whether the holder released the lease.
     pub released: bool,
+    /// Workers to which orders may still be on their way, as of the last renewal.
+    #[serde(default, skip_serializing_if = "Ordered::is_empty")]
+    pub ordered: Ordered,
 }
 
+/// Workers that were sent orders, and the incarnation for which the oldest of them was meant.
+pub type Ordered = BTreeMap<id::Worker, Incarnation>;
+
 /// Next step for the lease.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
@@ -72,6 +78,7 @@
     /// `None` if the service may have forgotten who it was.
     previous: Option<id::Instance>,
     acted_until: Duration,
+    ordered: Ordered,
 }
 
 /// One process's view of a lease that it competes for.
@@ -114,6 +121,7 @@
             fence: Fence(0),
             renewals: 0,
             released: false,
+            ordered: Ordered::new(),
         };
         Self {
             key,
@@ -177,6 +185,19 @@
         is_other.then_some((previous, takeover.acted_until))
     }
 
+    /// Returns the workers to which orders of the previous holder may be on their way; that may have been
+    /// an earlier incarnation of this instance.
+    #[must_use]
+    pub fn previously_ordered(&self) -> Ordered {
+        let takeover = self.last_takeover.as_ref();
+        takeover.map_or_else(Ordered::new, |takeover| takeover.ordered.clone())
+    }
+
+    /// Sets the workers to which orders may be on their way, for the next renewal or the release.
+    pub fn set_ordered(&mut self, ordered: Ordered) {
+        self.own_entry.ordered = ordered;
+    }
+
     /// Returns the version of the row after this holder's last renewal.
     #[must_use]
     pub fn version(&self) -> Option<Version> {
@@ -302,6 +323,7 @@
             self.last_takeover = (!self.is_in_term(now)).then_some(Takeover {
                 previous: None,
                 acted_until: term_end,
+                ordered: Ordered::new(),
             });
         } else if !is_mine {
             self.last_takeover = observed.holder.map(|holder| Takeover {
@@ -311,6 +333,7 @@
                     term_end
                 },
                 previous: Some(holder.instance),
+                ordered: holder.ordered,
             });
         }
         self.proposed = Some((proposed_entry.clone(), now));
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -169,6 +169,12 @@
         PlacerEvent::Limit(at, worker, boot, rate) => this.fleet.on_limit(at, &worker, boot, rate),
         PlacerEvent::Stop => {
             this.is_stopping = true;
+            let now = this.clock.now();
+            let this = &mut *this;
+            for shard_state in &mut this.shards {
+                let ordered = this.fleet.ordered(now, shard_state.shard);
+                shard_state.lease.set_ordered(ordered);
+            }
             let releases = this
                 .shards
                 .iter_mut()
@@ -362,6 +368,7 @@
                 shard_state.acts_from,
                 shard_state.orders_from,
                 shard_state.shard,
+                &shard_state.lease.previously_ordered(),
             );
         } else {
             self.fleet.on_shard_lost(now, shard_state.shard);
@@ -547,6 +554,7 @@
         .iter()
         .filter(|shard_state| !shard_state.was_holder);
     let is_claiming_another = open.any(|shard_state| shard_state.has_pending_call);
+    let this = &mut *this;
     let shard_state = &mut this.shards[index];
     let is_open = now
         >= shard_state.holder_heard_at
@@ -566,19 +574,19 @@
     }
     shard_state.polled_at = now;
     shard_state.should_reclaim = false;
+    let ordered = this.fleet.ordered(now, shard_state.shard);
+    shard_state.lease.set_ordered(ordered);
     match shard_state.lease.tick(now) {
         Action::Wait => {}
         Action::Read => {
             let key = format!("{LEASE_KEY_PREFIX}{}", shard_state.shard);
             let (reply, answer) = flume::bounded(1);
             shard_state.has_pending_call = calls.try_send(Call::Read(key, reply)).is_ok();
-            drop(this);
             tasks::require("lease", on_lease_read(Rc::clone(placer), index, answer));
         }
         Action::Commit(txn) => {
             let (reply, answer) = flume::bounded(1);
             shard_state.has_pending_call = calls.try_send(Call::Commit(txn, reply)).is_ok();
-            drop(this);
             tasks::require("lease", on_lease_commit(Rc::clone(placer), index, answer));
         }
     }
--- a/tests/gateway/handover.rs
+++ b/tests/gateway/handover.rs
@@ -2,6 +2,7 @@
 
 use super::build::{backend, deployment, holdings, model, ms, site, target};
 use poplarseam::decide::fleet::{Fleet, Task};
+use poplarseam::decide::lease::Ordered;
 use poplarseam::decide::planner::Job;
 use poplarseam::world::backend::{Backend, Report};
 use poplarseam::world::id;
@@ -167,23 +168,25 @@
     fleets: [Fleet; 2],
     holder: usize,
     orders_from: u64,
-    restarted_at: Option<u64>,
+    /// What the row of the lease says of orders on their way.
+    row: Ordered,
     is_listed: bool,
 }
 
 impl World {
     fn new() -> Self {
         let worker = Worker::new();
-        let fleets = [(); 2].map(|()| started(&worker.backend, 0));
+        let fleets = [(); 2].map(|()| started());
         let mut world = Self {
             now: 0,
             worker,
             fleets,
             holder: 0,
             orders_from: 0,
-            restarted_at: None,
+            row: Ordered::new(),
             is_listed: true,
         };
+        world.list();
         world.gain(0);
         world
     }
@@ -191,7 +194,7 @@
     fn gain(&mut self, orders_from: u64) {
         self.orders_from = orders_from;
         let (now, from) = (ms(self.now), ms(orders_from));
-        self.fleets[self.holder].on_shard_gained(now, now, from, shard());
+        self.fleets[self.holder].on_shard_gained(now, now, from, shard(), &self.row);
     }
 
     fn hand_over(&mut self) {
@@ -202,15 +205,10 @@
 
     /// Starts the process of an instance again.
     fn restart_process(&mut self, instance: usize) {
-        self.fleets[instance] = started(&self.worker.backend, self.now);
-        self.is_listed = true;
-        self.list();
-    }
-
-    /// A process that starts after the worker did can't know that it started again.
-    fn may_restart_process(&self) -> bool {
-        let is_long_ago = |at| self.now >= at + FOREIGN_TIME;
-        self.restarted_at.is_none_or(is_long_ago) && self.is_listed
+        self.fleets[instance] = started();
+        if self.is_listed {
+            self.list();
+        }
     }
 
     fn list(&mut self) {
@@ -235,10 +233,7 @@
                 self.deliver(delivery);
             }
             Event::Fill(arrives) => self.fill(arrives),
-            Event::Restart => {
-                self.worker.restart();
-                self.restarted_at = Some(self.now);
-            }
+            Event::Restart => self.worker.restart(),
             Event::Listed => self.list(),
             Event::Unlisted => {
                 self.is_listed = false;
@@ -247,12 +242,12 @@
                 }
             }
             Event::HandOver => self.hand_over(),
-            Event::Kill if self.may_restart_process() => {
+            Event::Kill => {
                 let killed = self.holder;
                 self.hand_over();
                 self.restart_process(killed);
             }
-            Event::Reclaim if self.may_restart_process() => {
+            Event::Reclaim => {
                 self.restart_process(self.holder);
                 self.gain(self.now);
             }
@@ -261,7 +256,6 @@
                 self.gain(self.now);
             }
             Event::Deliver(delivery) => self.deliver(delivery),
-            Event::Kill | Event::Reclaim => {}
         }
     }
 
@@ -334,13 +328,13 @@
                 }
             }
         }
+        self.row = fleet.ordered(now, shard());
     }
 }
 
-fn started(backend: &Backend, now: u64) -> Fleet {
+fn started() -> Fleet {
     let mut fleet = Fleet::new(&deployment("north-1"));
     fleet.on_site(&site());
-    fleet.on_listed(ms(now), backend.clone(), false);
     fleet
 }
 
@@ -458,6 +452,31 @@
     assert_eq!(world.worker.orders, 0);
 }
 
+/// Guards against the same when the process of the next holder, or of the same one, starts only after the worker
+/// has restarted.
+#[rstest]
+#[case::killed(Event::Kill)]
+#[case::reclaimed(Event::Reclaim)]
+fn a_process_that_starts_after_a_worker_restarted_knows_of_orders_on_their_way(
+    #[case] change: Event,
+    #[values(false, true)] is_unlisted: bool,
+) {
+    let mut world = World::new();
+    world.deliver(Delivery::Answered);
+    world.load_adapter(1);
+    world.deliver(Delivery::Late);
+    world.step(Event::Restart);
+    if is_unlisted {
+        world.step(Event::Unlisted);
+    }
+    world.now += 500;
+    world.step(change);
+    world.list();
+    let latest = world.worker.late[0].0 + LONGEST_DELAY;
+    fill(&mut world, latest);
+    assert_eq!(world.worker.orders, 0);
+}
+
 /// Guards against needless waits: a worker that goes on running gets orders as soon as its holder may give
 /// them, since the number of orders that it expects keeps late ones out.
 #[test]
