--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -6,9 +6,10 @@
 //! work but are safe, since a holder checks each job against its own ledger.
 
 use super::forecast::Forecast;
+use super::handover::Handover;
 use super::lease::Ordered;
 use super::limit::Limits;
-use super::orders::{Ledger, MAX_ORDER_DELAY, Remains, Step};
+use super::orders::{Ledger, MAX_ORDER_DELAY, Step};
 use super::planner::{Demand, Job, Planner, Policy, Worker};
 use super::snapshot::Snapshot;
 use super::speed::Speeds;
@@ -64,15 +65,7 @@
     backends: BTreeMap<id::Worker, Backend>,
     /// Ledgers of the workers in shards that this instance holds.
     ledgers: BTreeMap<id::Worker, Ledger>,
-    /// What remains of the ledgers that ended.
-    ended: BTreeMap<id::Worker, Remains>,
-    /// Starts of all workers, also of those that were listed until recently.
-    starts: BTreeMap<id::Worker, Start>,
-    /// Orders that may still be on their way: the incarnations for which they were meant, and until when
-    /// they may arrive.
-    ordered: BTreeMap<id::Worker, Vec<(Incarnation, Duration)>>,
-    /// Time until which orders of earlier holders may arrive, for each shard that this instance holds.
-    foreign_until: BTreeMap<Shard, Duration>,
+    handover: Handover,
     snapshots: BTreeMap<id::Worker, Snapshot>,
     pub token_demand: Forecast,
     /// Prompt reading speeds of engines, as observed in this instance's requests.
@@ -90,24 +83,6 @@
     planned_at: Duration,
 }
 
-/// Newest start of a worker that this instance has seen.
-#[derive(Debug, Clone, Copy)]
-struct Start {
-    boot: Incarnation,
-    /// When it was first seen, if the worker had been seen before it.
-    restarted_at: Option<Duration>,
-    /// When the worker was last listed or unlisted.
-    seen_at: Duration,
-}
-
-impl Start {
-    /// Whether orders to an earlier incarnation of the worker may still arrive.
-    fn is_recent(&self, now: Duration) -> bool {
-        self.restarted_at
-            .is_some_and(|at| now < at + MAX_ORDER_DELAY)
-    }
-}
-
 impl Fleet {
     /// Creates a fleet without workers or services.
     #[must_use]
@@ -147,7 +122,7 @@
     /// Updates a worker's entry; `held` says whether this instance holds its shard.
     pub fn on_listed(&mut self, now: Duration, backend: Backend, held: bool) {
         let id = backend.id.clone();
-        self.record_start(now, &backend);
+        self.handover.on_listed(now, &backend);
         match self.ledgers.get_mut(&id) {
             Some(ledger) => ledger.on_listed(now, backend.clone()),
             None if held => self.start_ledger(now, now, &backend),
@@ -156,33 +131,9 @@
         self.backends.insert(id, backend);
     }
 
-    fn record_start(&mut self, now: Duration, backend: &Backend) {
-        let boot = backend.boot;
-        let known = self.starts.get(&backend.id).copied();
-        let restarted_at = match known {
-            Some(known) if known.boot == boot => known.restarted_at,
-            Some(_) => Some(now),
-            None => None,
-        };
-        let start = Start {
-            boot,
-            restarted_at,
-            seen_at: now,
-        };
-        self.starts.insert(backend.id.clone(), start);
-    }
-
     /// Creates the ledger of a worker, which is asked for a report from `may_order_from` on.
     fn start_ledger(&mut self, now: Duration, may_order_from: Duration, backend: &Backend) {
-        let shard = Shard::for_worker(&backend.id);
-        let foreign_until = self.foreign_until.get(&shard).copied().unwrap_or_default();
-        let start = self.starts.get(&backend.id);
-        let has_restarted = start.is_some_and(|start| start.is_recent(now));
-        let mut ledger =
-            Ledger::new(may_order_from, backend.clone()).after_others(foreign_until, has_restarted);
-        if let Some(remains) = self.ended.remove(&backend.id) {
-            ledger = ledger.resume(remains);
-        }
+        let mut ledger = self.handover.start_ledger(now, may_order_from, backend);
         let before = self.snapshots.get(&backend.id);
         ledger.revision += before.map_or(0, |snapshot| snapshot.revision);
         self.ledgers.insert(backend.id.clone(), ledger);
@@ -190,16 +141,14 @@
 
     fn end_ledger(&mut self, now: Duration, worker: &id::Worker) {
         if let Some(ledger) = self.ledgers.remove(worker) {
-            self.ended.insert(worker.clone(), ledger.end(now));
+            self.handover.on_ledger_ended(now, ledger);
         }
     }
 
     /// Removes a worker that has ended. It may come back under its id.
     pub fn on_unlisted(&mut self, now: Duration, worker: &id::Worker) {
         self.end_ledger(now, worker);
-        if let Some(start) = self.starts.get_mut(worker) {
-            start.seen_at = now;
-        }
+        self.handover.on_unlisted(now, worker);
         self.backends.remove(worker);
         self.snapshots.remove(worker);
     }
@@ -215,19 +164,8 @@
         shard: Shard,
         ordered: &Ordered,
     ) {
-        let foreign_until = acts_from + MAX_ORDER_DELAY;
-        self.foreign_until.insert(shard, foreign_until);
-        for (worker, boot) in ordered {
-            self.record_ordered(worker, *boot, foreign_until);
-            let start = self.starts.entry(worker.clone()).or_insert(Start {
-                boot: *boot,
-                restarted_at: None,
-                seen_at: now,
-            });
-            if start.boot != *boot {
-                start.restarted_at = Some(now);
-            }
-        }
+        self.handover
+            .on_shard_gained(now, acts_from, shard, ordered);
         let workers = self.backends.values();
         let workers = workers.filter(|backend| Shard::for_worker(&backend.id) == shard);
         for backend in workers.cloned().collect::<Vec<_>>() {
@@ -242,40 +180,12 @@
         for worker in workers.cloned().collect::<Vec<_>>() {
             self.end_ledger(now, &worker);
         }
-        self.foreign_until.remove(&shard);
-    }
-
-    fn record_ordered(&mut self, worker: &id::Worker, boot: Incarnation, until: Duration) {
-        let ordered = self.ordered.entry(worker.clone()).or_default();
-        ordered.retain(|(known, _)| *known != boot);
-        ordered.push((boot, until));
+        self.handover.on_shard_lost(shard);
     }
 
     /// Returns the workers of a shard to which orders may still be on their way.
     pub fn ordered(&mut self, now: Duration, shard: Shard) -> Ordered {
-        self.ordered.retain(|_, orders| {
-            orders.retain(|(_, until)| now < *until);
-            !orders.is_empty()
-        });
-        let ordered = self.ordered.iter();
-        let ordered = ordered.filter(|(worker, _)| Shard::for_worker(worker) == shard);
-        let oldest = ordered.filter_map(|(worker, orders)| {
-            let (boot, _) = orders.first()?;
-            Some((worker.clone(), *boot))
-        });
-        oldest.collect()
-    }
-
-    /// Forgets workers that were unlisted so long ago that no order to them can arrive any more.
-    fn forget_unlisted(&mut self, now: Duration) {
-        let backends = &self.backends;
-        let is_known = |worker: &id::Worker, at: Duration| {
-            backends.contains_key(worker) || now < at + MAX_ORDER_DELAY
-        };
-        self.ended
-            .retain(|worker, remains| is_known(worker, remains.ended_at));
-        self.starts
-            .retain(|worker, start| is_known(worker, start.seen_at));
+        self.handover.ordered(now, shard)
     }
 
     /// Records the snapshot of a worker that the holder of its shard sent, unless a newer one is
@@ -381,9 +291,10 @@
     /// Returns the calls that are due to workers of the shards for which `may_order` returns true.
     pub fn due_tasks(&mut self, now: Duration, may_order: impl Fn(Shard) -> bool) -> Vec<Task> {
         self.throttled_until.retain(|_, (_, until)| now < *until);
-        self.forget_unlisted(now);
+        let backends = &self.backends;
+        self.handover
+            .forget_unlisted(now, |worker| backends.contains_key(worker));
         let mut tasks = Vec::new();
-        let mut ordered = Vec::new();
         for (worker, ledger) in &mut self.ledgers {
             let Some(engine) = self.engines.get(&ledger.backend.service) else {
                 continue;
@@ -398,7 +309,8 @@
                 Step::Wait => {}
                 Step::RequestReport => tasks.push(Task::RequestReport { worker }),
                 Step::Send(action, expected) => {
-                    ordered.push((worker.clone(), ledger.backend.boot));
+                    let (boot, until) = (ledger.backend.boot, now + MAX_ORDER_DELAY);
+                    self.handover.on_ordered(&worker, boot, until);
                     tasks.push(Task::Order {
                         worker,
                         action,
@@ -407,9 +319,6 @@
                 }
             }
         }
-        for (worker, boot) in ordered {
-            self.record_ordered(&worker, boot, now + MAX_ORDER_DELAY);
-        }
         tasks
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
     pub mod follower;
     pub mod forecast;
     pub mod freshness;
+    pub mod handover;
     pub mod health;
     pub mod lag;
     pub mod lease;
