Tasks, leases: mark only updates that panicked as lost; hand over once

Found by reading the change. An update of the store counted as lost while it was being applied, so that one which renewed the subscription (the store answers again) had whole tables read again for nothing. Now only unwinding marks it.

A lease that was regained after a lapse handed the orders that were stated at the first takeover over again, so that workers that had restarted since would have been held back once more. They are taken once now.

--- a/src/decide/lease.rs
+++ b/src/decide/lease.rs
@@ -185,12 +185,13 @@
         is_other.then_some((previous, takeover.acted_until))
     }
 
-    /// Returns the workers to which orders of the previous holder may be on their way; that may have been
-    /// an earlier incarnation of this instance.
-    #[must_use]
-    pub fn previously_ordered(&self) -> Ordered {
-        let takeover = self.last_takeover.as_ref();
-        takeover.map_or_else(Ordered::new, |takeover| takeover.ordered.clone())
+    /// Takes the workers to which orders of the previous holder may be on their way; that may have been an
+    /// earlier incarnation of this instance.
+    pub fn take_previously_ordered(&mut self) -> Ordered {
+        let takeover = self.last_takeover.as_mut();
+        takeover.map_or_else(Ordered::new, |takeover| {
+            std::mem::take(&mut takeover.ordered)
+        })
     }
 
     /// Sets the workers to which orders may be on their way, for the next renewal or the release.
--- a/src/decide/orders.rs
+++ b/src/decide/orders.rs
@@ -268,8 +268,10 @@
     /// Returns until when the worker gets no orders because those of earlier holders may arrive.
     #[must_use]
     pub fn held_back_until(&self, now: Duration) -> Option<Duration> {
-        let is_held_back = matches!(self.state, State::Unknown { ask_at } if now < ask_at && ask_at == self.foreign_until);
-        is_held_back.then_some(self.foreign_until)
+        let State::Unknown { ask_at } = self.state else {
+            return None;
+        };
+        (now < ask_at && ask_at == self.foreign_until).then_some(ask_at)
     }
 
     /// Whether adapters can be loaded or unloaded.
--- a/src/gateway/gateway.rs
+++ b/src/gateway/gateway.rs
@@ -268,10 +268,19 @@
 
 async fn apply_store_updates(traffic: Rc<Traffic>, updates: flume::Receiver<StoreUpdate>) {
     while let Ok(update) = updates.recv_async().await {
-        // Stays set if the update panics and is lost.
-        traffic.misses_update.set(true);
+        let _applying = Applying(&traffic);
         traffic.on_store_update(update);
-        traffic.misses_update.set(false);
+    }
+}
+
+/// Marks an update as lost if applying it panics.
+struct Applying<'a>(&'a Traffic);
+
+impl Drop for Applying<'_> {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            self.0.misses_update.set(true);
+        }
     }
 }
 
--- a/src/gateway/placer.rs
+++ b/src/gateway/placer.rs
@@ -368,7 +368,7 @@
                 shard_state.acts_from,
                 shard_state.orders_from,
                 shard_state.shard,
-                &shard_state.lease.previously_ordered(),
+                &shard_state.lease.take_previously_ordered(),
             );
         } else {
             self.fleet.on_shard_lost(now, shard_state.shard);
